feat: carry requests from caller to target through entry and control processes

Adds the pure core (records, fleet fold, claims), the platform client, the entry and control processes, stand-ins for the platform and the executors, and an integration test that runs two entry VMs, one platform and three executors as separate processes.

Conclusion: requests, claims of idempotency keys, settings, moves and drains work end to end; queue ownership, membership, planning and tasks are not built yet.

--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,5 @@
+import { cac } from 'cac';
+
+const cli = cac('sequoiaquay');
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/control/src/control-settings.ts
@@ -0,0 +1,28 @@
+import { nameSchema } from '@sequoiaquay/core';
+import { z } from 'zod';
+
+const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port');
+
+/** Settings of a control process. Times in milliseconds. */
+export const controlSettingsSchema = z.strictObject({
+  listen: address,
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+  name: nameSchema,
+  /** Controls of other entry VMs, as a source of state when the log is down. */
+  peers: z.array(address).default([]),
+  platform: z.strictObject({
+    addresses: z.array(z.url()).min(1),
+    timeoutMs: z.int().min(100).default(6000),
+  }),
+  secretFile: z.string().min(1),
+  /** SHA-256 of the bearer token of each team, in hexadecimal. */
+  teamTokens: z
+    .record(nameSchema, z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 in hexadecimal'))
+    .default({}),
+  vm: nameSchema,
+  vmListPollMs: z.int().min(50).default(1000),
+  zone: z.string().min(1),
+});
+
+/** Settings of a control process. */
+export type ControlSettings = z.infer<typeof controlSettingsSchema>;
--- /dev/null
+++ b/packages/control/src/control-source.ts
@@ -0,0 +1,70 @@
+import type { FleetSnapshot } from '@sequoiaquay/core';
+import type { FleetSource, LogPage, PlatformError } from '@sequoiaquay/platform';
+import type { RpcError } from '@sequoiaquay/runtime';
+import type { ResultAsync } from 'neverthrow';
+import { rpcLinkOptions, rpcResult } from '@sequoiaquay/runtime';
+import { createTRPCClient, httpLink } from '@trpc/client';
+import { errAsync, okAsync } from 'neverthrow';
+import { Maybe } from 'true-myth';
+import type { ControlRouter } from './control-router';
+
+/** Time that a call may take beyond its long poll, in ms. */
+const CALL_TIMEOUT_MS = 2000;
+
+/** Fleet records relayed by a control process. */
+export class ControlSource implements FleetSource {
+  readonly #client;
+  readonly name: string;
+  /** Age of the control's own state at its last answer, in ms; undefined when it never reached the log. */
+  sourceAgeMs: number | undefined;
+
+  constructor(address: string, secret: string) {
+    this.name = address;
+    this.#client = createTRPCClient<ControlRouter>({ links: [httpLink(rpcLinkOptions(address, secret))] });
+  }
+
+  bootstrap(signal: AbortSignal): ResultAsync<FleetSnapshot | undefined, PlatformError> {
+    return rpcResult(this.#client.fleetSnapshot.query(undefined, { signal: limit(signal, 0) }))
+      .mapErr(toPlatformError)
+      .andThen((answer) =>
+        answer.caughtUp || answer.state.next > 0
+          ? okAsync<FleetSnapshot, PlatformError>(answer.state)
+          : errAsync(toPlatformError({ kind: 'answered', message: `${this.name} has no state yet` })),
+      );
+  }
+
+  read(from: number, waitMs: number, signal: AbortSignal): ResultAsync<LogPage, PlatformError> {
+    return rpcResult(this.#client.fleetRead.query({ from, waitMs }, { signal: limit(signal, waitMs) }))
+      .mapErr(toPlatformError)
+      .andThen((answer) => {
+        this.sourceAgeMs = answer.ageMs ?? undefined;
+        return answer.page === null
+          ? errAsync(trimmed(answer.trimmedBelow ?? 0))
+          : okAsync<LogPage, PlatformError>(answer.page);
+      });
+  }
+}
+
+function limit(signal: AbortSignal, waitMs: number): AbortSignal {
+  return AbortSignal.any([signal, AbortSignal.timeout(waitMs + CALL_TIMEOUT_MS)]);
+}
+
+function toPlatformError(error: RpcError): PlatformError {
+  return {
+    cause: Maybe.nothing(),
+    kind: 'lost',
+    message: error.message,
+    oldest: Maybe.nothing(),
+    status: Maybe.nothing(),
+  };
+}
+
+function trimmed(oldest: number): PlatformError {
+  return {
+    cause: Maybe.nothing(),
+    kind: 'trimmed',
+    message: 'below the relayed records',
+    oldest: Maybe.just(oldest),
+    status: Maybe.nothing(),
+  };
+}
--- /dev/null
+++ b/packages/control/src/control.ts
@@ -0,0 +1,71 @@
+import type { FleetSource } from '@sequoiaquay/platform';
+import type { Logger, TimerService } from '@sequoiaquay/runtime';
+import {
+  BatchAppender,
+  FleetReplica,
+  LogClient,
+  LogFleetSource,
+  PlatformHttp,
+  STREAM,
+  VmListClient,
+} from '@sequoiaquay/platform';
+import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
+import { Hono } from 'hono';
+import type { ControlSettings } from './control-settings';
+import { createControlRouter } from './control-router';
+import { ControlSource } from './control-source';
+import { createOperatorApi } from './operator-api';
+import { Proposer } from './proposer';
+import { Relay } from './relay';
+import { VmWatcher } from './vm-watcher';
+
+const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
+const REPLICA = { retryMs: 200, waitMs: 5000 };
+const RING_CAPACITY = 10_000;
+
+/** Runs a control process until the signal aborts. */
+export async function runControl(
+  cfg: ControlSettings,
+  secret: string,
+  log: Logger,
+  timers: TimerService,
+  signal: AbortSignal,
+): Promise<void> {
+  const http = new PlatformHttp({ ...cfg.platform, secret });
+  const logClient = new LogClient(http);
+  const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
+  const sources: FleetSource[] = [
+    new LogFleetSource(logClient),
+    ...cfg.peers.map((peer) => new ControlSource(peer, secret)),
+  ];
+  const replica = new FleetReplica(() => sources, REPLICA, timers);
+  const relay = new Relay(replica, signal);
+  const appender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, signal);
+  const proposer = new Proposer(appender, replica, timers, cfg.name);
+  replica.subscribe((entry, verdict) => {
+    const accepted = verdict.isOk();
+    ring.add(accepted ? verdict.value.kind : 'refused', String(entry.offset), {
+      reason: accepted ? '' : verdict.error.detail,
+    });
+  }, signal);
+  const watcher = new VmWatcher(
+    new VmListClient(http),
+    replica,
+    proposer,
+    { pollMs: cfg.vmListPollMs },
+    timers,
+  );
+
+  const app = new Hono();
+  app.get('/healthz', (c) => c.json({ ok: true }));
+  app.get('/readyz', (c) => c.json({ ready: replica.caughtUp }, replica.caughtUp ? 200 : 503));
+  mountRpc(app, createControlRouter({ relay, replica, ring }), secret);
+  app.route('/v1', createOperatorApi({ proposer, replica, teamTokens: cfg.teamTokens }) as unknown as Hono);
+  const server = await listen(app, cfg.listen);
+  log.info({ listen: cfg.listen }, 'control process started');
+  watcher.start(signal);
+  await replica.run(signal);
+  await closeServer(server);
+  await http.close();
+  log.info('control process stopped');
+}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,3 @@
+export type * from './control-router';
+export * from './control-settings';
+export * from './control-source';
--- /dev/null
+++ b/packages/control/src/proposer.ts
@@ -0,0 +1,43 @@
+import type { FleetRecord } from '@sequoiaquay/core';
+import type { BatchAppender, FleetReplica, FleetVerdict } from '@sequoiaquay/platform';
+import type { TimerService } from '@sequoiaquay/runtime';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { randomUUID } from 'node:crypto';
+
+type DistributiveOmit<T, K extends PropertyKey> = T extends unknown ? Omit<T, K> : never;
+
+/** A fleet record without the fields that the proposer fills in. */
+export type FleetProposal = DistributiveOmit<FleetRecord, 'at' | 'by' | 'id' | 'v'>;
+
+/** No verdict came in time: the record may or may not be accepted later. */
+export interface NoVerdict {
+  message: string;
+  recordId: string;
+}
+
+/** Appends proposals to the `fleet` stream and waits for the verdict of the fold. */
+export class Proposer {
+  constructor(
+    private readonly appender: BatchAppender,
+    private readonly replica: FleetReplica,
+    private readonly timers: TimerService,
+    private readonly by: string,
+  ) {}
+
+  /** Proposes a record and gives the fold's verdict, unless the signal aborts first. */
+  async propose(
+    proposal: FleetProposal,
+    signal: AbortSignal,
+    by = this.by,
+  ): Promise<Result<{ recordId: string; verdict: FleetVerdict }, NoVerdict>> {
+    const recordId = randomUUID();
+    const record = { ...proposal, at: this.timers.now(), by, id: recordId, v: 1 };
+    const verdict = this.replica.verdictOf(recordId, signal);
+    this.appender.append(record, signal);
+    const judged = await verdict;
+    return judged === undefined
+      ? err({ message: 'the log did not confirm the change in time', recordId })
+      : ok({ recordId, verdict: judged });
+  }
+}
--- /dev/null
+++ b/packages/control/src/vm-watcher.ts
@@ -0,0 +1,75 @@
+import type { ListedVm, VmList, VmService } from '@sequoiaquay/platform';
+import type { FleetReplica } from '@sequoiaquay/platform';
+import type { TimerService } from '@sequoiaquay/runtime';
+import { nameSchema } from '@sequoiaquay/core';
+import type { Proposer } from './proposer';
+
+/** Settings of the VM watcher. */
+export interface VmWatcherSettings {
+  pollMs: number;
+}
+
+/** Longest time that a proposal of the watcher waits for its verdict, in ms. */
+const PROPOSAL_TIMEOUT_MS = 5000;
+
+/** Registers VMs that appear on the platform's list. */
+export class VmWatcher {
+  #busy = false;
+  /** Last list read, or undefined before the first. */
+  list: VmList | undefined;
+
+  constructor(
+    private readonly vms: VmService,
+    private readonly replica: FleetReplica,
+    private readonly proposer: Proposer,
+    private readonly settings: VmWatcherSettings,
+    private readonly timers: TimerService,
+  ) {}
+
+  /** Polls the list until the signal aborts. */
+  start(signal: AbortSignal): void {
+    this.timers.every(
+      this.settings.pollMs,
+      () => {
+        void this.#poll(signal);
+      },
+      signal,
+    );
+  }
+
+  async #poll(signal: AbortSignal): Promise<void> {
+    if (this.#busy || !this.replica.caughtUp) {
+      return;
+    }
+    this.#busy = true;
+    const list = await this.vms.list(signal);
+    if (list.isOk()) {
+      this.list = list.value;
+      await this.#register(list.value, signal);
+    }
+    this.#busy = false;
+  }
+
+  async #register(list: VmList, signal: AbortSignal): Promise<void> {
+    const unknown = list.vms.filter((vm) => vm.role !== 'entry' && this.#isNew(vm));
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(PROPOSAL_TIMEOUT_MS)]);
+    await Promise.all(unknown.map((vm) => this.proposer.propose(toProposal(vm), limit)));
+  }
+
+  #isNew(vm: ListedVm): boolean {
+    return vm.state === 'live' && nameSchema.safeParse(vm.id).success && !this.replica.state.vms.has(vm.id);
+  }
+}
+
+function toProposal(vm: ListedVm): Parameters<Proposer['propose']>[0] {
+  return {
+    address: vm.address,
+    connections: vm.connections,
+    kind: 'vm-register',
+    rack: vm.rack,
+    role: vm.role === 'worker' ? 'worker' : 'target',
+    slots: vm.slots,
+    vm: vm.id,
+    zone: vm.zone,
+  };
+}
--- /dev/null
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -0,0 +1,95 @@
+import type { VmState } from '../charts/vm.chart';
+import type { VmHealth } from '../records/fleet-record';
+import type { TeamBranch } from '../records/settings-schema';
+
+/** Pool of VMs that no team has been given. */
+export const UNASSIGNED_POOL = 'unassigned';
+
+/** A drain that runs on a VM. */
+export interface Drain {
+  id: string;
+  /** Offset of the accepted drain record. */
+  offset: number;
+  purpose: 'move' | 'reboot' | 'remove';
+  to?: string;
+  /** Members (name to incarnation) that have not said yet that they are clear of the VM. */
+  waitingFor: Map<string, number>;
+  wave?: string;
+}
+
+/** A VM of the fleet. */
+export interface Vm {
+  address: string;
+  connections: number;
+  drain?: Drain;
+  health: VmHealth;
+  id: string;
+  /** Time of the last completed maintenance, ms since the epoch; 0 when never maintained. */
+  maintainedAt: number;
+  pool: string;
+  rack: string;
+  role: 'target' | 'worker';
+  slots: number;
+  state: VmState;
+  zone: string;
+}
+
+/** A process of the system that has joined in the log. */
+export interface Member {
+  address: string;
+  id: string;
+  incarnation: number;
+  role: 'control' | 'entry';
+  vm: string;
+  zone: string;
+}
+
+/** Accepted settings of a team. */
+export interface Branch {
+  value: TeamBranch;
+  /** Offset of the accepted record, plus one; 0 stands for a team without settings. */
+  version: number;
+}
+
+/** A maintenance wave. */
+export interface Wave {
+  id: string;
+  startedAt: number;
+  state: 'running' | 'stopped';
+  stopReason?: string;
+  vms: string[];
+}
+
+/** Planner that holds the current epoch. */
+export interface Planner {
+  epoch: number;
+  member?: string;
+}
+
+/** State that the `fleet` stream folds to. */
+export interface FleetState {
+  branches: Map<string, Branch>;
+  members: Map<string, Member>;
+  /** Offset of the next record to apply. */
+  next: number;
+  planner: Planner;
+  /** Team that owns each pool, derived from the branches. */
+  poolOwners: Map<string, string>;
+  /** Ids of recently applied records, oldest first, for recognising repeats. */
+  recentIds: Set<string>;
+  vms: Map<string, Vm>;
+  wave?: Wave;
+}
+
+/** Fleet state before the first record. */
+export function emptyFleetState(): FleetState {
+  return {
+    branches: new Map(),
+    members: new Map(),
+    next: 0,
+    planner: { epoch: 0 },
+    poolOwners: new Map(),
+    recentIds: new Set(),
+    vms: new Map(),
+  };
+}
--- /dev/null
+++ b/packages/core/src/fleet/snapshot.ts
@@ -0,0 +1,100 @@
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import type { DecodeError } from '../records/decode';
+import type { FleetState } from './fleet-state';
+import { decodeRecord } from '../records/decode';
+import { teamBranchSchema } from '../records/settings-schema';
+import { rebuildPoolOwners } from './apply-settings';
+
+const drainSchema = z.object({
+  id: z.string(),
+  offset: z.int(),
+  purpose: z.enum(['move', 'reboot', 'remove']),
+  to: z.string().optional(),
+  waitingFor: z.array(z.tuple([z.string(), z.int()])),
+  wave: z.string().optional(),
+});
+
+const vmSchema = z.object({
+  address: z.string(),
+  connections: z.int(),
+  drain: drainSchema.optional(),
+  health: z.enum(['down', 'suspect', 'up']),
+  id: z.string(),
+  maintainedAt: z.int(),
+  pool: z.string(),
+  rack: z.string(),
+  role: z.enum(['target', 'worker']),
+  slots: z.int(),
+  state: z.enum(['draining', 'released', 'serving']),
+  zone: z.string(),
+});
+
+const memberSchema = z.object({
+  address: z.string(),
+  id: z.string(),
+  incarnation: z.int(),
+  role: z.enum(['control', 'entry']),
+  vm: z.string(),
+  zone: z.string(),
+});
+
+const waveSchema = z.object({
+  id: z.string(),
+  startedAt: z.int(),
+  state: z.enum(['running', 'stopped']),
+  stopReason: z.string().optional(),
+  vms: z.array(z.string()),
+});
+
+const snapshotSchema = z.object({
+  branches: z.array(z.tuple([z.string(), z.object({ value: teamBranchSchema, version: z.int() })])),
+  members: z.array(memberSchema),
+  next: z.int(),
+  planner: z.object({ epoch: z.int(), member: z.string().optional() }),
+  recentIds: z.array(z.string()),
+  vms: z.array(vmSchema),
+  wave: waveSchema.optional(),
+});
+
+/** Plain form of the fleet state, for snapshots and comparison. */
+export type FleetSnapshot = z.infer<typeof snapshotSchema>;
+
+/** Turns the fleet state into its plain form. */
+export function toSnapshot(state: FleetState): FleetSnapshot {
+  return {
+    branches: [...state.branches],
+    members: [...state.members.values()],
+    next: state.next,
+    planner: state.planner,
+    recentIds: [...state.recentIds],
+    vms: [...state.vms.values()].map((vm) => ({
+      ...vm,
+      drain: vm.drain && { ...vm.drain, waitingFor: [...vm.drain.waitingFor] },
+    })),
+    wave: state.wave,
+  };
+}
+
+/** Restores the fleet state from a snapshot read from the log or a peer. */
+export function fromSnapshot(raw: unknown): Result<FleetState, DecodeError> {
+  return decodeRecord(snapshotSchema, raw).map((plain) => {
+    const state: FleetState = {
+      branches: new Map(plain.branches),
+      members: new Map(plain.members.map((member) => [member.id, member])),
+      next: plain.next,
+      planner: plain.planner,
+      poolOwners: new Map(),
+      recentIds: new Set(plain.recentIds),
+      vms: new Map(
+        plain.vms.map((vm) => [
+          vm.id,
+          { ...vm, drain: vm.drain && { ...vm.drain, waitingFor: new Map(vm.drain.waitingFor) } },
+        ]),
+      ),
+      wave: plain.wave,
+    };
+    rebuildPoolOwners(state);
+    return state;
+  });
+}
--- /dev/null
+++ b/packages/core/src/records/names.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+
+/** Longest name of a team, pool, job, VM or member, in characters. */
+export const MAX_NAME_LENGTH = 63;
+
+/** Name of a team, pool, job, VM or member: lower-case letters, digits and hyphens. */
+export const nameSchema = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9-]*$/, 'must be lower-case letters, digits and hyphens')
+  .max(MAX_NAME_LENGTH);
--- /dev/null
+++ b/packages/core/src/records/settings-schema.ts
@@ -0,0 +1,35 @@
+import { z } from 'zod';
+import { nameSchema } from './names';
+
+/** Settings of one job of a pool. Times in milliseconds. */
+export const jobSettingsSchema = z.strictObject({
+  repeatable: z.boolean(),
+  timeoutMs: z.int().min(1).max(86_400_000),
+  urgent: z.boolean().default(false),
+});
+
+/** Settings of one pool. */
+export const poolSettingsSchema = z.strictObject({
+  jobs: z.record(nameSchema, jobSettingsSchema),
+  keptShortSlots: z.int().min(0).optional(),
+  minServing: z.int().min(0),
+});
+
+/** Branch of the settings tree that belongs to one team. */
+export const teamBranchSchema = z.strictObject({
+  pools: z.record(nameSchema, poolSettingsSchema),
+  quota: z
+    .strictObject({
+      inFlight: z.int().min(1),
+      queued: z.int().min(0),
+    })
+    .optional(),
+  weight: z.number().positive().max(1000).default(1),
+});
+
+/** Settings of one job. */
+export type JobSettings = z.infer<typeof jobSettingsSchema>;
+/** Settings of one pool. */
+export type PoolSettings = z.infer<typeof poolSettingsSchema>;
+/** Settings of one team. */
+export type TeamBranch = z.infer<typeof teamBranchSchema>;
--- /dev/null
+++ b/packages/entry/src/entry-settings.ts
@@ -0,0 +1,29 @@
+import { nameSchema } from '@sequoiaquay/core';
+import { z } from 'zod';
+
+const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port');
+
+/** Settings of an entry process. Times in milliseconds, sizes in bytes. */
+export const entrySettingsSchema = z.strictObject({
+  /** Largest answer that is buffered whole. */
+  bufferLimitBytes: z.int().min(1024).default(1_048_576),
+  /** Controls to take the fleet state from, the one on this VM first. */
+  controls: z.array(address).min(1),
+  /** Time for which an idempotency key is remembered. */
+  keyWindowMs: z.int().min(1000).default(3_600_000),
+  listen: address,
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+  maxRequestBytes: z.int().min(1024).default(1_048_576),
+  name: nameSchema,
+  peerListen: address,
+  platform: z.strictObject({
+    addresses: z.array(z.url()).min(1),
+    timeoutMs: z.int().min(100).default(6000),
+  }),
+  secretFile: z.string().min(1),
+  vm: nameSchema,
+  zone: z.string().min(1),
+});
+
+/** Settings of an entry process. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+export * from './entry-settings';
+export * from './refusal';
--- /dev/null
+++ b/packages/entry/src/refusal.ts
@@ -0,0 +1,36 @@
+import type { Outcome } from '@sequoiaquay/core';
+import type { ContentfulStatusCode } from 'hono/utils/http-status';
+import type { Maybe } from 'true-myth';
+
+/** Reasons given to callers, with the HTTP status of each. */
+export const REFUSAL_STATUS = {
+  'bad-request': 400,
+  'claim-unavailable': 503,
+  'deadline-unreachable': 503,
+  'entry-not-ready': 503,
+  'key-expired': 409,
+  'key-in-use': 409,
+  'key-mismatch': 422,
+  'key-required': 400,
+  'no-target': 503,
+  'queue-full': 503,
+  'request-too-large': 413,
+  'target-failed': 502,
+  'target-timeout': 504,
+  'target-unreachable': 503,
+  'unknown-job': 404,
+  'unknown-pool': 404,
+  stopping: 503,
+} as const satisfies Record<string, ContentfulStatusCode>;
+
+/** Reason given to a caller. */
+export type CallerRefusalReason = keyof typeof REFUSAL_STATUS;
+
+/** A request that gets no answer of a target. */
+export interface CallerRefusal {
+  detail: string;
+  outcome: Exclude<Outcome, 'answered'>;
+  reason: CallerRefusalReason;
+  /** Time after which a retry makes sense, in seconds. */
+  retryAfterS: Maybe<number>;
+}
--- /dev/null
+++ b/packages/entry/src/request-plan.ts
@@ -0,0 +1,100 @@
+import type { FleetState, JobSettings, PoolSettings } from '@sequoiaquay/core';
+import type { Result } from 'neverthrow';
+import { jobSettings, MAX_KEY_LENGTH, poolSettings } from '@sequoiaquay/core';
+import { err, ok } from 'neverthrow';
+import { createHash } from 'node:crypto';
+import { Maybe } from 'true-myth';
+import type { CallerRefusal, CallerRefusalReason } from './refusal';
+
+/** Request headers of the callers' interface. */
+export const HEADER = {
+  deadline: 'sequoiaquay-deadline-ms',
+  key: 'idempotency-key',
+  outcome: 'sequoiaquay-outcome',
+  repeatable: 'sequoiaquay-repeatable',
+  requestId: 'sequoiaquay-request-id',
+} as const;
+
+/** A caller's request as received. */
+export interface CallerRequest {
+  body: Buffer;
+  contentType: string;
+  /** Value of a header, by lower-case name. */
+  header: (name: string) => string | undefined;
+  id: string;
+  job: string;
+  pool: string;
+}
+
+/** What the entry is going to do for a request. */
+export interface RequestPlan {
+  body: Buffer;
+  contentType: string;
+  /** Time from now within which the caller wants its answer, in ms. */
+  deadlineMs: number;
+  digest: string;
+  id: string;
+  job: string;
+  jobSettings: JobSettings;
+  /** Idempotency key; present for every request that is not repeatable. */
+  key: string | undefined;
+  pool: string;
+  poolSettings: PoolSettings;
+  repeatable: boolean;
+  team: string;
+}
+
+/** Decides how a request is handled, or why it is refused before anything runs. */
+export function planRequest(state: FleetState, req: CallerRequest): Result<RequestPlan, CallerRefusal> {
+  const pool = poolSettings(state, req.pool);
+  const team = state.poolOwners.get(req.pool);
+  if (pool === undefined || team === undefined) {
+    return refuse('unknown-pool', `pool ${JSON.stringify(req.pool)} doesn't exist`);
+  }
+  const job = jobSettings(pool, req.job);
+  if (job === undefined) {
+    return refuse('unknown-job', `pool ${req.pool} has no job ${JSON.stringify(req.job)}`);
+  }
+  const deadline = parseDeadline(req.header(HEADER.deadline), job.timeoutMs);
+  const wish = req.header(HEADER.repeatable);
+  if (deadline === undefined) {
+    return refuse('bad-request', `${HEADER.deadline} must be a whole number of milliseconds above 0`);
+  }
+  if (wish !== undefined && wish !== 'true' && wish !== 'false') {
+    return refuse('bad-request', `${HEADER.repeatable} must be "true" or "false"`);
+  }
+  // A caller can only tighten the job's setting.
+  const repeatable = job.repeatable && wish !== 'false';
+  const key = req.header(HEADER.key);
+  if (!repeatable && (key === undefined || key === '')) {
+    return refuse('key-required', `job ${req.job} is not repeatable and needs an Idempotency-Key`);
+  }
+  if (key !== undefined && key.length > MAX_KEY_LENGTH) {
+    return refuse('bad-request', `Idempotency-Key is longer than ${MAX_KEY_LENGTH} characters`);
+  }
+  return ok({
+    body: req.body,
+    contentType: req.contentType,
+    deadlineMs: deadline,
+    digest: createHash('sha256').update(req.body).digest('base64url'),
+    id: req.id,
+    job: req.job,
+    jobSettings: job,
+    key,
+    pool: req.pool,
+    poolSettings: pool,
+    repeatable,
+    team,
+  });
+}
+
+function parseDeadline(value: string | undefined, timeoutMs: number): number | undefined {
+  if (value === undefined) {
+    return timeoutMs;
+  }
+  return /^[1-9]\d{0,8}$/.test(value) ? Math.min(Number(value), timeoutMs) : undefined;
+}
+
+function refuse(reason: CallerRefusalReason, detail: string): Result<never, CallerRefusal> {
+  return err({ detail, outcome: 'not-run', reason, retryAfterS: Maybe.nothing<number>() });
+}
--- /dev/null
+++ b/packages/platform/src/batch-appender.ts
@@ -0,0 +1,91 @@
+import type { TimerService } from '@sequoiaquay/runtime';
+import type { LogService, StreamName } from './log-client';
+import type { PlatformError } from './platform-error';
+
+/** Settings of a batch appender. */
+export interface BatchAppenderSettings {
+  /** Time that a record waits for others to share its append, in ms. */
+  batchMs: number;
+  /** Most records in one append. */
+  maxBatch: number;
+  /** First and longest pause between tries, in ms. */
+  retryMaxMs: number;
+  retryMinMs: number;
+}
+
+/** Counters of a batch appender. */
+export interface BatchAppenderCounters {
+  appends: number;
+  failures: number;
+  records: number;
+}
+
+interface Waiting {
+  record: unknown;
+  /** A record whose signal has aborted is not sent, or not sent again. */
+  signal: AbortSignal;
+}
+
+/**
+ * Appends records to one stream, several to an append, with one append in flight.
+ * A failed append is repeated with the same records until their signals abort: records carry ids, so
+ * the fold recognises a repeat of an append whose answer was lost. The caller learns from the fold,
+ * not from the appender, whether a record is in the log.
+ */
+export class BatchAppender {
+  readonly counters: BatchAppenderCounters = { appends: 0, failures: 0, records: 0 };
+  #busy = false;
+  #waiting: Waiting[] = [];
+
+  constructor(
+    private readonly log: LogService,
+    private readonly stream: StreamName,
+    private readonly settings: BatchAppenderSettings,
+    private readonly timers: TimerService,
+    private readonly signal: AbortSignal,
+    private readonly onFailure: (error: PlatformError) => void = () => undefined,
+  ) {}
+
+  /** Number of records not yet acknowledged by the log. */
+  get pending(): number {
+    return this.#waiting.length;
+  }
+
+  /** Queues a record; it is given up when its signal aborts. */
+  append(record: unknown, signal: AbortSignal): void {
+    this.#waiting.push({ record, signal });
+    if (!this.#busy) {
+      this.#busy = true;
+      this.timers.after(this.settings.batchMs, () => void this.#run(), this.signal);
+    }
+  }
+
+  async #run(): Promise<void> {
+    let pauseMs = this.settings.retryMinMs;
+    while (this.#dropAborted() && !this.signal.aborted) {
+      const batch = this.#waiting.slice(0, this.settings.maxBatch);
+      const appended = await this.log.append(
+        this.stream,
+        batch.map((item) => item.record),
+        this.signal,
+      );
+      if (appended.isOk()) {
+        this.#waiting.splice(0, batch.length);
+        this.counters.appends += 1;
+        this.counters.records += batch.length;
+        pauseMs = this.settings.retryMinMs;
+        continue;
+      }
+      this.counters.failures += 1;
+      this.onFailure(appended.error);
+      await this.timers.sleep(pauseMs, this.signal);
+      pauseMs = Math.min(2 * pauseMs, this.settings.retryMaxMs);
+    }
+    this.#busy = false;
+  }
+
+  #dropAborted(): boolean {
+    this.#waiting = this.#waiting.filter((item) => !item.signal.aborted);
+    return this.#waiting.length > 0;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/fleet-replica.ts
@@ -0,0 +1,173 @@
+import type { FleetRecord, FleetRefusal, FleetState } from '@sequoiaquay/core';
+import type { TimerService } from '@sequoiaquay/runtime';
+import type { Result } from 'neverthrow';
+import { applyFleetRecord, emptyFleetState, fromSnapshot } from '@sequoiaquay/core';
+import type { FleetSource } from './fleet-source';
+import type { LogEntry, LogPage } from './log-client';
+import type { PlatformError } from './platform-error';
+
+/** Verdict of the fold on one record. */
+export type FleetVerdict = Result<FleetRecord, FleetRefusal>;
+
+/** Called for each record that the replica has applied. */
+export type FleetListener = (entry: LogEntry, verdict: FleetVerdict) => void;
+
+/** Settings of a fleet replica. Times in ms. */
+export interface FleetReplicaSettings {
+  /** Pause after a source failed. */
+  retryMs: number;
+  /** Longest time that a read waits for a record. */
+  waitMs: number;
+}
+
+/** Counters of a fleet replica. */
+export interface FleetReplicaCounters {
+  applied: number;
+  refused: number;
+  sourceFailures: number;
+  unreadable: number;
+}
+
+/**
+ * Replica of the fleet state: follows the `fleet` stream from the first source that answers.
+ * The state only ever moves forward in offset.
+ */
+export class FleetReplica {
+  readonly counters: FleetReplicaCounters = { applied: 0, refused: 0, sourceFailures: 0, unreadable: 0 };
+  #caughtUp = false;
+  #lastContact: number | undefined;
+  readonly #listeners = new Set<FleetListener>();
+  #source = 0;
+  #started = false;
+  #state: FleetState = emptyFleetState();
+
+  constructor(
+    private readonly sources: () => readonly FleetSource[],
+    private readonly settings: FleetReplicaSettings,
+    private readonly timers: TimerService,
+  ) {}
+
+  /** Time since a source last answered, in ms; undefined before the first answer. */
+  get ageMs(): number | undefined {
+    return this.#lastContact === undefined ? undefined : this.timers.mono() - this.#lastContact;
+  }
+
+  /** Whether the replica has reached the end of its source once. */
+  get caughtUp(): boolean {
+    return this.#caughtUp;
+  }
+
+  /** Current state; owned by the replica, read only for others. */
+  get state(): FleetState {
+    return this.#state;
+  }
+
+  /** Adds a listener for applied records until the signal aborts. */
+  subscribe(listener: FleetListener, signal: AbortSignal): void {
+    this.#listeners.add(listener);
+    signal.addEventListener('abort', () => this.#listeners.delete(listener), { once: true });
+  }
+
+  /** Follows the stream until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const source = this.#currentSource();
+      const problem = source === undefined ? 'none' : await this.#step(source, signal);
+      if (problem !== undefined) {
+        this.counters.sourceFailures += 1;
+        this.#source += 1;
+        await this.timers.sleep(this.settings.retryMs, signal);
+      }
+    }
+  }
+
+  /** Waits for the verdict on a record; undefined when the signal aborts first. */
+  verdictOf(recordId: string, signal: AbortSignal): Promise<FleetVerdict | undefined> {
+    return new Promise((resolve) => {
+      const done = new AbortController();
+      const finish = (verdict: FleetVerdict | undefined): void => {
+        done.abort();
+        resolve(verdict);
+      };
+      signal.addEventListener(
+        'abort',
+        () => {
+          finish(undefined);
+        },
+        { once: true, signal: done.signal },
+      );
+      this.subscribe((entry, verdict) => {
+        if (idOf(entry.value) === recordId) {
+          finish(verdict);
+        }
+      }, done.signal);
+    });
+  }
+
+  #currentSource(): FleetSource | undefined {
+    const sources = this.sources();
+    return sources[this.#source % Math.max(1, sources.length)];
+  }
+
+  async #step(source: FleetSource, signal: AbortSignal): Promise<PlatformError | undefined> {
+    if (!this.#started) {
+      return this.#bootstrap(source, signal);
+    }
+    const page = await source.read(this.#state.next, this.#caughtUp ? this.settings.waitMs : 0, signal);
+    if (page.isErr()) {
+      return page.error.kind === 'trimmed' ? this.#bootstrap(source, signal) : page.error;
+    }
+    this.#applyPage(page.value);
+    return undefined;
+  }
+
+  async #bootstrap(source: FleetSource, signal: AbortSignal): Promise<PlatformError | undefined> {
+    const found = await source.bootstrap(signal);
+    if (found.isErr()) {
+      return found.error;
+    }
+    this.#started = true;
+    const restored = found.value === undefined ? undefined : fromSnapshot(found.value);
+    if (restored?.isErr() === true) {
+      this.counters.unreadable += 1;
+    }
+    if (restored?.isOk() === true && restored.value.next > this.#state.next) {
+      this.#state = restored.value;
+    }
+    return undefined;
+  }
+
+  #applyPage(page: LogPage): void {
+    this.#lastContact = this.timers.mono();
+    for (const entry of page.records) {
+      this.#applyEntry(entry);
+    }
+    this.#caughtUp ||= this.#state.next >= page.end;
+  }
+
+  #applyEntry(entry: LogEntry): void {
+    // A stale peer may return records that were applied before.
+    if (entry.offset < this.#state.next) {
+      return;
+    }
+    const verdict = applyFleetRecord(this.#state, entry.offset, entry.value);
+    if (verdict.isOk()) {
+      this.counters.applied += 1;
+    } else if (verdict.error.reason === 'bad-record') {
+      this.counters.unreadable += 1;
+    } else {
+      this.counters.refused += 1;
+    }
+    for (const listener of this.#listeners) {
+      listener(entry, verdict);
+    }
+  }
+}
+
+/** Id of a raw record, when it has one. */
+export function idOf(value: unknown): string | undefined {
+  if (typeof value !== 'object' || value === null || !('id' in value)) {
+    return undefined;
+  }
+  return typeof value.id === 'string' ? value.id : undefined;
+}
--- /dev/null
+++ b/packages/platform/src/log-client.ts
@@ -0,0 +1,86 @@
+import type { ResultAsync } from 'neverthrow';
+import { z } from 'zod';
+import type { PlatformError } from './platform-error';
+import type { PlatformHttp } from './platform-http';
+
+/** Stream names of the system on the log service. */
+export const STREAM = { fleet: 'fleet', work: 'work' } as const;
+/** Stream of the log service. */
+export type StreamName = (typeof STREAM)[keyof typeof STREAM];
+
+const appendAnswerSchema = z.object({ offset: z.int().min(0) });
+
+const readAnswerSchema = z.object({
+  end: z.int().min(0),
+  oldest: z.int().min(0),
+  records: z.array(z.object({ offset: z.int().min(0), value: z.unknown() })),
+});
+
+/** A record read from the log, not yet checked. */
+export interface LogEntry {
+  offset: number;
+  value?: unknown;
+}
+
+/** Records read from the log. */
+export interface LogPage {
+  /** Offset after the last record of the stream. */
+  end: number;
+  oldest: number;
+  records: LogEntry[];
+}
+
+/** A read from a stream. */
+export interface LogRead {
+  from: number;
+  /** Most records to return. */
+  limit: number;
+  signal: AbortSignal;
+  stream: StreamName;
+  /** Time to wait for a record, in ms. */
+  waitMs: number;
+}
+
+/** Log service of the platform. */
+export interface LogService {
+  /** Appends records in one append; gives the offset of the first. */
+  append: (
+    stream: StreamName,
+    records: readonly unknown[],
+    signal: AbortSignal,
+  ) => ResultAsync<number, PlatformError>;
+  /** Reads records from an offset. */
+  read: (read: LogRead) => ResultAsync<LogPage, PlatformError>;
+}
+
+/** Log service reached over HTTP. */
+export class LogClient implements LogService {
+  constructor(private readonly http: PlatformHttp) {}
+
+  append(
+    stream: StreamName,
+    records: readonly unknown[],
+    signal: AbortSignal,
+  ): ResultAsync<number, PlatformError> {
+    return this.http
+      .call({
+        body: { records },
+        method: 'POST',
+        path: `/v1/streams/${stream}/records`,
+        schema: appendAnswerSchema,
+        signal,
+      })
+      .map((answer) => answer.offset);
+  }
+
+  read(read: LogRead): ResultAsync<LogPage, PlatformError> {
+    const query = `from=${read.from}&limit=${read.limit}&waitMs=${read.waitMs}`;
+    return this.http.call({
+      method: 'GET',
+      path: `/v1/streams/${read.stream}/records?${query}`,
+      schema: readAnswerSchema,
+      signal: read.signal,
+      waitMs: read.waitMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/platform-http.ts
@@ -0,0 +1,99 @@
+import type { ZodType } from 'zod';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { Maybe } from 'true-myth';
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+import type { PlatformError, PlatformFailure } from './platform-error';
+
+/** Where the platform's services are, and how to reach them. */
+export interface PlatformSettings {
+  /** Base URLs, tried in turn. */
+  addresses: string[];
+  secret: string;
+  /** Limit for one call, in ms, on top of any long-poll time. */
+  timeoutMs: number;
+}
+
+/** A call to the platform. */
+export interface PlatformCall<T> {
+  body?: unknown;
+  method: 'DELETE' | 'GET' | 'POST';
+  path: string;
+  schema: ZodType<T>;
+  signal: AbortSignal;
+  /** Time that the service may hold the call open, in ms. */
+  waitMs?: number;
+}
+
+const refusalSchema = z.object({ error: z.string().optional(), oldest: z.int().optional() });
+
+const MAX_CONNECTIONS = 8;
+
+/** HTTP client of the platform's services. */
+export class PlatformHttp {
+  readonly #agent = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1 });
+  #preferred = 0;
+  readonly #settings: PlatformSettings;
+
+  constructor(settings: PlatformSettings) {
+    this.#settings = settings;
+  }
+
+  /** Makes one call and checks the answer against the schema. */
+  call<T>(call: PlatformCall<T>): ResultAsync<T, PlatformError> {
+    return ResultAsync.fromPromise(this.#send(call), (error) => this.#toError(error)).andThen((answer) =>
+      this.#check(call, answer),
+    );
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(call: PlatformCall<unknown>): Promise<{ body: unknown; status: number }> {
+    const base = this.#settings.addresses[this.#preferred % this.#settings.addresses.length] ?? '';
+    const limit = this.#settings.timeoutMs + (call.waitMs ?? 0);
+    const res = await request(`${base}${call.path}`, {
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+      dispatcher: this.#agent,
+      headers: { authorization: `Bearer ${this.#settings.secret}`, 'content-type': 'application/json' },
+      method: call.method,
+      signal: AbortSignal.any([call.signal, AbortSignal.timeout(limit)]),
+    });
+    return { body: await res.body.json(), status: res.statusCode };
+  }
+
+  #check<T>(call: PlatformCall<T>, answer: { body: unknown; status: number }): ResultAsync<T, PlatformError> {
+    if (answer.status >= 300) {
+      return errAsync(refusal(answer.status, answer.body));
+    }
+    const parsed = call.schema.safeParse(answer.body);
+    return parsed.success
+      ? okAsync(parsed.data)
+      : errAsync(failure('lost', `unexpected answer: ${parsed.error.message}`));
+  }
+
+  #toError(error: unknown): PlatformError {
+    this.#preferred += 1;
+    const cause = error instanceof Error ? error : new Error(String(error));
+    const kind = cause.name === 'TimeoutError' ? 'timeout' : 'lost';
+    return { ...failure(kind, cause.message), cause: Maybe.just(cause) };
+  }
+}
+
+function failure(kind: PlatformFailure, message: string): PlatformError {
+  return { cause: Maybe.nothing(), kind, message, oldest: Maybe.nothing(), status: Maybe.nothing() };
+}
+
+function refusal(status: number, body: unknown): PlatformError {
+  const parsed = refusalSchema.safeParse(body);
+  const detail = parsed.success ? parsed.data : {};
+  return {
+    cause: Maybe.nothing(),
+    kind: status === 410 ? 'trimmed' : 'refused',
+    message: detail.error ?? `status ${status}`,
+    oldest: Maybe.of(detail.oldest),
+    status: Maybe.just(status),
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,7 @@
+export * from './event-ring';
+export * from './logger';
+export * from './settings-file';
+export * from './shutdown';
+export * from './timer-service';
+export * from './listen';
+export * from './rpc';
--- /dev/null
+++ b/packages/runtime/src/settings-file.ts
@@ -0,0 +1,50 @@
+import type { Result } from 'neverthrow';
+import type { ZodType } from 'zod';
+import { describeProblems } from '@sequoiaquay/core';
+import { err, ok } from 'neverthrow';
+import { readFileSync } from 'node:fs';
+
+/** A settings file that can't be used, with every problem found. */
+export interface SettingsError {
+  file: string;
+  problems: string[];
+}
+
+/** Reads a JSON settings file, lays flag values over it and checks it against a schema. */
+export function loadSettings<T>(
+  file: string,
+  schema: ZodType<T>,
+  overrides: Record<string, unknown> = {},
+): Result<T, SettingsError> {
+  return readJson(file).andThen((raw) => {
+    const merged = typeof raw === 'object' && raw !== null ? { ...raw, ...overrides } : raw;
+    const parsed = schema.safeParse(merged);
+    return parsed.success ? ok(parsed.data) : err({ file, problems: describeProblems(parsed.error) });
+  });
+}
+
+/** Reads a secret from a file, without surrounding white space. */
+export function readSecret(file: string): Result<string, SettingsError> {
+  return readText(file).andThen((text) => {
+    const secret = text.trim();
+    return secret.length > 0 ? ok(secret) : err({ file, problems: ['the secret file is empty'] });
+  });
+}
+
+function readJson(file: string): Result<unknown, SettingsError> {
+  return readText(file).andThen((text) => {
+    try {
+      return ok<unknown, SettingsError>(JSON.parse(text));
+    } catch (error) {
+      return err({ file, problems: [`not JSON: ${String(error)}`] });
+    }
+  });
+}
+
+function readText(file: string): Result<string, SettingsError> {
+  try {
+    return ok(readFileSync(file, 'utf8'));
+  } catch (error) {
+    return err({ file, problems: [`can't be read: ${String(error)}`] });
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,5 @@
+export * from './executor-stand-in';
+export * from './platform-faults';
+export * from './platform-stand-in';
+export * from './random';
+export * from './stream-store';
--- /dev/null
+++ b/tests/support/cluster.ts
@@ -0,0 +1,224 @@
+import { createHash } from 'node:crypto';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { freePorts } from './ports';
+import { BinaryProcess } from './process';
+import { waitFor } from './wait-for';
+
+/** Secret shared by the processes of a test cluster. */
+export const SECRET = 'test-secret';
+
+/** Shape of a test cluster. */
+export interface ClusterShape {
+  /** Settings laid over those of every control. */
+  controlSettings?: Record<string, unknown>;
+  entries: number;
+  /** Settings laid over those of every entry. */
+  entrySettings?: Record<string, unknown>;
+  executors: number;
+  /** Arguments added for the platform stand-in. */
+  platformArgs?: string[];
+  teams?: string[];
+}
+
+/** One entry VM: an entry process and the control process beside it. */
+export interface EntryVm {
+  control: BinaryProcess;
+  controlUrl: string;
+  entry: BinaryProcess;
+  name: string;
+  peerAddress: string;
+  url: string;
+}
+
+/** One target VM. */
+export interface Executor {
+  address: string;
+  name: string;
+  process: BinaryProcess;
+}
+
+const START_LIMIT_MS = 20_000;
+
+/** Cluster of real processes on loopback: platform, executors, and entry VMs. */
+export class Cluster {
+  readonly directory = mkdtempSync(join(tmpdir(), 'sequoiaquay-'));
+  readonly entries: EntryVm[] = [];
+  readonly executors: Executor[] = [];
+  platform!: BinaryProcess;
+  platformUrl = '';
+  readonly #shape: ClusterShape;
+
+  private constructor(shape: ClusterShape) {
+    this.#shape = shape;
+    writeFileSync(join(this.directory, 'secret'), SECRET);
+  }
+
+  /** Starts a cluster and waits until all entries are ready. */
+  static async start(shape: ClusterShape): Promise<Cluster> {
+    const cluster = new Cluster(shape);
+    const ports = await freePorts(1 + shape.executors + 3 * shape.entries);
+    await cluster.#startPlatform(ports.shift() ?? 0);
+    for (let index = 0; index < shape.executors; index += 1) {
+      await cluster.#startExecutor(`target-${index}`, ports.shift() ?? 0, index);
+    }
+    const portsOfVm = Array.from({ length: shape.entries }, () => ports.splice(0, 3));
+    for (const [index, own] of portsOfVm.entries()) {
+      cluster.entries.push(cluster.#startEntryVm(index, own, portsOfVm));
+    }
+    await Promise.all(cluster.entries.map((vm) => waitReady(vm.url)));
+    return cluster;
+  }
+
+  /** Bearer token of a team. */
+  static token(team: string): string {
+    return `token-of-${team}`;
+  }
+
+  /** Kills every process of the cluster. */
+  async stop(): Promise<void> {
+    const all = [
+      this.platform,
+      ...this.executors.map((executor) => executor.process),
+      ...this.entries.flatMap((vm) => [vm.entry, vm.control]),
+    ];
+    await Promise.all(all.map((child) => child.stop()));
+  }
+
+  /** Calls the admin interface of the platform stand-in. */
+  async admin<T>(method: string, path: string, body?: unknown): Promise<T> {
+    return callJson<T>(`${this.platformUrl}/admin${path}`, method, {}, body);
+  }
+
+  /** Calls the operators' interface of one control as a team. */
+  async operate(
+    team: string,
+    method: string,
+    path: string,
+    body?: unknown,
+    headers: Record<string, string> = {},
+    index = 0,
+  ): Promise<{ body: Record<string, unknown>; status: number }> {
+    const url = this.entries[index]?.controlUrl ?? '';
+    const res = await fetch(`${url}/v1${path}`, {
+      body: body === undefined ? undefined : JSON.stringify(body),
+      headers: { authorization: `Bearer ${Cluster.token(team)}`, ...headers },
+      method,
+    });
+    return { body: (await res.json()) as Record<string, unknown>, status: res.status };
+  }
+
+  /** Waits until the operators' interface of a control lists all executors. */
+  async waitForVms(): Promise<void> {
+    await waitFor('registration of all VMs', START_LIMIT_MS, async () => {
+      const answer = await this.operate(this.#teams()[0] ?? '', 'GET', '/vms');
+      return (answer.body as unknown as unknown[]).length >= this.executors.length ? true : undefined;
+    });
+  }
+
+  #teams(): string[] {
+    return this.#shape.teams ?? ['voyages'];
+  }
+
+  async #startPlatform(port: number): Promise<void> {
+    const address = `127.0.0.1:${port}`;
+    this.platformUrl = `http://${address}`;
+    const args = ['--listen', address, '--secret', SECRET, '--vm-list-lag-ms', '100'];
+    this.platform = this.#spawn('stand-in-platform', [...args, ...(this.#shape.platformArgs ?? [])]);
+    await waitFor('start of the platform', START_LIMIT_MS, () => this.admin('GET', '/counters'));
+  }
+
+  async #startExecutor(name: string, port: number, index: number): Promise<void> {
+    const address = `127.0.0.1:${port}`;
+    const child = this.#spawn('stand-in-executor', ['--listen', address, '--name', name]);
+    this.executors.push({ address, name, process: child });
+    await waitFor(`start of ${name}`, START_LIMIT_MS, () => callJson(`http://${address}/healthz`, 'GET', {}));
+    await this.admin('PUT', `/vms/${name}`, {
+      address,
+      connections: 64,
+      id: name,
+      rack: `rack-${index}`,
+      role: 'target',
+      slots: 8,
+      state: 'live',
+      zone: `zone-${index % 3}`,
+    });
+  }
+
+  #startEntryVm(index: number, own: number[], all: number[][]): EntryVm {
+    const name = `vm-${index}`;
+    const controls = [...all.slice(index), ...all.slice(0, index)].map(
+      (ports) => `127.0.0.1:${ports[2] ?? 0}`,
+    );
+    const common = {
+      logLevel: 'info',
+      platform: { addresses: [this.platformUrl], timeoutMs: 2000 },
+      secretFile: join(this.directory, 'secret'),
+      vm: name,
+      zone: `zone-${index % 3}`,
+    };
+    const peerAddress = `127.0.0.1:${own[1] ?? 0}`;
+    const entryFile = this.#writeSettings(`entry-${index}.json`, {
+      ...common,
+      controls,
+      listen: `127.0.0.1:${own[0] ?? 0}`,
+      name: `entry-${index}`,
+      peerListen: peerAddress,
+      ...this.#shape.entrySettings,
+    });
+    const controlFile = this.#writeSettings(`control-${index}.json`, {
+      ...common,
+      listen: controls[0],
+      name: `control-${index}`,
+      peers: controls.slice(1),
+      teamTokens: Object.fromEntries(this.#teams().map((team) => [team, sha256(Cluster.token(team))])),
+      vmListPollMs: 200,
+      ...this.#shape.controlSettings,
+    });
+    return {
+      control: this.#spawn('sequoiaquay-control', ['--config', controlFile]),
+      controlUrl: `http://${controls[0] ?? ''}`,
+      entry: this.#spawn('sequoiaquay-entry', ['--config', entryFile]),
+      name: `entry-${index}`,
+      peerAddress,
+      url: `http://127.0.0.1:${own[0] ?? 0}`,
+    };
+  }
+
+  #writeSettings(file: string, settings: unknown): string {
+    const path = join(this.directory, file);
+    writeFileSync(path, JSON.stringify(settings));
+    return path;
+  }
+
+  #spawn(binary: string, args: string[]): BinaryProcess {
+    return new BinaryProcess(binary, args, join(this.directory, 'processes.log'));
+  }
+}
+
+/** Calls an HTTP interface with a JSON body and gives the JSON answer; fails on status 400 and above. */
+export async function callJson<T>(
+  url: string,
+  method: string,
+  headers: Record<string, string>,
+  body?: unknown,
+): Promise<T> {
+  const res = await fetch(url, {
+    body: body === undefined ? undefined : JSON.stringify(body),
+    headers,
+    method,
+  });
+  if (res.status >= 400) {
+    throw new Error(`${method} ${url}: status ${res.status}`);
+  }
+  return (await res.json()) as T;
+}
+
+function sha256(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+async function waitReady(url: string): Promise<void> {
+  await waitFor(`readiness of ${url}`, START_LIMIT_MS, () => callJson(`${url}/readyz`, 'GET', {}));
+}
