test: add a fault-injecting TCP proxy and the entries' peer interface

Entries serve procedures to each other on a separate port.

Conclusion: tests of failures can share one proxy; peers can ask for the outcome of a claim.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,8 @@
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { ControlSource } from '@sequoiaquay/control';
 import { BatchAppender, FleetReplica, LogClient, PlatformHttp, STREAM } from '@sequoiaquay/platform';
-import { closeServer, listen } from '@sequoiaquay/runtime';
+import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
+import { Hono } from 'hono';
 import { randomUUID } from 'node:crypto';
 import type { EntrySettings } from './entry-settings';
 import { createCallerApi } from './caller-api';
@@ -10,11 +11,13 @@
 import { RequestDispatcher } from './dispatcher';
 import { InFlight } from './in-flight';
 import { OwnShareGrants } from './own-share-grants';
+import { createPeerRouter } from './peer-router';
 import { TargetClient } from './target-client';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
 const REPLICA = { retryMs: 200, waitMs: 5000 };
+const RING_CAPACITY = 10_000;
 const TARGETS = { connections: 8, connectTimeoutMs: 1000 };
 
 /** Runs an entry process until the signal aborts and its requests have ended. */
@@ -52,7 +55,11 @@
     createCallerApi({ dispatcher, maxRequestBytes: cfg.maxRequestBytes, ready, replica }),
     cfg.listen,
   );
-  log.info({ listen: cfg.listen }, 'entry process started');
+  const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
+  const peerApp = new Hono();
+  mountRpc(peerApp, createPeerRouter({ claims: work.claims, name: cfg.name, ring }), secret);
+  const peerServer = await listen(peerApp, cfg.peerListen);
+  log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
   fleetAppender.append(
     {
       address: cfg.peerListen,
@@ -74,6 +81,7 @@
   await stopped(signal);
   await closeServer(server);
   background.abort();
+  await closeServer(peerServer);
   await Promise.all(running);
   await targets.close();
   await http.close();
--- /dev/null
+++ b/packages/entry/src/peer-router.ts
@@ -0,0 +1,31 @@
+import type { ClaimTable } from '@sequoiaquay/core';
+import type { EventRing } from '@sequoiaquay/runtime';
+import { initTRPC } from '@trpc/server';
+import { z } from 'zod';
+
+/** Parts of an entry that its peers' procedures use. */
+export interface PeerRouterParts {
+  claims: ClaimTable;
+  name: string;
+  ring: EventRing;
+}
+
+const t = initTRPC.create();
+
+/** Procedures that an entry serves to other entries; one sub-router per concern. */
+// The router type is inferred: clients derive their call types from it.
+// eslint-disable-next-line @typescript-eslint/explicit-module-boundary-types
+export function createPeerRouter(parts: PeerRouterParts) {
+  return t.router({
+    claims: t.router({
+      outcome: t.procedure
+        .input(z.object({ key: z.string(), scope: z.string() }))
+        .query(({ input }) => parts.claims.find(input.scope, input.key)?.result ?? null),
+    }),
+    ping: t.procedure.query(() => ({ name: parts.name })),
+    timeline: t.procedure.query(() => parts.ring.list()),
+  });
+}
+
+/** Type of the procedures of an entry. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './fault-proxy';
 export * from './executor-stand-in';
 export * from './platform-faults';
 export * from './platform-stand-in';
--- /dev/null
+++ b/packages/stand-ins/tests/fault-proxy.test.ts
@@ -0,0 +1,78 @@
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+import { request } from 'node:http';
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { FaultRoute } from '../src/fault-proxy';
+
+const ANSWER = 'x'.repeat(1000);
+
+let served = 0;
+let upstream: Server;
+let route: FaultRoute;
+let port: number;
+
+beforeAll(async () => {
+  upstream = createServer((_req, res) => {
+    served += 1;
+    res.end(ANSWER);
+  });
+  await new Promise<void>((resolve) => {
+    upstream.listen(0, '127.0.0.1', resolve);
+  });
+  const address = upstream.address();
+  const target = {
+    host: '127.0.0.1',
+    port: typeof address === 'object' && address !== null ? address.port : 0,
+  };
+  route = new FaultRoute(target);
+  port = await route.listenAnywhere();
+});
+
+afterAll(() => {
+  upstream.close();
+  upstream.closeAllConnections();
+  route.close();
+});
+
+beforeEach(() => {
+  route.setFaults({});
+});
+
+function get(timeoutMs: number): Promise<string> {
+  return new Promise((resolve) => {
+    const req = request({ agent: false, host: '127.0.0.1', port, timeout: timeoutMs }, (res) => {
+      let text = '';
+      res.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      res.on('end', () => {
+        resolve(text);
+      });
+      res.on('error', () => {
+        resolve('cut');
+      });
+    });
+    req.on('timeout', () => {
+      req.destroy();
+      resolve('timeout');
+    });
+    req.on('error', () => {
+      resolve('error');
+    });
+    req.end();
+  });
+}
+
+// Guards against a proxy that injects nothing, which would make every fault test pass without a fault.
+describe('FaultRoute', () => {
+  it.each([
+    { expected: ANSWER, faults: {}, reaches: true },
+    { expected: 'error', faults: { cut: true }, reaches: false },
+    { expected: 'timeout', faults: { freeze: true }, reaches: false },
+    { expected: 'timeout', faults: { dropAnswers: true }, reaches: true },
+    { expected: 'cut', faults: { cutAnswerAfterBytes: 500 }, reaches: true },
+  ])('shows $faults', async ({ expected, faults, reaches }) => {
+    const before = served;
+    route.setFaults(faults);
+    expect(await get(300)).toBe(expected);
+    expect(served - before).toBe(reaches ? 1 : 0);
+  });
+});
