--- a/packages/control/src/control-settings.ts
+++ b/packages/control/src/control-settings.ts
@@ -14,6 +14,8 @@
     addresses: z.array(z.url()).min(1),
     timeoutMs: z.int().min(100).default(6000),
   }),
+  /** Records that the log keeps in the `fleet` stream. */
+  retentionRecords: z.int().min(8).default(100_000),
   secretFile: z.string().min(1),
   /** SHA-256 of the bearer token of each team, in hexadecimal. */
   teamTokens: z
--- a/packages/control/src/control-source.ts
+++ b/packages/control/src/control-source.ts
@@ -8,15 +8,13 @@
 import { Maybe } from 'true-myth';
 import type { ControlRouter } from './control-router';
 
-/** Time that a call may take beyond its long poll, in ms. */
-const CALL_TIMEOUT_MS = 2000;
+/** Time that a call may take beyond its long poll, in ms; a paused control is left after it. */
+const CALL_TIMEOUT_MS = 1000;
 
 /** Fleet records relayed by a control process. */
 export class ControlSource implements FleetSource {
   readonly #client;
   readonly name: string;
-  /** Age of the control's own state at its last answer, in ms; undefined when it never reached the log. */
-  sourceAgeMs: number | undefined;
 
   constructor(address: string, secret: string) {
     this.name = address;
@@ -37,10 +35,12 @@
     return rpcResult(this.#client.fleetRead.query({ from, waitMs }, { signal: limit(signal, waitMs) }))
       .mapErr(toPlatformError)
       .andThen((answer) => {
-        this.sourceAgeMs = answer.ageMs ?? undefined;
         return answer.page === null
           ? errAsync(trimmed(answer.trimmedBelow ?? 0))
-          : okAsync<LogPage, PlatformError>(answer.page);
+          : okAsync<LogPage, PlatformError>({
+              ...answer.page,
+              sourceAgeMs: answer.ageMs ?? Number.POSITIVE_INFINITY,
+            });
       });
   }
 }
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,10 +1,11 @@
-import type { FleetSource } from '@sequoiaquay/platform';
+import type { FleetSource, MemberIdentity } from '@sequoiaquay/platform';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import {
   BatchAppender,
   FleetReplica,
   LogClient,
   LogFleetSource,
+  MemberJoiner,
   PlatformHttp,
   STREAM,
   VmListClient,
@@ -17,10 +18,12 @@
 import { createOperatorApi } from './operator-api';
 import { Proposer } from './proposer';
 import { Relay } from './relay';
+import { SnapshotWriter } from './snapshot-writer';
 import { VmWatcher } from './vm-watcher';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
-const REPLICA = { retryMs: 200, waitMs: 5000 };
+const REPLICA = { maxSourceAgeMs: 1500, preferredMs: 500, retryMs: 200, waitMs: 500 };
+const SNAPSHOT_CHECK_MS = 250;
 const RING_CAPACITY = 10_000;
 
 /** Runs a control process until the signal aborts. */
@@ -55,15 +58,37 @@
     { pollMs: cfg.vmListPollMs },
     timers,
   );
+  const snapshots = new SnapshotWriter(
+    replica,
+    proposer,
+    { checkMs: SNAPSHOT_CHECK_MS, member: cfg.name, retentionRecords: cfg.retentionRecords },
+    timers,
+  );
+  const self: MemberIdentity = {
+    address: cfg.listen,
+    incarnation: timers.now(),
+    member: cfg.name,
+    role: 'control',
+    vm: cfg.vm,
+    zone: cfg.zone,
+  };
+  const joiner = new MemberJoiner(self, replica, appender, timers);
 
   const app = new Hono();
   app.get('/healthz', (c) => c.json({ ok: true }));
-  app.get('/readyz', (c) => c.json({ ready: replica.caughtUp }, replica.caughtUp ? 200 : 503));
+  app.get('/readyz', (c) =>
+    c.json(
+      { next: replica.state.next, ready: replica.caughtUp, stateAgeMs: replica.ageMs ?? null },
+      replica.caughtUp ? 200 : 503,
+    ),
+  );
   mountRpc(app, createControlRouter({ relay, replica, ring }), secret);
   app.route('/v1', createOperatorApi({ proposer, replica, teamTokens: cfg.teamTokens }) as unknown as Hono);
   const server = await listen(app, cfg.listen);
   log.info({ listen: cfg.listen }, 'control process started');
   watcher.start(signal);
+  snapshots.start(signal);
+  joiner.start(signal);
   await replica.run(signal);
   await closeServer(server);
   await http.close();
--- a/packages/control/src/operator-api.ts
+++ b/packages/control/src/operator-api.ts
@@ -137,7 +137,7 @@
       504,
     );
   }
-  const { recordId, verdict } = proposed.value;
+  const { offset, recordId, verdict } = proposed.value;
   if (verdict.isErr()) {
     const status = STATUS_OF_REASON[verdict.error.reason] ?? 409;
     return c.json(
@@ -145,7 +145,7 @@
       status,
     );
   }
-  return c.json({ accepted: true, record: recordId, version: parts.replica.state.next });
+  return c.json({ accepted: true, record: recordId, version: offset + 1 });
 }
 
 function problem(status: number, reason: string, detail: string): Record<string, number | string> {
--- a/packages/control/src/proposer.ts
+++ b/packages/control/src/proposer.ts
@@ -1,14 +1,18 @@
-import type { FleetRecord } from '@sequoiaquay/core';
+import type { FleetProposal } from '@sequoiaquay/core';
 import type { BatchAppender, FleetReplica, FleetVerdict } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { randomUUID } from 'node:crypto';
 
-type DistributiveOmit<T, K extends PropertyKey> = T extends unknown ? Omit<T, K> : never;
+export type { FleetProposal } from '@sequoiaquay/core';
 
-/** A fleet record without the fields that the proposer fills in. */
-export type FleetProposal = DistributiveOmit<FleetRecord, 'at' | 'by' | 'id' | 'v'>;
+/** A judged proposal; `offset` is that of its record. */
+export interface Proposed {
+  offset: number;
+  recordId: string;
+  verdict: FleetVerdict;
+}
 
 /** No verdict came in time: the record may or may not be accepted later. */
 export interface NoVerdict {
@@ -30,7 +34,7 @@
     proposal: FleetProposal,
     signal: AbortSignal,
     by = this.by,
-  ): Promise<Result<{ recordId: string; verdict: FleetVerdict }, NoVerdict>> {
+  ): Promise<Result<Proposed, NoVerdict>> {
     const recordId = randomUUID();
     const record = { ...proposal, at: this.timers.now(), by, id: recordId, v: 1 };
     const verdict = this.replica.verdictOf(recordId, signal);
@@ -38,6 +42,6 @@
     const judged = await verdict;
     return judged === undefined
       ? err({ message: 'the log did not confirm the change in time', recordId })
-      : ok({ recordId, verdict: judged });
+      : ok({ recordId, ...judged });
   }
 }
--- /dev/null
+++ b/packages/control/src/snapshot-writer.ts
@@ -0,0 +1,70 @@
+import type { FleetReplica } from '@sequoiaquay/platform';
+import type { TimerService } from '@sequoiaquay/runtime';
+import { toSnapshot } from '@sequoiaquay/core';
+import type { Proposer } from './proposer';
+
+/** Settings of the snapshot writer. */
+export interface SnapshotWriterSettings {
+  /** Period at which the age of the newest snapshot is looked at, in ms. */
+  checkMs: number;
+  /** Name of this control. */
+  member: string;
+  /** Records that the log keeps in the `fleet` stream. */
+  retentionRecords: number;
+}
+
+/** Longest time that a snapshot waits for its verdict, in ms. */
+const PROPOSAL_TIMEOUT_MS = 10_000;
+
+/** Controls that are not the planner wait this share of retention longer for each control before them. */
+const RANK_SHARE = 1 / 32;
+
+/**
+ * Appends a snapshot when the newest one is older than a quarter of retention. The planner comes first; the
+ * others follow by rank, so that a lost planner costs no state and several controls seldom write at once.
+ */
+export class SnapshotWriter {
+  #busy = false;
+  #newest = 0;
+
+  constructor(
+    private readonly replica: FleetReplica,
+    private readonly proposer: Proposer,
+    private readonly settings: SnapshotWriterSettings,
+    private readonly timers: TimerService,
+  ) {}
+
+  /** Writes snapshots until the signal aborts. */
+  start(signal: AbortSignal): void {
+    this.replica.subscribe((entry, verdict) => {
+      if (verdict.isOk() && verdict.value.kind === 'snapshot') {
+        this.#newest = entry.offset;
+      }
+    }, signal);
+    this.timers.every(this.settings.checkMs, () => void this.#check(signal), signal);
+  }
+
+  async #check(signal: AbortSignal): Promise<void> {
+    if (this.#busy || !this.replica.caughtUp || this.replica.state.next - this.#newest < this.#due()) {
+      return;
+    }
+    this.#busy = true;
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(PROPOSAL_TIMEOUT_MS)]);
+    await this.proposer.propose({ kind: 'snapshot', state: toSnapshot(this.replica.state) }, limit);
+    this.#busy = false;
+  }
+
+  // Records after which this control writes a snapshot.
+  #due(): number {
+    return Math.max(2, this.settings.retentionRecords * (1 / 4 + this.#rank() * RANK_SHARE));
+  }
+
+  #rank(): number {
+    const { members, planner } = this.replica.state;
+    if (planner.member === this.settings.member) {
+      return 0;
+    }
+    const controls = [...members.values()].filter((member) => member.role === 'control');
+    return 1 + controls.filter((member) => member.id < this.settings.member).length;
+  }
+}
--- a/packages/control/src/vm-watcher.ts
+++ b/packages/control/src/vm-watcher.ts
@@ -1,7 +1,7 @@
-import type { ListedVm, VmList, VmService } from '@sequoiaquay/platform';
-import type { FleetReplica } from '@sequoiaquay/platform';
+import type { MissedLists } from '@sequoiaquay/core';
+import type { FleetReplica, ListedVm, VmList, VmService } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
-import { nameSchema } from '@sequoiaquay/core';
+import { nameSchema, planListChanges } from '@sequoiaquay/core';
 import type { Proposer } from './proposer';
 
 /** Settings of the VM watcher. */
@@ -12,9 +12,10 @@
 /** Longest time that a proposal of the watcher waits for its verdict, in ms. */
 const PROPOSAL_TIMEOUT_MS = 5000;
 
-/** Registers VMs that appear on the platform's list. */
+/** Proposes the changes that the platform's list leads to: new VMs, health, leaving VMs, gone members. */
 export class VmWatcher {
   #busy = false;
+  #missed: MissedLists = new Map();
   /** Last list read, or undefined before the first. */
   list: VmList | undefined;
 
@@ -43,17 +44,20 @@
     }
     this.#busy = true;
     const list = await this.vms.list(signal);
-    if (list.isOk()) {
+    if (list.isOk() && list.value.asOf > (this.list?.asOf ?? 0)) {
       this.list = list.value;
-      await this.#register(list.value, signal);
+      await this.#propose(list.value, signal);
     }
     this.#busy = false;
   }
 
-  async #register(list: VmList, signal: AbortSignal): Promise<void> {
+  async #propose(list: VmList, signal: AbortSignal): Promise<void> {
     const unknown = list.vms.filter((vm) => vm.role !== 'entry' && this.#isNew(vm));
+    const changes = planListChanges(this.replica.state, list, this.#missed);
+    this.#missed = changes.missed;
+    const proposals = [...unknown.map(toProposal), ...changes.proposals];
     const limit = AbortSignal.any([signal, AbortSignal.timeout(PROPOSAL_TIMEOUT_MS)]);
-    await Promise.all(unknown.map((vm) => this.proposer.propose(toProposal(vm), limit)));
+    await Promise.all(proposals.map((proposal) => this.proposer.propose(proposal, limit)));
   }
 
   #isNew(vm: ListedVm): boolean {
--- a/packages/core/src/fleet/apply-drain.ts
+++ b/packages/core/src/fleet/apply-drain.ts
@@ -148,7 +148,7 @@
   if (drain === undefined || drain.waitingFor.size > 0) {
     return;
   }
-  if (drain.purpose === 'remove') {
+  if (drain.purpose === 'remove' && vm.health === 'down') {
     state.vms.delete(vm.id);
     return;
   }
--- a/packages/core/src/fleet/apply-vm.ts
+++ b/packages/core/src/fleet/apply-vm.ts
@@ -32,7 +32,10 @@
   return ok();
 }
 
-/** Records a change of a VM's health; a released VM that is up again has been maintained and serves. */
+/**
+ * Records a change of a VM's health. A released VM that is up again after a reboot has been maintained and
+ * serves; one that is down after a removal has left the fleet.
+ */
 export function applyVmHealth(
   state: FleetState,
   record: FleetRecordOf<'vm-health'>,
@@ -41,7 +44,13 @@
   if (vm === undefined) {
     return refuse('unknown-vm', `VM ${record.vm} is not registered`);
   }
-  const returned = record.health === 'up' ? transition(vmChart, vm.state, 'returned') : undefined;
+  const removing = vm.state === 'released' && vm.drain?.purpose === 'remove';
+  if (removing && record.health === 'down') {
+    state.vms.delete(vm.id);
+    return ok();
+  }
+  const returned =
+    record.health === 'up' && !removing ? transition(vmChart, vm.state, 'returned') : undefined;
   if (vm.health === record.health && returned === undefined) {
     return refuse('no-change', `VM ${record.vm} is ${record.health}`);
   }
--- a/packages/core/src/fleet/snapshot.ts
+++ b/packages/core/src/fleet/snapshot.ts
@@ -72,10 +72,15 @@
       ...vm,
       drain: vm.drain && { ...vm.drain, waitingFor: [...vm.drain.waitingFor] },
     })),
-    wave: state.wave,
+    wave: state.wave && { ...state.wave },
   };
 }
 
+/** Checks the plain form of a fleet state read from the log or a peer. */
+export function parseSnapshot(raw: unknown): Result<FleetSnapshot | undefined, DecodeError> {
+  return decodeRecord(snapshotSchema, raw);
+}
+
 /** Restores the fleet state from a snapshot read from the log or a peer. */
 export function fromSnapshot(raw: unknown): Result<FleetState, DecodeError> {
   return decodeRecord(snapshotSchema, raw).map((plain) => {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,9 +1,16 @@
+import type { MemberIdentity } from '@sequoiaquay/platform';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { ControlSource } from '@sequoiaquay/control';
-import { BatchAppender, FleetReplica, LogClient, PlatformHttp, STREAM } from '@sequoiaquay/platform';
+import {
+  BatchAppender,
+  FleetReplica,
+  LogClient,
+  MemberJoiner,
+  PlatformHttp,
+  STREAM,
+} from '@sequoiaquay/platform';
 import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
-import { randomUUID } from 'node:crypto';
 import type { EntrySettings } from './entry-settings';
 import { createCallerApi } from './caller-api';
 import { ClaimService } from './claim-service';
@@ -16,7 +23,8 @@
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
-const REPLICA = { retryMs: 200, waitMs: 5000 };
+const REPLICA = { maxSourceAgeMs: 1500, preferredMs: 500, retryMs: 200, waitMs: 500 };
+const WORK_REPLICA = { retryMs: 200, waitMs: 5000 };
 const RING_CAPACITY = 10_000;
 const TARGETS = { connections: 8, connectTimeoutMs: 1000 };
 
@@ -30,12 +38,25 @@
 ): Promise<void> {
   // Background parts outlive the stop signal until the last request has ended.
   const background = new AbortController();
-  const holder = { entry: cfg.name, incarnation: timers.now() };
+  const self: MemberIdentity = {
+    address: cfg.peerListen,
+    incarnation: timers.now(),
+    member: cfg.name,
+    role: 'entry',
+    vm: cfg.vm,
+    zone: cfg.zone,
+  };
+  const holder = {
+    entry: cfg.name,
+    get incarnation(): number {
+      return self.incarnation;
+    },
+  };
   const http = new PlatformHttp({ ...cfg.platform, secret });
   const logClient = new LogClient(http);
   const sources = cfg.controls.map((address) => new ControlSource(address, secret));
   const replica = new FleetReplica(() => sources, REPLICA, timers);
-  const work = new WorkReplica(logClient, { ...REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
+  const work = new WorkReplica(logClient, { ...WORK_REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
   const fleetAppender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, background.signal);
   const workAppender = new BatchAppender(logClient, STREAM.work, BATCH, timers, background.signal);
   const inFlight = new InFlight(() => {
@@ -60,22 +81,7 @@
   mountRpc(peerApp, createPeerRouter({ claims: work.claims, name: cfg.name, ring }), secret);
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
-  fleetAppender.append(
-    {
-      address: cfg.peerListen,
-      at: timers.now(),
-      by: cfg.name,
-      id: randomUUID(),
-      incarnation: holder.incarnation,
-      kind: 'member-join',
-      member: cfg.name,
-      role: 'entry',
-      v: 1,
-      vm: cfg.vm,
-      zone: cfg.zone,
-    },
-    background.signal,
-  );
+  new MemberJoiner(self, replica, fleetAppender, timers).start(background.signal);
   clear.start(background.signal);
   const running = [replica.run(background.signal), work.run(background.signal)];
   await stopped(signal);
--- a/packages/platform/src/fleet-replica.ts
+++ b/packages/platform/src/fleet-replica.ts
@@ -1,19 +1,28 @@
-import type { FleetRecord, FleetRefusal, FleetState } from '@sequoiaquay/core';
+import type { FleetRecord, FleetRefusal, FleetSnapshot, FleetState } from '@sequoiaquay/core';
 import type { TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
 import { applyFleetRecord, emptyFleetState, fromSnapshot } from '@sequoiaquay/core';
 import type { FleetSource } from './fleet-source';
 import type { LogEntry, LogPage } from './log-client';
-import type { PlatformError } from './platform-error';
 
 /** Verdict of the fold on one record. */
 export type FleetVerdict = Result<FleetRecord, FleetRefusal>;
 
+/** Verdict on a record and the offset at which it was reached. */
+export interface JudgedRecord {
+  offset: number;
+  verdict: FleetVerdict;
+}
+
 /** Called for each record that the replica has applied. */
 export type FleetListener = (entry: LogEntry, verdict: FleetVerdict) => void;
 
 /** Settings of a fleet replica. Times in ms. */
 export interface FleetReplicaSettings {
+  /** Age of a relayed state above which another source is tried. */
+  maxSourceAgeMs: number;
+  /** Period at which the first source is tried again while another one is followed. */
+  preferredMs: number;
   /** Pause after a source failed. */
   retryMs: number;
   /** Longest time that a read waits for a record. */
@@ -29,11 +38,12 @@
 }
 
 /**
- * Replica of the fleet state: follows the `fleet` stream from the first source that answers.
- * The state only ever moves forward in offset.
+ * Replica of the fleet state: follows the `fleet` stream from the first source that answers, and returns
+ * to the first source once that answers again. The state only ever moves forward in offset.
  */
 export class FleetReplica {
   readonly counters: FleetReplicaCounters = { applied: 0, refused: 0, sourceFailures: 0, unreadable: 0 };
+  #attempt = new AbortController();
   #caughtUp = false;
   #lastContact: number | undefined;
   readonly #listeners = new Set<FleetListener>();
@@ -47,7 +57,7 @@
     private readonly timers: TimerService,
   ) {}
 
-  /** Time since a source last answered, in ms; undefined before the first answer. */
+  /** Age of the state: time since it was known to be the log's, in ms; undefined before that. */
   get ageMs(): number | undefined {
     return this.#lastContact === undefined ? undefined : this.timers.mono() - this.#lastContact;
   }
@@ -70,24 +80,29 @@
 
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const watching = this.#watchPreferred(signal);
     while (!signal.aborted) {
+      const attempt = new AbortController();
+      this.#attempt = attempt;
       const source = this.#currentSource();
-      const problem = source === undefined ? 'none' : await this.#step(source, signal);
-      if (problem !== undefined) {
+      const failed =
+        source === undefined || (await this.#step(source, AbortSignal.any([signal, attempt.signal])));
+      if (failed && !attempt.signal.aborted) {
         this.counters.sourceFailures += 1;
         this.#source += 1;
         await this.timers.sleep(this.settings.retryMs, signal);
       }
     }
+    await watching;
   }
 
   /** Waits for the verdict on a record; undefined when the signal aborts first. */
-  verdictOf(recordId: string, signal: AbortSignal): Promise<FleetVerdict | undefined> {
+  verdictOf(recordId: string, signal: AbortSignal): Promise<JudgedRecord | undefined> {
     return new Promise((resolve) => {
       const done = new AbortController();
-      const finish = (verdict: FleetVerdict | undefined): void => {
+      const finish = (judged: JudgedRecord | undefined): void => {
         done.abort();
-        resolve(verdict);
+        resolve(judged);
       };
       signal.addEventListener(
         'abort',
@@ -98,7 +113,7 @@
       );
       this.subscribe((entry, verdict) => {
         if (idOf(entry.value) === recordId) {
-          finish(verdict);
+          finish({ offset: entry.offset, verdict });
         }
       }, done.signal);
     });
@@ -109,36 +124,75 @@
     return sources[this.#source % Math.max(1, sources.length)];
   }
 
-  async #step(source: FleetSource, signal: AbortSignal): Promise<PlatformError | undefined> {
+  // Without this, controls that lost the log would follow one another after the log is back.
+  async #watchPreferred(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.timers.sleep(this.settings.preferredMs, signal);
+      const preferred = this.sources()[0];
+      if (this.#started && preferred !== undefined && preferred !== this.#currentSource()) {
+        await this.#tryPreferred(preferred, signal);
+      }
+    }
+  }
+
+  async #tryPreferred(preferred: FleetSource, signal: AbortSignal): Promise<void> {
+    const page = await preferred.read(this.#state.next, 0, signal);
+    if (page.isOk()) {
+      this.#applyPage(page.value);
+    }
+    if (page.isOk() ? !this.#isStale(page.value) : page.error.kind === 'trimmed') {
+      this.#source = 0;
+      this.#attempt.abort();
+    }
+  }
+
+  // Gives whether another source is to be tried.
+  async #step(source: FleetSource, signal: AbortSignal): Promise<boolean> {
     if (!this.#started) {
       return this.#bootstrap(source, signal);
     }
     const page = await source.read(this.#state.next, this.#caughtUp ? this.settings.waitMs : 0, signal);
     if (page.isErr()) {
-      return page.error.kind === 'trimmed' ? this.#bootstrap(source, signal) : page.error;
+      return page.error.kind === 'trimmed' ? this.#bootstrap(source, signal) : true;
     }
     this.#applyPage(page.value);
-    return undefined;
+    return this.#isStale(page.value);
   }
 
-  async #bootstrap(source: FleetSource, signal: AbortSignal): Promise<PlatformError | undefined> {
-    const found = await source.bootstrap(signal);
-    if (found.isErr()) {
-      return found.error;
+  async #bootstrap(source: FleetSource, signal: AbortSignal): Promise<boolean> {
+    const [preferred, ...others] = this.sources();
+    const asked = source === preferred ? [source] : others;
+    const answers = await Promise.all(asked.map((candidate) => candidate.bootstrap(signal)));
+    const states = answers.filter((answer) => answer.isOk()).map((answer) => answer.value);
+    if (states.length === 0) {
+      return true;
     }
     this.#started = true;
-    const restored = found.value === undefined ? undefined : fromSnapshot(found.value);
-    if (restored?.isErr() === true) {
-      this.counters.unreadable += 1;
+    for (const state of states) {
+      this.#restore(state);
+    }
+    return false;
+  }
+
+  #restore(snapshot: FleetSnapshot | undefined): void {
+    if (snapshot === undefined) {
+      return;
     }
-    if (restored?.isOk() === true && restored.value.next > this.#state.next) {
+    const restored = fromSnapshot(snapshot);
+    if (restored.isErr()) {
+      this.counters.unreadable += 1;
+    } else if (restored.value.next > this.#state.next) {
       this.#state = restored.value;
     }
-    return undefined;
+  }
+
+  #isStale(page: LogPage): boolean {
+    return (page.sourceAgeMs ?? 0) > this.settings.maxSourceAgeMs;
   }
 
   #applyPage(page: LogPage): void {
-    this.#lastContact = this.timers.mono();
+    const contact = this.timers.mono() - (page.sourceAgeMs ?? 0);
+    this.#lastContact = Math.max(contact, this.#lastContact ?? contact);
     for (const entry of page.records) {
       this.#applyEntry(entry);
     }
--- a/packages/platform/src/fleet-source.ts
+++ b/packages/platform/src/fleet-source.ts
@@ -1,6 +1,8 @@
 import type { FleetSnapshot } from '@sequoiaquay/core';
 import type { ResultAsync } from 'neverthrow';
+import { parseSnapshot } from '@sequoiaquay/core';
 import { errAsync, okAsync } from 'neverthrow';
+import { Maybe } from 'true-myth';
 import { z } from 'zod';
 import type { LogEntry, LogPage, LogService } from './log-client';
 import type { PlatformError } from './platform-error';
@@ -34,7 +36,7 @@
     return this.log.read({ from, limit: READ_LIMIT, signal, stream: STREAM.fleet, waitMs });
   }
 
-  // Reads the retained records to the end and keeps the last snapshot among them.
+  // Reads the retained records to the end and keeps the newest usable snapshot among them.
   #scan(
     from: number,
     found: FleetSnapshot | undefined,
@@ -45,21 +47,49 @@
         error.kind === 'trimmed' ? this.read(error.oldest.unwrapOr(0), 0, signal) : errAsync(error),
       )
       .andThen((page) => {
-        const newest = lastSnapshot(page.records) ?? found;
+        const newest = newestSnapshot(page.records, found);
         const last = page.records.at(-1);
         return last === undefined || last.offset + 1 >= page.end
-          ? okAsync(newest)
+          ? startFrom(newest, page.oldest)
           : this.#scan(last.offset + 1, newest, signal);
       });
   }
 }
 
-function lastSnapshot(records: readonly LogEntry[]): FleetSnapshot | undefined {
-  for (const entry of records.toReversed()) {
-    const parsed = snapshotRecordSchema.safeParse(entry.value);
-    if (parsed.success) {
-      return parsed.data.state as FleetSnapshot;
+// Without a snapshot at or above the oldest record, the trimmed records would be missing from the state.
+function startFrom(
+  newest: FleetSnapshot | undefined,
+  oldest: number,
+): ResultAsync<FleetSnapshot | undefined, PlatformError> {
+  if ((newest?.next ?? 0) >= oldest) {
+    return okAsync(newest);
+  }
+  return errAsync({
+    cause: Maybe.nothing(),
+    kind: 'lost',
+    message: `no snapshot covers the records below offset ${oldest}`,
+    oldest: Maybe.just(oldest),
+    status: Maybe.nothing(),
+  });
+}
+
+function newestSnapshot(
+  records: readonly LogEntry[],
+  found: FleetSnapshot | undefined,
+): FleetSnapshot | undefined {
+  let newest = found;
+  for (const entry of records) {
+    const snapshot = snapshotOf(entry);
+    if (snapshot !== undefined && snapshot.next > (newest?.next ?? -1)) {
+      newest = snapshot;
     }
   }
-  return undefined;
+  return newest;
+}
+
+// A snapshot can only hold records before its own.
+function snapshotOf(entry: LogEntry): FleetSnapshot | undefined {
+  const parsed = snapshotRecordSchema.safeParse(entry.value);
+  const snapshot = parsed.success ? parseSnapshot(parsed.data.state).unwrapOr(undefined) : undefined;
+  return snapshot !== undefined && snapshot.next <= entry.offset ? snapshot : undefined;
 }
--- a/packages/platform/src/log-client.ts
+++ b/packages/platform/src/log-client.ts
@@ -28,6 +28,8 @@
   end: number;
   oldest: number;
   records: LogEntry[];
+  /** Age of the source's own state, in ms; absent when the source is the log itself. */
+  sourceAgeMs?: number;
 }
 
 /** A read from a stream. */
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -65,6 +65,7 @@
     }
     const portsOfVm = Array.from({ length: shape.entries }, () => ports.splice(0, 3));
     for (const [index, own] of portsOfVm.entries()) {
+      await cluster.#listEntryVm(index, own[0] ?? 0);
       cluster.entries.push(cluster.#startEntryVm(index, own, portsOfVm));
     }
     await Promise.all(cluster.entries.map((vm) => waitReady(vm.url)));
@@ -146,6 +147,19 @@
     });
   }
 
+  async #listEntryVm(index: number, port: number): Promise<void> {
+    await this.admin('PUT', `/vms/vm-${index}`, {
+      address: `127.0.0.1:${port}`,
+      connections: 64,
+      id: `vm-${index}`,
+      rack: `rack-entry-${index}`,
+      role: 'entry',
+      slots: 1,
+      state: 'live',
+      zone: `zone-${index % 3}`,
+    });
+  }
+
   #startEntryVm(index: number, own: number[], all: number[][]): EntryVm {
     const name = `vm-${index}`;
     const controls = [...all.slice(index), ...all.slice(0, index)].map(
