feat(entry): make claims, sends and answers safe under pauses, restarts and cuts

Cause: a repeat of a key waited for its whole deadline when the holder had ended, answers above 4 KiB came back empty to a repeat, binary bodies were damaged in the record, a key was bound to the body but not to the job, a claim that reached the log after its refusal held the key for good, a repeatable request that was cut on one target and then not connected on another was called not-run, a paused entry sent on its old fleet state, and a fresh entry could reuse an incarnation after a clock step.

Change: EarlierClaims resolves a known claim by the fold and by asking the holder; ClaimLookup and KeptResults serve the holder's side. WorkReplica refuses verdicts after a gap in the stream and reports claims that nobody waits for, which their holder closes as not run. Claimed work goes on to the job's timeout after the caller's deadline. PauseGuard holds work back after an event-loop gap above 1 s until the fleet state was read again. SelfMembership joins above every known incarnation. TargetClient uses a connection per request and refuses answers without a verifiable end; answers above bufferLimitBytes stream and end in a reset when cut. GracefulStop finishes requests, flushes records and leaves the member list. LeavingWatch takes leaving VMs from the platform's list and from peers.

--- a/packages/core/src/claims/claim-table.ts
+++ b/packages/core/src/claims/claim-table.ts
@@ -16,8 +16,13 @@
 
 /** How a claimed request ended. */
 export interface ClaimResult {
+  /** Whole body; missing when only the holder has it. */
   body?: string;
-  contentType?: string;
+  /** Length of the whole body, in bytes. */
+  bodyBytes?: number;
+  bodyEncoding?: 'base64' | 'utf8';
+  /** Headers of the answer; missing when only the holder has them. */
+  headers?: Record<string, string | string[]>;
   outcome: Outcome;
   status?: number;
 }
@@ -80,7 +85,9 @@
     }
     known.result = {
       body: record.body,
-      contentType: record.contentType,
+      bodyBytes: record.bodyBytes,
+      bodyEncoding: record.bodyEncoding,
+      headers: record.headers,
       outcome: record.outcome,
       status: record.status,
     };
--- a/packages/core/src/records/work-record.ts
+++ b/packages/core/src/records/work-record.ts
@@ -24,13 +24,16 @@
   z.object({
     ...recordBase,
     body: z.string().optional(),
+    /** Length of the whole body in bytes; a record without `body` and above 0 leaves the body with the holder. */
+    bodyBytes: z.int().min(0).optional(),
+    bodyEncoding: z.enum(['base64', 'utf8']).optional(),
     claim: z.string(),
-    contentType: z.string().max(200).optional(),
+    headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])).optional(),
     key: z.string().min(1).max(MAX_KEY_LENGTH),
     kind: z.literal('outcome'),
     outcome: z.enum(['answered', 'not-run', 'unknown']),
     scope: z.string().max(200),
-    status: z.int().min(100).max(599).optional(),
+    status: z.int().min(100).max(999).optional(),
   }),
 ]);
 
--- a/packages/entry/src/caller-api.ts
+++ b/packages/entry/src/caller-api.ts
@@ -1,11 +1,14 @@
+import type { HttpBindings } from '@hono/node-server';
 import type { FleetReplica } from '@sequoiaquay/platform';
 import type { Context } from 'hono';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 import { randomUUID } from 'node:crypto';
 import { Maybe } from 'true-myth';
-import type { RequestDispatcher } from './dispatcher';
+import type { Delivery, RequestDispatcher } from './dispatcher';
 import type { CallerRefusal } from './refusal';
-import type { TargetAnswer } from './target-client';
+import type { RequestPlan } from './request-plan';
+import { callerGone, dropBody, readBody, writeAnswer } from './caller-io';
 import { REFUSAL_STATUS } from './refusal';
 import { HEADER, planRequest } from './request-plan';
 
@@ -16,67 +19,114 @@
   /** Whether the entry can serve callers. */
   ready: () => boolean;
   replica: FleetReplica;
+  /** Aborts when the entry stops. */
+  stopping: AbortSignal;
 }
 
+type CallerContext = Context<{ Bindings: HttpBindings }>;
+
+/** Time that a caller has to read a buffered answer after its deadline, in ms. */
+const READ_GRACE_MS = 5000;
+
 /** Builds the callers' interface, version 1. */
-export function createCallerApi(parts: CallerApiParts): Hono {
-  const app = new Hono();
+export function createCallerApi(parts: CallerApiParts): Hono<{ Bindings: HttpBindings }> {
+  const app = new Hono<{ Bindings: HttpBindings }>();
   app.get('/healthz', (c) => c.json({ ok: true }));
-  app.get('/readyz', (c) =>
-    c.json({ ready: parts.ready(), stateAgeMs: parts.replica.ageMs ?? null }, parts.ready() ? 200 : 503),
-  );
+  app.get('/readyz', (c) => {
+    closeAfterAnswer(c, parts.stopping);
+    return c.json(
+      { ready: parts.ready(), stateAgeMs: parts.replica.ageMs ?? null },
+      parts.ready() ? 200 : 503,
+    );
+  });
   app.post('/v1/pools/:pool/jobs/:job', (c) => handleJob(c, parts));
   return app;
 }
 
-async function handleJob(c: Context, parts: CallerApiParts): Promise<Response> {
-  const body = Buffer.from(await c.req.arrayBuffer());
-  if (body.length > parts.maxRequestBytes) {
-    return refused(c, {
-      detail: `the body is larger than ${parts.maxRequestBytes} bytes`,
-      outcome: 'not-run',
-      reason: 'request-too-large',
-      retryAfterS: Maybe.nothing(),
-    });
+async function handleJob(c: CallerContext, parts: CallerApiParts): Promise<Response> {
+  const gone = callerGone(c.env.outgoing);
+  const planned = await planJob(c, parts);
+  if ('refusal' in planned) {
+    closeAfterAnswer(c, parts.stopping);
+    dropBody(c.env.incoming);
+    return refused(c, planned.refusal);
   }
-  if (!parts.ready()) {
-    return refused(c, {
-      detail: 'the entry has no fleet state yet',
-      outcome: 'not-run',
-      reason: 'entry-not-ready',
-      retryAfterS: Maybe.just(1),
-    });
+  const { plan } = planned;
+  const dispatched = await parts.dispatcher.dispatch(plan, gone);
+  closeAfterAnswer(c, parts.stopping);
+  return dispatched.match(
+    (delivery) => answered(c, delivery, plan),
+    (refusal) => refused(c, refusal),
+  );
+}
+
+async function planJob(
+  c: CallerContext,
+  parts: CallerApiParts,
+): Promise<{ plan: RequestPlan } | { refusal: CallerRefusal }> {
+  const before = notReady(parts);
+  if (before !== undefined) {
+    return { refusal: before };
+  }
+  const body = await readBody(c.env.incoming, parts.maxRequestBytes);
+  if (body.isErr()) {
+    return { refusal: badBody(body.error, parts.maxRequestBytes) };
+  }
+  // The entry may have been told to stop while the body was read.
+  const after = notReady(parts);
+  if (after !== undefined) {
+    return { refusal: after };
   }
   const plan = planRequest(parts.replica.state, {
-    body,
+    body: body.value,
     contentType: c.req.header('content-type') ?? 'application/octet-stream',
     header: (name) => c.req.header(name),
     id: randomUUID(),
     job: c.req.param('job') ?? '',
     pool: c.req.param('pool') ?? '',
   });
-  if (plan.isErr()) {
-    return refused(c, plan.error);
-  }
-  const dispatched = await parts.dispatcher.dispatch(plan.value, c.req.raw.signal);
-  return dispatched.match(
-    (answer) => answered(answer, plan.value.id),
-    (refusal) => refused(c, refusal),
+  return plan.match(
+    (value): { plan: RequestPlan } | { refusal: CallerRefusal } => ({ plan: value }),
+    (refusal) => ({ refusal }),
   );
 }
 
-function answered(answer: TargetAnswer, requestId: string): Response {
-  return new Response(new Uint8Array(answer.body), {
-    headers: {
-      'content-type': answer.contentType,
-      [HEADER.outcome]: 'answered',
-      [HEADER.requestId]: requestId,
-    },
-    status: answer.status,
-  });
+function notReady(parts: CallerApiParts): CallerRefusal | undefined {
+  if (parts.stopping.aborted) {
+    return notRun('stopping', 'the entry is stopping', 1);
+  }
+  return parts.ready() ? undefined : notRun('entry-not-ready', 'the entry has no fleet state yet', 1);
+}
+
+function badBody(problem: 'cut' | 'too-large', maxBytes: number): CallerRefusal {
+  return problem === 'cut'
+    ? notRun('bad-request', 'the body ended early')
+    : notRun('request-too-large', `the body is larger than ${maxBytes} bytes`);
+}
+
+function notRun(reason: CallerRefusal['reason'], detail: string, retryAfterS?: number): CallerRefusal {
+  return { detail, outcome: 'not-run', reason, retryAfterS: Maybe.of(retryAfterS) };
+}
+
+function closeAfterAnswer(c: CallerContext, stopping: AbortSignal): void {
+  const { outgoing } = c.env;
+  if (stopping.aborted) {
+    outgoing.shouldKeepAlive = false;
+  }
+}
+
+function answered(c: CallerContext, delivery: Delivery, plan: RequestPlan): Response {
+  const { outgoing } = c.env;
+  const { answer } = delivery;
+  const headers = { [HEADER.outcome]: 'answered', [HEADER.requestId]: plan.id };
+  const limit =
+    answer.rest === undefined ? AbortSignal.timeout(plan.deadlineMs + READ_GRACE_MS) : delivery.limit;
+  // The constructor of Response refuses some statuses of targets, and a stream of it can't be reset.
+  writeAnswer(outgoing, answer, headers, { keepReading: delivery.keepReading, limit });
+  return RESPONSE_ALREADY_SENT;
 }
 
-function refused(c: Context, refusal: CallerRefusal): Response {
+function refused(c: CallerContext, refusal: CallerRefusal): Response {
   const status = REFUSAL_STATUS[refusal.reason];
   const headers: Record<string, string> = {
     'content-type': 'application/problem+json',
--- a/packages/entry/src/claim-service.ts
+++ b/packages/entry/src/claim-service.ts
@@ -2,8 +2,12 @@
 import type { BatchAppender } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
 import { randomUUID } from 'node:crypto';
+import type { EarlierClaims } from './earlier-claims';
+import type { KeptResults } from './kept-results';
 import type { RequestPlan } from './request-plan';
+import type { WholeAnswer } from './target-answer';
 import type { WorkReplica } from './work-replica';
+import { toClaimResult } from './target-answer';
 
 /** Who claims: an entry process in one of its lives. */
 export interface ClaimHolder {
@@ -13,31 +17,57 @@
 
 /** What came of the wish to claim a key. */
 export type ClaimAnswer =
+  | { answer: WholeAnswer; kind: 'finished' }
   | { claimId: string; kind: 'held' }
-  | { kind: 'expired' | 'mismatch' | 'other-unfinished' | 'unavailable' }
-  | { kind: 'finished'; result: ClaimResult };
+  | {
+      kind:
+        'ended-unknown' | 'expired' | 'holder-gone' | 'mismatch' | 'not-kept' | 'unavailable' | 'unfinished';
+    };
 
-/** Largest body that an outcome record carries, in bytes, so that a repeat gets the real answer. */
-const MAX_OUTCOME_BODY = 4096;
+/** How a claimed request ended. */
+export type ClaimEnd =
+  | { answer: WholeAnswer; kind: 'answered' }
+  /** A whole answer that was too large to be kept; `bodyBytes` is the part that was buffered. */
+  | { bodyBytes: number; kind: 'streamed'; status: number }
+  | { kind: 'not-run' | 'unknown' };
 
-/** Time for which the outcome record of a request is offered to the log, in ms. */
-const OUTCOME_APPEND_MS = 600_000;
+/** Parts of an entry that claims use. */
+export interface ClaimServiceParts {
+  appender: BatchAppender;
+  earlier: EarlierClaims;
+  holder: ClaimHolder;
+  kept: KeptResults;
+  /** Claim and outcome records that may wait for the log; more requests are refused. */
+  maxPending: number;
+  /** Ends the attempts to record outcomes. */
+  signal: AbortSignal;
+  timers: TimerService;
+  work: WorkReplica;
+}
 
 /** Claims idempotency keys in the log before the first byte goes to a target. */
 export class ClaimService {
-  constructor(
-    private readonly appender: BatchAppender,
-    private readonly work: WorkReplica,
-    private readonly holder: ClaimHolder,
-    private readonly timers: TimerService,
-  ) {}
+  constructor(private readonly parts: ClaimServiceParts) {
+    parts.work.onUnawaitedClaim((claim) => {
+      this.#closeUnawaited(claim);
+    });
+  }
 
   /** Claims the key of a request, or finds out what became of an earlier claim of it. */
   async claim(plan: RequestPlan & { key: string }, signal: AbortSignal): Promise<ClaimAnswer> {
+    const { earlier, work } = this.parts;
+    await work.whenComplete(signal);
     while (!signal.aborted) {
-      const known = this.work.caughtUp ? this.work.claims.find(plan.team, plan.key) : undefined;
+      const known = work.claims.find(plan.team, plan.key);
       if (known !== undefined && known.result?.outcome !== 'not-run') {
-        return this.#fromEarlier(plan, known, signal);
+        const found = await earlier.resolve(plan, known, signal);
+        if (found.kind !== 'released') {
+          return found;
+        }
+        continue;
+      }
+      if (this.parts.appender.pending >= this.parts.maxPending) {
+        return { kind: 'unavailable' };
       }
       const verdict = await this.#propose(plan, signal);
       if (verdict.kind !== 'lost') {
@@ -48,23 +78,26 @@
   }
 
   /** Records how a claimed request ended. */
-  finish(plan: RequestPlan & { key: string }, claimId: string, result: ClaimResult): void {
-    this.appender.append(
+  finish(plan: { key: string; team: string }, claimId: string, end: ClaimEnd): void {
+    if (end.kind === 'answered') {
+      this.parts.kept.put(claimId, { answer: end.answer, outcome: 'answered' });
+    }
+    if (end.kind === 'unknown') {
+      this.parts.kept.put(claimId, { outcome: 'unknown' });
+    }
+    this.parts.appender.append(
       {
-        at: this.timers.now(),
-        body: result.body !== undefined && result.body.length <= MAX_OUTCOME_BODY ? result.body : undefined,
-        by: this.holder.entry,
+        ...toResult(end),
+        at: this.parts.timers.now(),
+        by: this.parts.holder.entry,
         claim: claimId,
-        contentType: result.contentType,
         id: randomUUID(),
         key: plan.key,
         kind: 'outcome',
-        outcome: result.outcome,
         scope: plan.team,
-        status: result.status,
         v: 1,
       },
-      AbortSignal.timeout(OUTCOME_APPEND_MS),
+      this.parts.signal,
     );
   }
 
@@ -72,18 +105,19 @@
     plan: RequestPlan & { key: string },
     signal: AbortSignal,
   ): Promise<ClaimAnswer | { kind: 'lost' }> {
+    const { appender, holder, timers, work } = this.parts;
     const claimId = randomUUID();
-    const verdict = this.work.verdictOf(claimId, signal);
-    const now = this.timers.now();
-    this.appender.append(
+    const verdict = work.verdictOf(claimId, signal);
+    const now = timers.now();
+    appender.append(
       {
         at: now,
-        by: this.holder.entry,
+        by: holder.entry,
         deadlineAt: now + plan.deadlineMs,
         digest: plan.digest,
-        entry: this.holder.entry,
+        entry: holder.entry,
         id: claimId,
-        incarnation: this.holder.incarnation,
+        incarnation: holder.incarnation,
         key: plan.key,
         kind: 'claim',
         scope: plan.team,
@@ -100,22 +134,28 @@
       case 'lost':
         return { kind: 'lost' };
       case undefined:
-        // The record may still reach the log; closing it releases the key.
-        this.finish(plan, claimId, { outcome: 'not-run' });
+        // The record may still reach the log; #closeUnawaited releases the key then.
         return { kind: 'unavailable' };
     }
   }
 
-  async #fromEarlier(plan: RequestPlan, claim: Claim, signal: AbortSignal): Promise<ClaimAnswer> {
-    if (claim.digest !== plan.digest) {
-      return { kind: 'mismatch' };
-    }
-    if (this.work.claims.isExpired(claim, this.timers.now())) {
-      return { kind: 'expired' };
+  // A claim of this process that nobody waits for can't be run any more: its caller was refused, or the
+  // record is a repeat of one whose append answer was lost.
+  #closeUnawaited(claim: Claim): void {
+    const { entry, incarnation } = this.parts.holder;
+    if (claim.entry === entry && claim.incarnation === incarnation) {
+      this.finish({ key: claim.key, team: claim.scope }, claim.id, { kind: 'not-run' });
     }
-    await this.work.outcomeOf(claim, signal);
-    return claim.result === undefined
-      ? { kind: 'other-unfinished' }
-      : { kind: 'finished', result: claim.result };
+  }
+}
+
+function toResult(end: ClaimEnd): ClaimResult {
+  switch (end.kind) {
+    case 'answered':
+      return toClaimResult(end.answer);
+    case 'streamed':
+      return { bodyBytes: end.bodyBytes, outcome: 'answered', status: end.status };
+    default:
+      return { outcome: end.kind };
   }
 }
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -7,51 +7,92 @@
 import { Maybe } from 'true-myth';
 import type { ClaimAnswer, ClaimService } from './claim-service';
 import type { Grant, GrantSource } from './grant-source';
+import type { LeavingVms } from './leaving-vms';
+import type { PauseGuard } from './pause-guard';
 import type { CallerRefusal, CallerRefusalReason } from './refusal';
 import type { RequestPlan } from './request-plan';
-import type { TargetAnswer, TargetClient } from './target-client';
+import type { TargetAnswer } from './target-answer';
+import type { TargetClient, TargetError } from './target-client';
 
 /** Parts of an entry that carry a request to a target. */
 export interface DispatcherParts {
   claims: ClaimService;
   grants: GrantSource;
+  guard: PauseGuard;
+  /** VMs that a notice reports as leaving. */
+  leaving: LeavingVms;
   replica: FleetReplica;
+  /** Aborts when the entry stops: work that has not been sent is refused. */
+  stopping: AbortSignal;
   targets: TargetClient;
   timers: TimerService;
 }
 
+/** An answer and how it is to be given to the caller. */
+export interface Delivery {
+  answer: TargetAnswer;
+  /** Whether the target's answer is read to its end even when the caller can't take it. */
+  keepReading: boolean;
+  /** Aborts at the caller's deadline. */
+  limit: AbortSignal;
+}
+
 /** What the caller gets when a target answered. */
-export type Dispatched = Result<TargetAnswer, CallerRefusal>;
+export type Dispatched = Result<Delivery, CallerRefusal>;
+
+/** Limits of one request. */
+interface Limits {
+  /** The caller's deadline on the monotonic clock and the wall clock, in ms. */
+  monoDeadline: number;
+  /** Whether a byte of the request may have reached a target. */
+  sent: boolean;
+  /** Ends the request while no byte of it has been written. */
+  start: AbortSignal;
+  wallDeadline: number;
+  /** Ends the request, also while it runs. */
+  work: AbortSignal;
+}
+
+type KeyedPlan = RequestPlan & { key: string };
+type Sent = Result<TargetAnswer, CallerRefusal>;
 
 /** Tries of one repeatable request, the first included. */
 const MAX_TRIES = 3;
 
 /** Carries requests to targets: claim, slot, send, retry. */
 export class RequestDispatcher {
+  #active = 0;
+
   constructor(private readonly parts: DispatcherParts) {}
 
+  /** Number of requests that run, those included whose caller has gone. */
+  get active(): number {
+    return this.#active;
+  }
+
   /** Handles one request within its deadline. */
-  async dispatch(plan: RequestPlan, caller: AbortSignal): Promise<Dispatched> {
-    const deadlineAt = this.parts.timers.mono() + plan.deadlineMs;
-    const limit = AbortSignal.any([caller, AbortSignal.timeout(plan.deadlineMs)]);
+  async dispatch(plan: RequestPlan, gone: AbortSignal): Promise<Dispatched> {
+    const deadline = AbortSignal.timeout(plan.deadlineMs);
     if (plan.key === undefined || plan.repeatable) {
-      return this.#runRepeatable(plan, deadlineAt, limit);
+      const work = AbortSignal.any([gone, deadline]);
+      const sent = await this.#counted(this.#tryTargets(plan, this.#limits(plan, work, work)));
+      return sent.map((answer) => ({ answer, keepReading: false, limit: deadline }));
     }
-    return this.#runClaimed({ ...plan, key: plan.key }, deadlineAt);
+    const sent = await this.#runClaimed({ ...plan, key: plan.key }, deadline);
+    return sent.map((answer) => ({ answer, keepReading: true, limit: deadline }));
   }
 
-  async #runRepeatable(plan: RequestPlan, deadlineAt: number, limit: AbortSignal): Promise<Dispatched> {
+  // Work that has been sent is tried again only when it is repeatable; work that hasn't, in either case.
+  async #tryTargets(plan: RequestPlan, limits: Limits): Promise<Sent> {
     const excluded = new Set<string>();
-    let last: Dispatched = refuse('no-target', 'no target was tried', 'not-run');
+    let last: Sent = refuse('no-target', 'no target was tried', 'not-run');
     for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
-      const grant = await this.parts.grants.acquire(grantRequest(plan, excluded), limit);
+      const grant = await this.#grant(plan, excluded, limits);
       if (grant.isErr()) {
-        return attempt > 0
-          ? last
-          : refuse(grant.error.reason, grant.error.detail, 'not-run', grant.error.waitMs);
+        return attempt > 0 ? last : err(grant.error);
       }
-      last = await this.#send(plan, grant.value, deadlineAt, limit);
-      if (last.isOk() || limit.aborted) {
+      last = worse(last, await this.#send(plan, grant.value, limits));
+      if (last.isOk() || limits.start.aborted || (limits.sent && !plan.repeatable)) {
         return last;
       }
       excluded.add(grant.value.vm);
@@ -59,60 +100,167 @@
     return last;
   }
 
-  // A caller that hangs up doesn't stop claimed work: its outcome is recorded for a repeat of the key.
-  async #runClaimed(plan: RequestPlan & { key: string }, deadlineAt: number): Promise<Dispatched> {
-    const limit = AbortSignal.timeout(plan.deadlineMs);
-    const claim = await this.parts.claims.claim(plan, limit);
+  // A caller that hangs up or whose deadline passes doesn't stop claimed work that has been sent: it goes
+  // on up to the job's timeout, and its outcome is recorded for a repeat of the key.
+  async #runClaimed(plan: KeyedPlan, deadline: AbortSignal): Promise<Sent> {
+    const work = AbortSignal.timeout(plan.jobSettings.timeoutMs);
+    const limits = this.#limits(plan, deadline, work);
+    const claim = await this.parts.claims.claim(plan, limits.start);
     if (claim.kind !== 'held') {
-      return fromClaim(claim);
+      return this.#fromClaim(claim);
     }
-    const grant = await this.parts.grants.acquire(grantRequest(plan, new Set()), limit);
-    const answer = grant.isErr()
-      ? refuse(grant.error.reason, grant.error.detail, 'not-run', grant.error.waitMs)
-      : await this.#send(plan, grant.value, deadlineAt, limit);
-    this.parts.claims.finish(
-      plan,
-      claim.claimId,
-      answer.isErr()
-        ? { outcome: answer.error.outcome }
-        : {
-            body: answer.value.body.toString('utf8'),
-            contentType: answer.value.contentType,
-            outcome: 'answered',
-            status: answer.value.status,
-          },
+    const running = this.#counted(this.#runHeld(plan, claim.claimId, limits));
+    const late = aborted(deadline).then(() =>
+      limits.sent
+        ? refuse('target-timeout', 'the deadline passed while the request was running', 'unknown')
+        : running,
     );
-    return answer;
+    return Promise.race([running, late]);
+  }
+
+  async #runHeld(plan: KeyedPlan, claimId: string, limits: Limits): Promise<Sent> {
+    const sent = await this.#tryTargets(plan, limits);
+    if (sent.isErr()) {
+      this.parts.claims.finish(plan, claimId, { kind: sent.error.outcome });
+      return sent;
+    }
+    this.#finishAnswered(plan, claimId, sent.value);
+    return sent;
+  }
+
+  #finishAnswered(plan: KeyedPlan, claimId: string, answer: TargetAnswer): void {
+    const { rest, ...whole } = answer;
+    if (rest === undefined) {
+      this.parts.claims.finish(plan, claimId, { answer: whole, kind: 'answered' });
+      return;
+    }
+    const recorded = rest.ended.then((complete) => {
+      const streamed = { bodyBytes: whole.body.length, kind: 'streamed', status: whole.status } as const;
+      this.parts.claims.finish(plan, claimId, complete ? streamed : { kind: 'unknown' });
+    });
+    void this.#counted(recorded);
+  }
+
+  async #grant(
+    plan: RequestPlan,
+    excluded: ReadonlySet<string>,
+    limits: Limits,
+  ): Promise<Result<Grant, CallerRefusal>> {
+    await this.parts.guard.whenFresh(limits.start);
+    const request = grantRequest(plan, this.parts.leaving.with(excluded));
+    const grant = await this.parts.grants.acquire(request, limits.start);
+    if (grant.isErr() && this.parts.stopping.aborted) {
+      return refuse('stopping', 'the entry is stopping', 'not-run', 1000);
+    }
+    return grant.mapErr((error) => refusal(error.reason, error.detail, 'not-run', error.waitMs));
   }
 
-  async #send(plan: RequestPlan, grant: Grant, deadlineAt: number, signal: AbortSignal): Promise<Dispatched> {
+  async #send(plan: RequestPlan, grant: Grant, limits: Limits): Promise<Sent> {
     const startedAt = this.parts.timers.mono();
     const sent = await this.parts.targets.send({
       address: grant.address,
-      beforeSend: () => this.#reasonNotToSend(grant, deadlineAt),
+      beforeSend: () => this.#reasonNotToSend(plan, grant, limits),
       body: plan.body,
       contentType: plan.contentType,
       id: plan.id,
       job: plan.job,
-      signal,
+      onSent: () => {
+        limits.sent = true;
+      },
+      signal: limits.work,
+      startSignal: limits.start,
     });
-    grant.release({ ok: sent.isOk(), runMs: this.parts.timers.mono() - startedAt });
-    if (sent.isOk()) {
-      return ok(sent.value);
+    const release = (ok: boolean): void => {
+      grant.release({ ok, runMs: this.parts.timers.mono() - startedAt });
+    };
+    if (sent.isErr()) {
+      release(false);
+      return this.#unanswered(sent.error, limits);
     }
-    if (!sent.error.sent) {
-      return refuse('target-unreachable', sent.error.message, 'not-run');
+    // A grant counts as in flight until the last byte of the answer.
+    void (sent.value.rest?.ended ?? Promise.resolve(true)).then(release);
+    return ok(sent.value);
+  }
+
+  #unanswered(error: TargetError, limits: Limits): Sent {
+    if (error.sent) {
+      return refuse(limits.work.aborted ? 'target-timeout' : 'target-failed', error.message, 'unknown');
     }
-    const reason = signal.aborted ? 'target-timeout' : 'target-failed';
-    return refuse(reason, sent.error.message, 'unknown');
+    return this.parts.stopping.aborted
+      ? refuse('stopping', 'the entry is stopping', 'not-run', 1000)
+      : refuse('target-unreachable', error.message, 'not-run');
   }
 
-  #reasonNotToSend(grant: Grant, deadlineAt: number): string | undefined {
-    if (this.parts.timers.mono() >= deadlineAt) {
+  #reasonNotToSend(plan: RequestPlan, grant: Grant, limits: Limits): string | undefined {
+    const { guard, leaving, replica, timers } = this.parts;
+    if (timers.mono() >= limits.monoDeadline || timers.now() >= limits.wallDeadline) {
       return 'the deadline has passed';
     }
-    const vm = this.parts.replica.state.vms.get(grant.vm);
-    return vm !== undefined && isServing(vm) ? undefined : `VM ${grant.vm} has left service`;
+    if (!guard.isFresh()) {
+      return 'the process was paused and its fleet state is not current';
+    }
+    const vm = replica.state.vms.get(grant.vm);
+    const serves = vm?.pool === plan.pool && isServing(vm) && !leaving.has(vm.id);
+    return serves ? undefined : `VM ${grant.vm} has left service in pool ${plan.pool}`;
+  }
+
+  #limits(plan: RequestPlan, start: AbortSignal, work: AbortSignal): Limits {
+    return {
+      monoDeadline: this.parts.timers.mono() + plan.deadlineMs,
+      sent: false,
+      start: AbortSignal.any([start, this.parts.stopping]),
+      wallDeadline: this.parts.timers.now() + plan.deadlineMs,
+      work,
+    };
+  }
+
+  async #counted<T>(running: Promise<T>): Promise<T> {
+    this.#active += 1;
+    try {
+      return await running;
+    } finally {
+      this.#active -= 1;
+    }
+  }
+
+  #fromClaim(claim: Exclude<ClaimAnswer, { kind: 'held' }>): Sent {
+    switch (claim.kind) {
+      case 'ended-unknown':
+        return refuse(
+          'key-in-use',
+          'an earlier request with this key ended without a whole answer',
+          'unknown',
+        );
+      case 'expired':
+        return refuse('key-expired', 'the key was used before and its outcome is no longer kept', 'unknown');
+      case 'finished':
+        return ok(claim.answer);
+      case 'holder-gone':
+        return refuse(
+          'holder-gone',
+          'the entry that handled this key ended before the outcome was recorded',
+          'unknown',
+        );
+      case 'mismatch':
+        return refuse('key-mismatch', 'the key was used before for another request', 'not-run');
+      case 'not-kept':
+        return refuse(
+          'answer-not-kept',
+          'the request was answered; its answer is no longer available',
+          'unknown',
+        );
+      case 'unavailable':
+        return this.parts.stopping.aborted
+          ? refuse('stopping', 'the entry is stopping', 'not-run', 1000)
+          : refuse('claim-unavailable', 'the key could not be claimed in time', 'not-run', 1000);
+      case 'unfinished':
+        return refuse(
+          'key-in-use',
+          'an earlier request with this key has no known outcome yet',
+          'unknown',
+          1000,
+        );
+    }
   }
 }
 
@@ -123,33 +271,37 @@
   return { excluded, job: plan.job, pool: plan.pool, team: plan.team, urgent: plan.jobSettings.urgent };
 }
 
-function fromClaim(claim: Exclude<ClaimAnswer, { kind: 'held' }>): Dispatched {
-  switch (claim.kind) {
-    case 'expired':
-      return refuse('key-expired', 'the key was used before and its outcome is no longer kept', 'unknown');
-    case 'finished':
-      return claim.result.status === undefined || claim.result.outcome !== 'answered'
-        ? refuse('key-in-use', 'an earlier request with this key ended without a whole answer', 'unknown')
-        : ok({
-            body: Buffer.from(claim.result.body ?? ''),
-            contentType: claim.result.contentType ?? 'application/octet-stream',
-            status: claim.result.status,
-          });
-    case 'mismatch':
-      return refuse('key-mismatch', 'the key was used before with another body', 'not-run');
-    case 'other-unfinished':
-      return refuse('key-in-use', 'an earlier request with this key has no known outcome', 'unknown');
-    case 'unavailable':
-      return refuse('claim-unavailable', 'the key could not be claimed in time', 'not-run', 1000);
-  }
+// A request that may have run on one target stays so, whatever came of later tries.
+function worse(earlier: Sent, later: Sent): Sent {
+  return later.isErr() && earlier.isErr() && earlier.error.outcome === 'unknown' ? earlier : later;
+}
+
+function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve();
+      return;
+    }
+    signal.addEventListener(
+      'abort',
+      () => {
+        resolve();
+      },
+      { once: true },
+    );
+  });
+}
+
+function refuse(...args: Parameters<typeof refusal>): Result<never, CallerRefusal> {
+  return err(refusal(...args));
 }
 
-function refuse(
+function refusal(
   reason: CallerRefusalReason,
   detail: string,
   outcome: Exclude<Outcome, 'answered'>,
   waitMs?: number,
-): Result<never, CallerRefusal> {
+): CallerRefusal {
   const retryAfterS = waitMs === undefined ? Maybe.nothing<number>() : Maybe.just(Math.ceil(waitMs / 1000));
-  return err({ detail, outcome, reason, retryAfterS });
+  return { detail, outcome, reason, retryAfterS };
 }
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -21,7 +21,11 @@
     timeoutMs: z.int().min(100).default(6000),
   }),
   secretFile: z.string().min(1),
+  /** Time after the stop signal for which new requests are still taken and refused, in ms. */
+  stopGraceMs: z.int().min(0).default(1000),
   vm: nameSchema,
+  /** Period at which the platform's VM list and peers are asked for leaving VMs. */
+  vmListPollMs: z.int().min(50).max(1000).default(500),
   zone: z.string().min(1),
 });
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,23 +1,46 @@
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { ControlSource } from '@sequoiaquay/control';
-import { BatchAppender, FleetReplica, LogClient, PlatformHttp, STREAM } from '@sequoiaquay/platform';
+import {
+  BatchAppender,
+  FleetReplica,
+  LogClient,
+  PlatformHttp,
+  STREAM,
+  VmListClient,
+} from '@sequoiaquay/platform';
 import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
-import { randomUUID } from 'node:crypto';
 import type { EntrySettings } from './entry-settings';
 import { createCallerApi } from './caller-api';
+import { ClaimLookup } from './claim-lookup';
 import { ClaimService } from './claim-service';
 import { ClearReporter } from './clear-reporter';
 import { RequestDispatcher } from './dispatcher';
+import { EarlierClaims } from './earlier-claims';
+import { GracefulStop } from './graceful-stop';
+import { HolderInquiry } from './holder-inquiry';
 import { InFlight } from './in-flight';
+import { KeptResults } from './kept-results';
+import { LeavingVms } from './leaving-vms';
+import { LeavingWatch } from './leaving-watch';
+import { JoinedMembers } from './live-members';
 import { OwnShareGrants } from './own-share-grants';
+import { PauseGuard } from './pause-guard';
+import { PeerClients } from './peer-clients';
 import { createPeerRouter } from './peer-router';
+import { SelfMembership } from './self-membership';
 import { TargetClient } from './target-client';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
 const REPLICA = { retryMs: 200, waitMs: 5000 };
 const RING_CAPACITY = 10_000;
+const GUARD = { maxGapMs: 1000 };
+/** Results kept for repeats, in bytes. */
+const KEPT_BYTES = 32 * 1_048_576;
+/** Claim and outcome records that may wait for the log. */
+const MAX_PENDING_RECORDS = 5000;
+const REFRESH_TIMEOUT_MS = 4000;
 const TARGETS = { connections: 8, connectTimeoutMs: 1000 };
 
 /** Runs an entry process until the signal aborts and its requests have ended. */
@@ -42,44 +65,76 @@
     clear.check(background.signal);
   });
   const clear = new ClearReporter(replica, inFlight, fleetAppender, holder, timers);
-  const targets = new TargetClient(TARGETS);
+  const membership = new SelfMembership(
+    replica,
+    fleetAppender,
+    holder,
+    { address: cfg.peerListen, vm: cfg.vm, zone: cfg.zone },
+    timers,
+  );
+  const targets = new TargetClient({ ...TARGETS, bufferLimitBytes: cfg.bufferLimitBytes });
+  const guard = new PauseGuard(
+    () => replica.refresh(AbortSignal.any([background.signal, AbortSignal.timeout(REFRESH_TIMEOUT_MS)])),
+    GUARD,
+    timers,
+  );
+  const kept = new KeptResults(KEPT_BYTES);
+  const lookup = new ClaimLookup(work.claims, kept, holder);
+  const peers = new PeerClients(secret);
+  const leaving = new LeavingVms();
+  const claims = new ClaimService({
+    appender: workAppender,
+    earlier: new EarlierClaims(work, new HolderInquiry(replica, peers, holder, lookup), timers),
+    holder,
+    kept,
+    maxPending: MAX_PENDING_RECORDS,
+    signal: background.signal,
+    timers,
+    work,
+  });
   const dispatcher = new RequestDispatcher({
-    claims: new ClaimService(workAppender, work, holder, timers),
+    claims,
     grants: new OwnShareGrants(replica, inFlight),
+    guard,
+    leaving,
     replica,
+    stopping: signal,
     targets,
     timers,
   });
   const ready = (): boolean => replica.caughtUp && !signal.aborted;
   const server = await listen(
-    createCallerApi({ dispatcher, maxRequestBytes: cfg.maxRequestBytes, ready, replica }),
+    createCallerApi({
+      dispatcher,
+      maxRequestBytes: cfg.maxRequestBytes,
+      ready,
+      replica,
+      stopping: signal,
+    }),
     cfg.listen,
   );
   const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
   const peerApp = new Hono();
-  mountRpc(peerApp, createPeerRouter({ claims: work.claims, name: cfg.name, ring }), secret);
+  mountRpc(peerApp, createPeerRouter({ claims: lookup, leaving, name: cfg.name, ring }), secret);
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
-  fleetAppender.append(
-    {
-      address: cfg.peerListen,
-      at: timers.now(),
-      by: cfg.name,
-      id: randomUUID(),
-      incarnation: holder.incarnation,
-      kind: 'member-join',
-      member: cfg.name,
-      role: 'entry',
-      v: 1,
-      vm: cfg.vm,
-      zone: cfg.zone,
-    },
-    background.signal,
-  );
+  membership.start(background.signal);
   clear.start(background.signal);
+  guard.start(background.signal);
+  new LeavingWatch(
+    leaving,
+    new VmListClient(http),
+    new JoinedMembers(replica),
+    peers,
+    { name: cfg.name, pollMs: cfg.vmListPollMs },
+    timers,
+  ).start(background.signal);
   const running = [replica.run(background.signal), work.run(background.signal)];
   await stopped(signal);
-  await closeServer(server);
+  const stop = new GracefulStop(dispatcher, [workAppender, fleetAppender], timers, () => {
+    membership.leave(background.signal);
+  });
+  await stop.drain(server, cfg.stopGraceMs);
   background.abort();
   await closeServer(peerServer);
   await Promise.all(running);
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,11 +1,13 @@
-import type { ClaimTable } from '@sequoiaquay/core';
 import type { EventRing } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
+import type { ClaimLookup } from './claim-lookup';
+import type { LeavingVms } from './leaving-vms';
 
 /** Parts of an entry that its peers' procedures use. */
 export interface PeerRouterParts {
-  claims: ClaimTable;
+  claims: ClaimLookup;
+  leaving: LeavingVms;
   name: string;
   ring: EventRing;
 }
@@ -19,9 +21,10 @@
   return t.router({
     claims: t.router({
       outcome: t.procedure
-        .input(z.object({ key: z.string(), scope: z.string() }))
-        .query(({ input }) => parts.claims.find(input.scope, input.key)?.result ?? null),
+        .input(z.object({ claim: z.string(), key: z.string(), scope: z.string() }))
+        .query(({ input }) => parts.claims.state(input)),
     }),
+    leaving: t.procedure.query(() => parts.leaving.list()),
     ping: t.procedure.query(() => ({ name: parts.name })),
     timeline: t.procedure.query(() => parts.ring.list()),
   });
--- a/packages/entry/src/refusal.ts
+++ b/packages/entry/src/refusal.ts
@@ -4,10 +4,12 @@
 
 /** Reasons given to callers, with the HTTP status of each. */
 export const REFUSAL_STATUS = {
+  'answer-not-kept': 409,
   'bad-request': 400,
   'claim-unavailable': 503,
   'deadline-unreachable': 503,
   'entry-not-ready': 503,
+  'holder-gone': 409,
   'key-expired': 409,
   'key-in-use': 409,
   'key-mismatch': 422,
--- a/packages/entry/src/request-plan.ts
+++ b/packages/entry/src/request-plan.ts
@@ -32,6 +32,7 @@
   contentType: string;
   /** Time from now within which the caller wants its answer, in ms. */
   deadlineMs: number;
+  /** Hash of the pool, the job and the body: a key stands for one request. */
   digest: string;
   id: string;
   job: string;
@@ -76,7 +77,7 @@
     body: req.body,
     contentType: req.contentType,
     deadlineMs: deadline,
-    digest: createHash('sha256').update(req.body).digest('base64url'),
+    digest: digestOf(req),
     id: req.id,
     job: req.job,
     jobSettings: job,
@@ -88,6 +89,11 @@
   });
 }
 
+// Names can't contain a line feed, so that the parts can't run into each other.
+function digestOf(req: CallerRequest): string {
+  return createHash('sha256').update(`${req.pool}\n${req.job}\n`).update(req.body).digest('base64url');
+}
+
 function parseDeadline(value: string | undefined, timeoutMs: number): number | undefined {
   if (value === undefined) {
     return timeoutMs;
--- a/packages/entry/src/work-replica.ts
+++ b/packages/entry/src/work-replica.ts
@@ -1,5 +1,5 @@
 import type { Claim, ClaimVerdict, WorkRecord } from '@sequoiaquay/core';
-import type { LogEntry, LogService } from '@sequoiaquay/platform';
+import type { LogEntry, LogPage, LogService, PlatformError } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
 import { ClaimTable, decodeRecord, workRecordSchema } from '@sequoiaquay/core';
 import { READ_LIMIT, STREAM } from '@sequoiaquay/platform';
@@ -11,14 +11,24 @@
   waitMs: number;
 }
 
+/** Largest difference between two processes' clocks, in ms. */
+const CLOCK_SKEW_MS = 60_000;
+
+/** Period at which a waiter looks again whether the replica is complete, in ms. */
+const COMPLETE_CHECK_MS = 50;
+
 /** Follows the `work` stream of the log and folds its claims. */
 export class WorkReplica {
   #caughtUp = false;
   readonly claims: ClaimTable;
-  readonly counters = { applied: 0, readFailures: 0, unreadable: 0 };
-  readonly #claimWaiters = new Map<string, (verdict: ClaimVerdict) => void>();
+  readonly counters = { applied: 0, gaps: 0, readFailures: 0, unreadable: 0 };
+  readonly #claimWaiters = new Map<string, (verdict: ClaimVerdict | undefined) => void>();
+  /** Wall time from which no claim among trimmed records can still hold its key, in ms. */
+  #gapUntil = 0;
+  #gapOpen = false;
   #next = 0;
   readonly #outcomeWaiters = new Map<string, Set<() => void>>();
+  #unawaited: (claim: Claim) => void = () => undefined;
 
   constructor(
     private readonly log: LogService,
@@ -28,9 +38,12 @@
     this.claims = new ClaimTable({ keyWindowMs: settings.keyWindowMs });
   }
 
-  /** Whether the replica has read the stream to its end once, so that it knows every claim. */
-  get caughtUp(): boolean {
-    return this.#caughtUp;
+  /**
+   * Whether the replica has read the stream to its end and knows every claim that can still hold its key:
+   * records that were trimmed before they were read may contain claims.
+   */
+  get complete(): boolean {
+    return this.#caughtUp && !this.#gapOpen && this.timers.now() >= this.#gapUntil;
   }
 
   /** Follows the stream until the signal aborts. */
@@ -44,21 +57,21 @@
         waitMs: this.#caughtUp ? this.settings.waitMs : 0,
       });
       if (page.isOk()) {
-        for (const entry of page.value.records) {
-          this.#apply(entry);
-        }
-        this.#caughtUp ||= this.#next >= page.value.end;
+        this.#applyPage(page.value);
         continue;
       }
       this.counters.readFailures += 1;
-      if (page.error.kind === 'trimmed') {
-        this.#next = page.error.oldest.unwrapOr(this.#next);
-        continue;
+      if (!this.#skipTrimmed(page.error)) {
+        await this.timers.sleep(this.settings.retryMs, signal);
       }
-      await this.timers.sleep(this.settings.retryMs, signal);
     }
   }
 
+  /** Sets what is done with a claim that holds its key while nobody in this process waits for it. */
+  onUnawaitedClaim(handler: (claim: Claim) => void): void {
+    this.#unawaited = handler;
+  }
+
   /** Waits for the verdict on a claim record; undefined when the signal aborts first. */
   verdictOf(recordId: string, signal: AbortSignal): Promise<ClaimVerdict | undefined> {
     return new Promise((resolve) => {
@@ -75,6 +88,13 @@
     });
   }
 
+  /** Waits until the replica is complete or the signal aborts. */
+  async whenComplete(signal: AbortSignal): Promise<void> {
+    while (!this.complete && !signal.aborted) {
+      await this.timers.sleep(COMPLETE_CHECK_MS, signal);
+    }
+  }
+
   /** Waits until a claim has an outcome or the signal aborts. */
   outcomeOf(claim: Claim, signal: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
@@ -96,6 +116,47 @@
     });
   }
 
+  #applyPage(page: LogPage): void {
+    // Nothing was trimmed before the first record of a stream whose oldest offset is 0.
+    if (this.#next === 0 && page.oldest > 0) {
+      this.#openGap();
+    }
+    for (const entry of page.records) {
+      this.#apply(entry);
+    }
+    if (this.#next >= page.end) {
+      this.#next = page.end;
+      this.#caughtUp = true;
+      this.#closeGap(this.timers.now());
+    }
+  }
+
+  #skipTrimmed(error: PlatformError): boolean {
+    if (error.kind !== 'trimmed') {
+      return false;
+    }
+    this.#next = error.oldest.unwrapOr(this.#next);
+    this.#openGap();
+    return true;
+  }
+
+  #openGap(): void {
+    this.counters.gaps += 1;
+    this.#gapOpen = true;
+    // A verdict after the gap could rest on claims that were not read.
+    for (const giveUp of [...this.#claimWaiters.values()]) {
+      giveUp(undefined);
+    }
+  }
+
+  // Trimmed claims are no younger than the first record read after them.
+  #closeGap(firstAt: number): void {
+    if (this.#gapOpen) {
+      this.#gapOpen = false;
+      this.#gapUntil = firstAt + 2 * this.settings.keyWindowMs + CLOCK_SKEW_MS;
+    }
+  }
+
   #apply(entry: LogEntry): void {
     this.#next = entry.offset + 1;
     const record = decodeRecord(workRecordSchema, entry.value);
@@ -104,13 +165,13 @@
       return;
     }
     this.counters.applied += 1;
+    this.#closeGap(record.value.at);
     this.#applyRecord(record.value);
   }
 
   #applyRecord(record: WorkRecord): void {
     if (record.kind === 'claim') {
-      const verdict = this.claims.applyClaim(record);
-      this.#claimWaiters.get(record.id)?.(verdict);
+      this.#applyClaim(record);
       return;
     }
     this.claims.applyOutcome(record);
@@ -118,4 +179,17 @@
       wake();
     }
   }
+
+  #applyClaim(record: Extract<WorkRecord, { kind: 'claim' }>): void {
+    const verdict = this.claims.applyClaim(record);
+    const waiter = this.#claimWaiters.get(record.id);
+    if (waiter !== undefined) {
+      waiter(verdict);
+      return;
+    }
+    const claim = this.claims.find(record.scope, record.key);
+    if (verdict === 'held' && claim !== undefined) {
+      this.#unawaited(claim);
+    }
+  }
 }
--- a/packages/platform/src/fleet-replica.ts
+++ b/packages/platform/src/fleet-replica.ts
@@ -28,6 +28,9 @@
   unreadable: number;
 }
 
+/** Age up to which a source's own state is current, in ms: its read of the log waits up to 5 s for a record. */
+const MAX_SOURCE_AGE_MS = 7000;
+
 /**
  * Replica of the fleet state: follows the `fleet` stream from the first source that answers.
  * The state only ever moves forward in offset.
@@ -81,6 +84,38 @@
     }
   }
 
+  /**
+   * Reads to the end of the stream with calls that begin now. True when a source whose own state is current
+   * answered, or, as in an outage of the log, when at least half of the sources did.
+   */
+  async refresh(signal: AbortSignal): Promise<boolean> {
+    const sources = this.sources();
+    let answered = 0;
+    for (const source of sources) {
+      if (await this.#readToEnd(source, signal)) {
+        answered += 1;
+        if ((source.sourceAgeMs ?? Infinity) <= MAX_SOURCE_AGE_MS) {
+          return true;
+        }
+      }
+    }
+    return answered > 0 && 2 * answered >= sources.length;
+  }
+
+  async #readToEnd(source: FleetSource, signal: AbortSignal): Promise<boolean> {
+    for (;;) {
+      const page = await source.read(this.#state.next, 0, signal);
+      if (page.isErr()) {
+        const restored = page.error.kind === 'trimmed' ? await this.#bootstrap(source, signal) : page.error;
+        return restored === undefined;
+      }
+      this.#applyPage(page.value);
+      if (this.#state.next >= page.value.end) {
+        return true;
+      }
+    }
+  }
+
   /** Waits for the verdict on a record; undefined when the signal aborts first. */
   verdictOf(recordId: string, signal: AbortSignal): Promise<FleetVerdict | undefined> {
     return new Promise((resolve) => {
--- a/packages/platform/src/fleet-source.ts
+++ b/packages/platform/src/fleet-source.ts
@@ -13,6 +13,8 @@
   readonly name: string;
   /** Records from an offset; waits up to `waitMs` for one. */
   read: (from: number, waitMs: number, signal: AbortSignal) => ResultAsync<LogPage, PlatformError>;
+  /** Age of the source's own state at its last answer, in ms; undefined when it isn't known. */
+  readonly sourceAgeMs?: number;
 }
 
 /** Most records that one read returns. */
