--- a/packages/platform/src/fleet-source.ts
+++ b/packages/platform/src/fleet-source.ts
@@ -2,8 +2,8 @@
 import type { ResultAsync } from 'neverthrow';
 import { parseSnapshot } from '@sequoiaquay/core';
 import { errAsync, okAsync } from 'neverthrow';
-import * as z from 'zod';
 import { Maybe } from 'true-myth';
+import * as z from 'zod';
 import type { LogEntry, LogPage, LogService } from './log-client';
 import type { PlatformError } from './platform-error';
 import { STREAM } from './log-client';
@@ -15,6 +15,8 @@
   readonly name: string;
   /** Records from an offset; waits up to `waitMs` for one. */
   read: (from: number, waitMs: number, signal: AbortSignal) => ResultAsync<LogPage, PlatformError>;
+  /** Age of the source's own state at its last answer, in ms; undefined when it isn't known. */
+  readonly sourceAgeMs?: number;
 }
 
 /** Most records that one read returns. */
