feat(core): fold tasks in log order and plan them onto workers

Cause: callers need asynchronous work on workers that survives lost owners, lost workers and trimming of the `work` stream, and no replica may count what a fenced holder writes.

Change: seven record kinds about tasks (`task`, `task-lease`, `task-renew`, `task-done`, `task-failed`, `task-cancel`, `task-state`); `TaskTable` folds them along `task.chart.ts`, with attempt numbers as fencing. `task-state` carries a task past trimming together with the offset it was taken at, so that a late replica applies exactly the records in between. `TaskScheduler` places tasks by learned demand, urgent first, with weighted sharing, quotas, room made for urgent work and a worker kept for large work. Workers that fail several jobs in a row are set aside within the pool's budget and probed again. VM records carry what a worker offers, and job settings the declared demand of a task.

Before/after: no task could be accepted; now the fold and the plan exist, not yet driven by an entry. Deliberately broken copies (attempt check, carried offset, records between, second start of work that isn't repeatable) each fail one property.

--- a/packages/control/src/vm-watcher.ts
+++ b/packages/control/src/vm-watcher.ts
@@ -67,6 +67,7 @@
     connections: vm.connections,
     kind: 'vm-register',
     rack: vm.rack,
+    resources: vm.resources,
     role: vm.role === 'worker' ? 'worker' : 'target',
     slots: vm.slots,
     vm: vm.id,
--- a/packages/core/src/fleet/apply-vm.ts
+++ b/packages/core/src/fleet/apply-vm.ts
@@ -24,6 +24,7 @@
     maintainedAt: 0,
     pool: UNASSIGNED_POOL,
     rack: record.rack,
+    resources: record.resources,
     role: record.role,
     slots: record.slots,
     state: vmChart.initial,
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -1,6 +1,7 @@
 import type { VmState } from '../charts/vm.chart';
 import type { VmHealth } from '../records/fleet-record';
 import type { TeamBranch } from '../records/settings-schema';
+import type { Resources } from '../tasks/task-spec';
 
 /** Pool of VMs that no team has been given. */
 export const UNASSIGNED_POOL = 'unassigned';
@@ -28,6 +29,8 @@
   maintainedAt: number;
   pool: string;
   rack: string;
+  /** What a worker offers to tasks, when the platform lists it. */
+  resources?: Resources;
   role: 'target' | 'worker';
   slots: number;
   state: VmState;
--- a/packages/core/src/fleet/snapshot.ts
+++ b/packages/core/src/fleet/snapshot.ts
@@ -4,6 +4,7 @@
 import type { FleetState } from './fleet-state';
 import { decodeRecord } from '../records/decode';
 import { teamBranchSchema } from '../records/settings-schema';
+import { resourcesSchema } from '../tasks/task-spec';
 import { rebuildPoolOwners } from './apply-settings';
 
 const drainSchema = z.object({
@@ -24,6 +25,7 @@
   maintainedAt: z.int(),
   pool: z.string(),
   rack: z.string(),
+  resources: resourcesSchema.optional(),
   role: z.enum(['target', 'worker']),
   slots: z.int(),
   state: z.enum(['draining', 'released', 'serving']),
--- a/packages/core/src/records/fleet-record.ts
+++ b/packages/core/src/records/fleet-record.ts
@@ -1,15 +1,9 @@
 import { z } from 'zod';
+import { resourcesSchema } from '../tasks/task-spec';
 import { nameSchema } from './names';
+import { recordBase } from './record-base';
 import { teamBranchSchema } from './settings-schema';
 
-/** Fields that every record of the log carries. */
-export const recordBase = {
-  at: z.int().min(0),
-  by: z.string().min(1).max(200),
-  id: z.string().min(1).max(200),
-  v: z.literal(1),
-};
-
 /** Health of a VM as the budget counts it. */
 export const VM_HEALTH = { down: 'down', suspect: 'suspect', up: 'up' } as const;
 /** Health of a VM. */
@@ -37,6 +31,7 @@
     connections: z.int().min(1),
     kind: z.literal('vm-register'),
     rack: z.string().max(100),
+    resources: resourcesSchema.optional(),
     role: z.enum(['target', 'worker']),
     slots: z.int().min(1),
     vm: nameSchema,
--- /dev/null
+++ b/packages/core/src/records/record-base.ts
@@ -0,0 +1,9 @@
+import { z } from 'zod';
+
+/** Fields that every record of the log carries. */
+export const recordBase = {
+  at: z.int().min(0),
+  by: z.string().min(1).max(200),
+  id: z.string().min(1).max(200),
+  v: z.literal(1),
+};
--- a/packages/core/src/records/settings-schema.ts
+++ b/packages/core/src/records/settings-schema.ts
@@ -1,9 +1,12 @@
 import { z } from 'zod';
+import { resourcesSchema } from '../tasks/task-spec';
 import { nameSchema } from './names';
 
 /** Settings of one job of a pool. Times in milliseconds. */
 export const jobSettingsSchema = z.strictObject({
   repeatable: z.boolean(),
+  /** Declared demand of one task of the job on a worker. */
+  task: resourcesSchema.optional(),
   timeoutMs: z.int().min(1).max(86_400_000),
   urgent: z.boolean().default(false),
 });
--- a/packages/core/src/records/work-record.ts
+++ b/packages/core/src/records/work-record.ts
@@ -1,6 +1,15 @@
 import { z } from 'zod';
-import { recordBase } from './fleet-record';
 import { nameSchema } from './names';
+import { recordBase } from './record-base';
+import {
+  taskCancelSchema,
+  taskCarrySchema,
+  taskDoneSchema,
+  taskFailedSchema,
+  taskLeaseSchema,
+  taskRecordSchema,
+  taskRenewSchema,
+} from './task-record';
 
 /** What a caller is told about its request. */
 export const OUTCOME = { answered: 'answered', notRun: 'not-run', unknown: 'unknown' } as const;
@@ -32,6 +41,13 @@
     scope: z.string().max(200),
     status: z.int().min(100).max(599).optional(),
   }),
+  taskCancelSchema,
+  taskCarrySchema,
+  taskDoneSchema,
+  taskFailedSchema,
+  taskLeaseSchema,
+  taskRecordSchema,
+  taskRenewSchema,
 ]);
 
 /** Record of the `work` stream. */
--- a/packages/entry/src/work-replica.ts
+++ b/packages/entry/src/work-replica.ts
@@ -1,17 +1,22 @@
-import type { Claim, ClaimVerdict, WorkRecord } from '@sequoiaquay/core';
+import type { Claim, ClaimVerdict, TaskRecord, TaskVerdict, WorkRecord } from '@sequoiaquay/core';
 import type { LogEntry, LogService } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
-import { ClaimTable, decodeRecord, workRecordSchema } from '@sequoiaquay/core';
+import { ClaimTable, decodeRecord, TaskTable, workRecordSchema } from '@sequoiaquay/core';
 import { READ_LIMIT, STREAM } from '@sequoiaquay/platform';
 
+/** Called for each record about a task that the replica has applied. */
+export type TaskListener = (record: TaskRecord, verdict: TaskVerdict) => void;
+
 /** Settings of the work replica. Times in ms. */
 export interface WorkReplicaSettings {
+  /** Time for which a finished task is remembered; the key window unless given. */
+  keepFinishedMs?: number;
   keyWindowMs: number;
   retryMs: number;
   waitMs: number;
 }
 
-/** Follows the `work` stream of the log and folds its claims. */
+/** Follows the `work` stream of the log and folds its claims and tasks. */
 export class WorkReplica {
   #caughtUp = false;
   readonly claims: ClaimTable;
@@ -19,6 +24,8 @@
   readonly #claimWaiters = new Map<string, (verdict: ClaimVerdict) => void>();
   #next = 0;
   readonly #outcomeWaiters = new Map<string, Set<() => void>>();
+  readonly #taskListeners = new Set<TaskListener>();
+  readonly tasks: TaskTable;
 
   constructor(
     private readonly log: LogService,
@@ -26,6 +33,7 @@
     private readonly timers: TimerService,
   ) {
     this.claims = new ClaimTable({ keyWindowMs: settings.keyWindowMs });
+    this.tasks = new TaskTable({ keepFinishedMs: settings.keepFinishedMs ?? settings.keyWindowMs });
   }
 
   /** Whether the replica has read the stream to its end once, so that it knows every claim. */
@@ -33,6 +41,17 @@
     return this.#caughtUp;
   }
 
+  /** Offset of the next record to apply. */
+  get next(): number {
+    return this.#next;
+  }
+
+  /** Calls a listener for each record about a task until the signal aborts. */
+  onTask(listener: TaskListener, signal: AbortSignal): void {
+    this.#taskListeners.add(listener);
+    signal.addEventListener('abort', () => this.#taskListeners.delete(listener), { once: true });
+  }
+
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -53,6 +72,7 @@
       this.counters.readFailures += 1;
       if (page.error.kind === 'trimmed') {
         this.#next = page.error.oldest.unwrapOr(this.#next);
+        this.tasks.restart(this.#next);
         continue;
       }
       await this.timers.sleep(this.settings.retryMs, signal);
@@ -104,18 +124,25 @@
       return;
     }
     this.counters.applied += 1;
-    this.#applyRecord(record.value);
+    this.#applyRecord(entry.offset, record.value);
   }
 
-  #applyRecord(record: WorkRecord): void {
+  #applyRecord(offset: number, record: WorkRecord): void {
     if (record.kind === 'claim') {
       const verdict = this.claims.applyClaim(record);
       this.#claimWaiters.get(record.id)?.(verdict);
       return;
     }
-    this.claims.applyOutcome(record);
-    for (const wake of this.#outcomeWaiters.get(record.claim) ?? []) {
-      wake();
+    if (record.kind === 'outcome') {
+      this.claims.applyOutcome(record);
+      for (const wake of this.#outcomeWaiters.get(record.claim) ?? []) {
+        wake();
+      }
+      return;
+    }
+    const verdict = this.tasks.apply(offset, record);
+    for (const listener of this.#taskListeners) {
+      listener(record, verdict);
     }
   }
 }
--- a/packages/platform/src/vm-list-client.ts
+++ b/packages/platform/src/vm-list-client.ts
@@ -1,4 +1,5 @@
 import type { ResultAsync } from 'neverthrow';
+import { resourcesSchema } from '@sequoiaquay/core';
 import { z } from 'zod';
 import type { PlatformError } from './platform-error';
 import type { PlatformHttp } from './platform-http';
@@ -8,6 +9,8 @@
   connections: z.int().min(1),
   id: z.string(),
   rack: z.string(),
+  /** What a worker offers to tasks: processors, memory in MB, accelerators. */
+  resources: resourcesSchema.optional(),
   role: z.enum(['entry', 'target', 'worker']),
   slots: z.int().min(1),
   state: z.enum(['leaving', 'live']),
