--- a/packages/entry/src/work-replica.ts
+++ b/packages/entry/src/work-replica.ts
@@ -1,11 +1,16 @@
-import type { Claim, ClaimVerdict, WorkRecord } from '@sequoiaquay/core';
+import type { Claim, ClaimVerdict, TaskRecord, TaskVerdict, WorkRecord } from '@sequoiaquay/core';
 import type { LogEntry, LogPage, LogService, PlatformError } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
-import { ClaimTable, decodeRecord, workRecordSchema } from '@sequoiaquay/core';
+import { ClaimTable, decodeRecord, TaskTable, workRecordSchema } from '@sequoiaquay/core';
 import { READ_LIMIT, STREAM } from '@sequoiaquay/platform';
 
+/** Called for each record about a task that the replica has applied. */
+export type TaskListener = (record: TaskRecord, verdict: TaskVerdict) => void;
+
 /** Settings of the work replica. Times in ms. */
 export interface WorkReplicaSettings {
+  /** Time for which a finished task is remembered; the key window unless given. */
+  keepFinishedMs?: number;
   keyWindowMs: number;
   retryMs: number;
   waitMs: number;
@@ -17,7 +22,7 @@
 /** Period at which a waiter looks again whether the replica is complete, in ms. */
 const COMPLETE_CHECK_MS = 50;
 
-/** Follows the `work` stream of the log and folds its claims. */
+/** Follows the `work` stream of the log and folds its claims and tasks. */
 export class WorkReplica {
   #caughtUp = false;
   readonly claims: ClaimTable;
@@ -29,6 +34,8 @@
   #next = 0;
   readonly #outcomeWaiters = new Map<string, Set<() => void>>();
   #unawaited: (claim: Claim) => void = () => undefined;
+  readonly #taskListeners = new Set<TaskListener>();
+  readonly tasks: TaskTable;
 
   constructor(
     private readonly log: LogService,
@@ -36,6 +43,7 @@
     private readonly timers: TimerService,
   ) {
     this.claims = new ClaimTable({ keyWindowMs: settings.keyWindowMs });
+    this.tasks = new TaskTable({ keepFinishedMs: settings.keepFinishedMs ?? settings.keyWindowMs });
   }
 
   /**
@@ -46,6 +54,17 @@
     return this.#caughtUp && !this.#gapOpen && this.timers.now() >= this.#gapUntil;
   }
 
+  /** Offset of the next record to apply. */
+  get next(): number {
+    return this.#next;
+  }
+
+  /** Calls a listener for each record about a task until the signal aborts. */
+  onTask(listener: TaskListener, signal: AbortSignal): void {
+    this.#taskListeners.add(listener);
+    signal.addEventListener('abort', () => this.#taskListeners.delete(listener), { once: true });
+  }
+
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -136,6 +155,7 @@
       return false;
     }
     this.#next = error.oldest.unwrapOr(this.#next);
+    this.tasks.restart(this.#next);
     this.#openGap();
     return true;
   }
@@ -166,17 +186,24 @@
     }
     this.counters.applied += 1;
     this.#closeGap(record.value.at);
-    this.#applyRecord(record.value);
+    this.#applyRecord(entry.offset, record.value);
   }
 
-  #applyRecord(record: WorkRecord): void {
+  #applyRecord(offset: number, record: WorkRecord): void {
     if (record.kind === 'claim') {
       this.#applyClaim(record);
       return;
     }
-    this.claims.applyOutcome(record);
-    for (const wake of this.#outcomeWaiters.get(record.claim) ?? []) {
-      wake();
+    if (record.kind === 'outcome') {
+      this.claims.applyOutcome(record);
+      for (const wake of this.#outcomeWaiters.get(record.claim) ?? []) {
+        wake();
+      }
+      return;
+    }
+    const verdict = this.tasks.apply(offset, record);
+    for (const listener of this.#taskListeners) {
+      listener(record, verdict);
     }
   }
 
