--- a/packages/core/src/records/record-base.ts
+++ b/packages/core/src/records/record-base.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Fields that every record of the log carries. */
 export const recordBase = {
--- a/packages/core/src/records/task-record.ts
+++ b/packages/core/src/records/task-record.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { taskStateSchema } from '../tasks/task';
 import { MAX_TASK_BODY, resourcesSchema, TASK_CAUSES, taskSpecShape } from '../tasks/task-spec';
 import { nameSchema } from './names';
--- a/packages/core/src/records/work-record.ts
+++ b/packages/core/src/records/work-record.ts
@@ -1,5 +1,4 @@
 import * as z from 'zod';
-import { recordBase } from './fleet-record';
 import { nameSchema } from './names';
 import { recordBase } from './record-base';
 import {
--- a/packages/core/src/tasks/task-spec.ts
+++ b/packages/core/src/tasks/task-spec.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../records/names';
 
 /** Largest body, answer and checkpoint of a task, in characters: each is carried by log records. */
--- a/packages/core/src/tasks/task.ts
+++ b/packages/core/src/tasks/task.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../records/names';
 import { resourcesSchema, TASK_CAUSES, taskSpecShape } from './task-spec';
 
