--- /dev/null
+++ b/packages/bench/src/capacity/capacity-main.ts
@@ -0,0 +1,35 @@
+import { cac } from 'cac';
+import type { Slope } from './slope';
+import { costSlopes } from './cost-slopes';
+import { findMismatches, readPage, TOLERANCE } from './page';
+import { processSlopes } from './process-slopes';
+import { stateSlopes } from './state-slopes';
+
+const cli = cac('capacity');
+cli.option('--page <file>', 'page that the slopes are held against', { default: 'docs/CAPACITY.md' });
+cli.option('--processes', 'measure control processes as well (about 2 minutes)');
+cli.help();
+const { options } = cli.parse();
+
+if (options.help !== true) {
+  const slopes = [
+    ...stateSlopes(),
+    ...costSlopes(),
+    ...(options.processes === true ? await processSlopes() : []),
+  ];
+  for (const slope of slopes) {
+    process.stdout.write(`${describe(slope)}\n`);
+  }
+  const mismatches = findMismatches(slopes, readPage(String(options.page)));
+  for (const mismatch of mismatches) {
+    const page = mismatch.page ?? 'nothing';
+    process.stderr.write(`${mismatch.id}: the page says ${page}, measured ${mismatch.measured.toFixed(3)}\n`);
+  }
+  process.stdout.write(`${mismatches.length} slopes differ from the page by more than ${TOLERANCE * 100}%\n`);
+  process.exit(mismatches.length === 0 ? 0 : 1);
+}
+
+function describe(slope: Slope): string {
+  const points = slope.points.map((point) => `${point.size}: ${point.amount.toFixed(1)}`).join(', ');
+  return `${slope.id} = ${slope.value.toFixed(3)} ${slope.unit} (${points})`;
+}
