feat(entry): drive tasks on workers, with takeover and carried state

Cause: the fold and plan of tasks had nobody to act on them.

Change: the platform's worker protocol as a client (`WorkerClient`) and a stand-in that keeps its own record of every start; entries accept tasks with `Prefer: respond-async`, answer 202 once the record is folded, propose leases as planned, follow attempts, and step in for a lost owner in rendezvous order. Task places count as in flight at every entry, so a draining worker is not reported clear while a task runs there. Appends now tell whether a record may be in the log, so that a refused task is `not-run` only when no append was taken: statuses 500, 502 and 504 count as possibly taken, a connection that was never made as not taken.

--- a/packages/core/src/tasks/task-scheduler.ts
+++ b/packages/core/src/tasks/task-scheduler.ts
@@ -50,6 +50,8 @@
   avoidMs: number;
   /** Tasks of one team that are looked at in a round, so that a round's cost is bounded. */
   lookAhead: number;
+  /** Tasks of one team that may fit nowhere before a round turns to other teams, for the same reason. */
+  maxMisses: number;
   /** Wait after which a task that fits nowhere gets a worker kept for it, in ms. */
   reserveAfterMs: number;
 }
@@ -58,6 +60,7 @@
 export const DEFAULT_SCHEDULER_SETTINGS: TaskSchedulerSettings = {
   avoidMs: 1000,
   lookAhead: 200,
+  maxMisses: 10,
   reserveAfterMs: 30_000,
 };
 
@@ -70,6 +73,7 @@
 }
 
 interface TeamQueue {
+  misses: number;
   next: number;
   running: number;
   share: TeamShare;
@@ -91,18 +95,37 @@
     const plan: TaskPlan = { evictions: [], placements: [] };
     for (const urgent of [true, false]) {
       const queues = this.#queues(input, urgent, plan);
-      for (let queue = neediest(queues); queue !== undefined; queue = neediest(queues)) {
+      for (let queue = this.#next(queues); queue !== undefined; queue = this.#next(queues)) {
         const task = queue.tasks[queue.next];
         queue.next += 1;
         if (task !== undefined && this.#place(task, input, seats, plan)) {
           queue.running += 1;
           queue.used += input.expect(task).processors;
+        } else {
+          queue.misses += 1;
         }
       }
     }
     return plan;
   }
 
+  // The queue whose team has the least processors in use for its weight.
+  #next(queues: readonly TeamQueue[]): TeamQueue | undefined {
+    let best: TeamQueue | undefined;
+    for (const queue of queues) {
+      if (queue.next >= queue.tasks.length || queue.misses >= this.settings.maxMisses) {
+        continue;
+      }
+      if (queue.running >= queue.share.maxRunning) {
+        continue;
+      }
+      if (best === undefined || queue.used / queue.share.weight < best.used / best.share.weight) {
+        best = queue;
+      }
+    }
+    return best;
+  }
+
   #place(task: Task, input: SchedulerInput, seats: readonly Seat[], plan: TaskPlan): boolean {
     const demand = input.expect(task);
     const candidates = this.#candidates(task, seats, input.now);
@@ -166,6 +189,7 @@
     ...placed.map((placement) => placement.demand),
   ];
   return {
+    misses: 0,
     next: 0,
     running: demands.length,
     share: input.shareOf(team),
@@ -174,19 +198,6 @@
   };
 }
 
-function neediest(queues: readonly TeamQueue[]): TeamQueue | undefined {
-  let best: TeamQueue | undefined;
-  for (const queue of queues) {
-    if (queue.next >= queue.tasks.length || queue.running >= queue.share.maxRunning) {
-      continue;
-    }
-    if (best === undefined || queue.used / queue.share.weight < best.used / best.share.weight) {
-      best = queue;
-    }
-  }
-  return best;
-}
-
 function toSeat(worker: SchedulableWorker): Seat {
   const used = worker.running.reduce(
     (sum, task) => plus(sum, task.lease?.demand ?? NO_RESOURCES),
@@ -215,14 +226,12 @@
   )[0];
 }
 
-// Chooses tasks that are repeatable and not urgent on the worker where the fewest must give way. Room that
+// Chooses movable tasks on the worker where the fewest must give way. Room that
 // an earlier round has begun to make counts, so that one urgent task doesn't evict again and again.
 function makeRoom(seats: readonly Seat[], demand: Resources, chosen: readonly Task[]): Task[] {
   let best: Task[] | undefined;
   for (const seat of seats) {
-    const movable = seat.worker.running.filter(
-      (task) => task.repeatable && !task.urgent && !chosen.includes(task),
-    );
+    const movable = seat.worker.running.filter((task) => isMovable(task) && !chosen.includes(task));
     const evicted: Task[] = [];
     let free = seat.free;
     for (const task of movable.toReversed()) {
@@ -239,6 +248,11 @@
   return best ?? [];
 }
 
+// Work whose worker has reported a checkpoint can continue elsewhere.
+function isMovable(task: Task): boolean {
+  return task.repeatable && !task.urgent && task.checkpoint !== undefined;
+}
+
 function keepRoomiest(seats: readonly Seat[], demand: Resources): void {
   const [roomiest] = seats
     .filter((seat) => !seat.kept && fits(demand, seat.worker.capacity))
--- a/packages/core/tests/tasks/task-scheduler.test.ts
+++ b/packages/core/tests/tasks/task-scheduler.test.ts
@@ -93,8 +93,9 @@
   it('makes room for an urgent task with the fewest repeatable tasks', () => {
     const tasks = table();
     const running = Array.from({ length: 4 }, (_, n) => {
-      tasks.apply(2 * n, task(`r${n}`, n, { repeatable: n > 1 }));
-      return tasks.apply(2 * n + 1, lease(`l${n}`, `r${n}`, 1, 'w1', n, 9999))._unsafeUnwrap();
+      tasks.apply(3 * n, task(`r${n}`, n, { repeatable: n > 1 }));
+      tasks.apply(3 * n + 1, lease(`l${n}`, `r${n}`, 1, 'w1', n, 9999));
+      return tasks.apply(3 * n + 2, renew(`n${n}`, `r${n}`, 1, n, 9999))._unsafeUnwrap();
     });
     const urgent = acceptOne({ demand: { ...CAPACITY, memoryMb: 10, processors: 2 }, urgent: true });
     const plan = scheduler.plan(input([urgent], [worker('w1', running)]));
--- a/packages/entry/src/caller-api.ts
+++ b/packages/entry/src/caller-api.ts
@@ -6,8 +6,10 @@
 import type { RequestDispatcher } from './dispatcher';
 import type { CallerRefusal } from './refusal';
 import type { TargetAnswer } from './target-client';
+import type { TaskService } from './tasks/task-service';
 import { REFUSAL_STATUS } from './refusal';
 import { HEADER, planRequest } from './request-plan';
+import { createTaskApi } from './tasks/task-api';
 
 /** Parts of an entry that the callers' interface uses. */
 export interface CallerApiParts {
@@ -16,6 +18,7 @@
   /** Whether the entry can serve callers. */
   ready: () => boolean;
   replica: FleetReplica;
+  tasks: TaskService;
 }
 
 /** Builds the callers' interface, version 1. */
@@ -25,6 +28,7 @@
   app.get('/readyz', (c) =>
     c.json({ ready: parts.ready(), stateAgeMs: parts.replica.ageMs ?? null }, parts.ready() ? 200 : 503),
   );
+  app.route('/', createTaskApi(parts));
   app.post('/v1/pools/:pool/jobs/:job', (c) => handleJob(c, parts));
   return app;
 }
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -1,5 +1,6 @@
 import { nameSchema } from '@sequoiaquay/core';
 import { z } from 'zod';
+import { taskSettingsSchema } from './tasks/task-settings';
 
 const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port');
 
@@ -21,6 +22,7 @@
     timeoutMs: z.int().min(100).default(6000),
   }),
   secretFile: z.string().min(1),
+  tasks: taskSettingsSchema.prefault({}),
   vm: nameSchema,
   zone: z.string().min(1),
 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,9 +10,11 @@
 import { ClearReporter } from './clear-reporter';
 import { RequestDispatcher } from './dispatcher';
 import { InFlight } from './in-flight';
+import { JoinedMembers } from './live-members';
 import { OwnShareGrants } from './own-share-grants';
 import { createPeerRouter } from './peer-router';
 import { TargetClient } from './target-client';
+import { startTasks } from './tasks/task-runtime';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
@@ -35,7 +37,11 @@
   const logClient = new LogClient(http);
   const sources = cfg.controls.map((address) => new ControlSource(address, secret));
   const replica = new FleetReplica(() => sources, REPLICA, timers);
-  const work = new WorkReplica(logClient, { ...REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
+  const work = new WorkReplica(
+    logClient,
+    { ...REPLICA, keepFinishedMs: cfg.tasks.keepFinishedMs, keyWindowMs: cfg.keyWindowMs },
+    timers,
+  );
   const fleetAppender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, background.signal);
   const workAppender = new BatchAppender(logClient, STREAM.work, BATCH, timers, background.signal);
   const inFlight = new InFlight(() => {
@@ -50,9 +56,27 @@
     targets,
     timers,
   });
+  const tasks = startTasks({
+    appender: workAppender,
+    entry: cfg.name,
+    inFlight,
+    members: new JoinedMembers(replica),
+    replica,
+    secret,
+    settings: cfg.tasks,
+    signal: background.signal,
+    timers,
+    work,
+  });
   const ready = (): boolean => replica.caughtUp && !signal.aborted;
   const server = await listen(
-    createCallerApi({ dispatcher, maxRequestBytes: cfg.maxRequestBytes, ready, replica }),
+    createCallerApi({
+      dispatcher,
+      maxRequestBytes: cfg.maxRequestBytes,
+      ready,
+      replica,
+      tasks: tasks.service,
+    }),
     cfg.listen,
   );
   const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
@@ -84,6 +108,7 @@
   await closeServer(peerServer);
   await Promise.all(running);
   await targets.close();
+  await tasks.close();
   await http.close();
   log.info('entry process stopped');
 }
--- a/packages/entry/src/refusal.ts
+++ b/packages/entry/src/refusal.ts
@@ -15,11 +15,14 @@
   'no-target': 503,
   'queue-full': 503,
   'request-too-large': 413,
+  'task-unavailable': 503,
+  'task-unconfirmed': 504,
   'target-failed': 502,
   'target-timeout': 504,
   'target-unreachable': 503,
   'unknown-job': 404,
   'unknown-pool': 404,
+  'unknown-task': 404,
   stopping: 503,
 } as const satisfies Record<string, ContentfulStatusCode>;
 
--- /dev/null
+++ b/packages/entry/src/tasks/task-planning.ts
@@ -0,0 +1,70 @@
+import type {
+  FleetState,
+  Resources,
+  SchedulableWorker,
+  TaskPlan,
+  TaskScheduler,
+  TaskTable,
+  TeamShare,
+  Vm,
+} from '@sequoiaquay/core';
+import { isServing, minServing, useOfWorkers } from '@sequoiaquay/core';
+import type { TaskSettings } from './task-settings';
+
+/** Memory of a worker for each of its slots when the platform doesn't list its resources, in MB. */
+const MEMORY_MB_PER_SLOT = 4096;
+
+/** Plans one round from the state of the fleet and of the tasks. */
+export function planTasks(
+  scheduler: TaskScheduler,
+  state: FleetState,
+  tasks: TaskTable,
+  settings: TaskSettings,
+  now: number,
+): TaskPlan {
+  return scheduler.plan({
+    expect: (task) => tasks.estimates.expect(task),
+    now,
+    pending: tasks.live().filter((task) => task.state === 'pending'),
+    shareOf: (team) => shareOf(state, team),
+    workers: schedulableWorkers(state, tasks, settings, now),
+  });
+}
+
+/** Processors, memory and accelerators of a worker. */
+export function capacityOf(vm: Vm): Resources {
+  return vm.resources ?? { accelerators: 0, memoryMb: vm.slots * MEMORY_MB_PER_SLOT, processors: vm.slots };
+}
+
+function schedulableWorkers(
+  state: FleetState,
+  tasks: TaskTable,
+  settings: TaskSettings,
+  now: number,
+): SchedulableWorker[] {
+  const byPool = new Map<string, Vm[]>();
+  for (const vm of state.vms.values()) {
+    if (vm.role === 'worker' && isServing(vm)) {
+      byPool.set(vm.pool, [...(byPool.get(vm.pool) ?? []), vm]);
+    }
+  }
+  return [...byPool].flatMap(([pool, vms]) => {
+    const streaks = vms.map((vm) => ({ ...tasks.health.streakOf(vm.id), worker: vm.id }));
+    const uses = useOfWorkers(streaks, minServing(state, pool), now, settings);
+    return vms.map((vm) => ({
+      capacity: capacityOf(vm),
+      id: vm.id,
+      pool,
+      running: tasks.onWorker(vm.id),
+      use: uses.get(vm.id) ?? 'normal',
+    }));
+  });
+}
+
+function shareOf(state: FleetState, team: string): TeamShare {
+  const branch = state.branches.get(team)?.value;
+  return {
+    maxRunning: branch?.quota?.inFlight ?? Number.MAX_SAFE_INTEGER,
+    weight: branch?.weight ?? 1,
+  };
+}
--- a/packages/platform/src/batch-appender.ts
+++ b/packages/platform/src/batch-appender.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from '@sequoiaquay/runtime';
+import type { Result } from 'neverthrow';
 import type { LogService, StreamName } from './log-client';
 import type { PlatformError } from './platform-error';
 
@@ -20,7 +21,14 @@
   records: number;
 }
 
+/** What the writer of a record can find out about it besides the fold. */
+export interface AppendHandle {
+  /** Whether the record may be in the log: an append with it was sent and not refused. */
+  mayBeTaken: () => boolean;
+}
+
 interface Waiting {
+  mayBeTaken: boolean;
   record: unknown;
   /** A record whose signal has aborted is not sent, or not sent again. */
   signal: AbortSignal;
@@ -52,23 +60,21 @@
   }
 
   /** Queues a record; it is given up when its signal aborts. */
-  append(record: unknown, signal: AbortSignal): void {
-    this.#waiting.push({ record, signal });
+  append(record: unknown, signal: AbortSignal): AppendHandle {
+    const item: Waiting = { mayBeTaken: false, record, signal };
+    this.#waiting.push(item);
     if (!this.#busy) {
       this.#busy = true;
       this.timers.after(this.settings.batchMs, () => void this.#run(), this.signal);
     }
+    return { mayBeTaken: () => item.mayBeTaken };
   }
 
   async #run(): Promise<void> {
     let pauseMs = this.settings.retryMinMs;
     while (this.#dropAborted() && !this.signal.aborted) {
       const batch = this.#waiting.slice(0, this.settings.maxBatch);
-      const appended = await this.log.append(
-        this.stream,
-        batch.map((item) => item.record),
-        this.signal,
-      );
+      const appended = await this.#send(batch);
       if (appended.isOk()) {
         this.#waiting.splice(0, batch.length);
         this.counters.appends += 1;
@@ -84,6 +90,21 @@
     this.#busy = false;
   }
 
+  async #send(batch: readonly Waiting[]): Promise<Result<number, PlatformError>> {
+    const before = batch.map((item) => item.mayBeTaken);
+    for (const item of batch) {
+      item.mayBeTaken = true;
+    }
+    const records = batch.map((item) => item.record);
+    const appended = await this.log.append(this.stream, records, this.signal);
+    if (appended.isErr() && appended.error.kind === 'refused') {
+      batch.forEach((item, index) => {
+        item.mayBeTaken = before[index] ?? true;
+      });
+    }
+    return appended;
+  }
+
   #dropAborted(): boolean {
     this.#waiting = this.#waiting.filter((item) => !item.signal.aborted);
     return this.#waiting.length > 0;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,3 +5,4 @@
 export * from './vm-list-client';
 export * from './fleet-replica';
 export * from './fleet-source';
+export * from './worker-client';
--- a/packages/platform/src/platform-http.ts
+++ b/packages/platform/src/platform-http.ts
@@ -29,6 +29,17 @@
 
 const MAX_CONNECTIONS = 8;
 
+/** Statuses after which the request may have taken effect. */
+const MAYBE_TAKEN: ReadonlySet<number> = new Set([500, 502, 504]);
+
+/** Error codes of connections that could not be opened. */
+const UNSENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
 /** HTTP client of the platform's services. */
 export class PlatformHttp {
   readonly #agent = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1 });
@@ -77,7 +88,7 @@
   #toError(error: unknown): PlatformError {
     this.#preferred += 1;
     const cause = error instanceof Error ? error : new Error(String(error));
-    const kind = cause.name === 'TimeoutError' ? 'timeout' : 'lost';
+    const kind = cause.name === 'TimeoutError' ? 'timeout' : isUnsent(cause) ? 'refused' : 'lost';
     return { ...failure(kind, cause.message), cause: Maybe.just(cause) };
   }
 }
@@ -86,12 +97,24 @@
   return { cause: Maybe.nothing(), kind, message, oldest: Maybe.nothing(), status: Maybe.nothing() };
 }
 
+// No connection came about, so no byte of the request left.
+function isUnsent(cause: Error): boolean {
+  return 'code' in cause && typeof cause.code === 'string' && UNSENT_CODES.has(cause.code);
+}
+
+function kindOf(status: number): PlatformFailure {
+  if (status === 410) {
+    return 'trimmed';
+  }
+  return MAYBE_TAKEN.has(status) ? 'lost' : 'refused';
+}
+
 function refusal(status: number, body: unknown): PlatformError {
   const parsed = refusalSchema.safeParse(body);
   const detail = parsed.success ? parsed.data : {};
   return {
     cause: Maybe.nothing(),
-    kind: status === 410 ? 'trimmed' : 'refused',
+    kind: kindOf(status),
     message: detail.error ?? `status ${status}`,
     oldest: Maybe.of(detail.oldest),
     status: Maybe.just(status),
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -20,6 +20,8 @@
   /** Arguments added for the platform stand-in. */
   platformArgs?: string[];
   teams?: string[];
+  /** Number of workers. */
+  workers?: number;
 }
 
 /** One entry VM: an entry process and the control process beside it. */
@@ -39,6 +41,16 @@
   process: BinaryProcess;
 }
 
+/** One worker VM. */
+export interface Worker {
+  address: string;
+  name: string;
+  process: BinaryProcess;
+}
+
+const WORKER_PROCESSORS = 4;
+const WORKER_MEMORY_MB = 16_384;
+
 const START_LIMIT_MS = 20_000;
 
 /** Cluster of real processes on loopback: platform, executors, and entry VMs. */
@@ -49,6 +61,7 @@
   platform!: BinaryProcess;
   platformUrl = '';
   readonly #shape: ClusterShape;
+  readonly workers: Worker[] = [];
 
   private constructor(shape: ClusterShape) {
     this.#shape = shape;
@@ -58,11 +71,13 @@
   /** Starts a cluster and waits until all entries are ready. */
   static async start(shape: ClusterShape): Promise<Cluster> {
     const cluster = new Cluster(shape);
-    const ports = await freePorts(1 + shape.executors + 3 * shape.entries);
+    const ports = await freePorts(1 + shape.executors + (shape.workers ?? 0) + 3 * shape.entries);
     await cluster.#startPlatform(ports.shift() ?? 0);
     for (let index = 0; index < shape.executors; index += 1) {
       await cluster.#startExecutor(`target-${index}`, ports.shift() ?? 0, index);
     }
+    const workerPorts = ports.splice(0, shape.workers ?? 0);
+    await Promise.all(workerPorts.map((port, index) => cluster.startWorker(`worker-${index}`, port, index)));
     const portsOfVm = Array.from({ length: shape.entries }, () => ports.splice(0, 3));
     for (const [index, own] of portsOfVm.entries()) {
       cluster.entries.push(cluster.#startEntryVm(index, own, portsOfVm));
@@ -81,6 +96,7 @@
     const all = [
       this.platform,
       ...this.executors.map((executor) => executor.process),
+      ...this.workers.map((worker) => worker.process),
       ...this.entries.flatMap((vm) => [vm.entry, vm.control]),
     ];
     await Promise.all(all.map((child) => child.stop()));
@@ -113,7 +129,9 @@
   async waitForVms(): Promise<void> {
     await waitFor('registration of all VMs', START_LIMIT_MS, async () => {
       const answer = await this.operate(this.#teams()[0] ?? '', 'GET', '/vms');
-      return (answer.body as unknown as unknown[]).length >= this.executors.length ? true : undefined;
+      return (answer.body as unknown as unknown[]).length >= this.executors.length + this.workers.length
+        ? true
+        : undefined;
     });
   }
 
@@ -146,6 +164,27 @@
     });
   }
 
+  /** Starts a worker, or starts it again at its address, and puts it on the VM list. */
+  async startWorker(name: string, port: number, index: number): Promise<void> {
+    const address = `127.0.0.1:${port}`;
+    const args = ['--listen', address, '--name', name, '--secret', SECRET];
+    const size = ['--processors', String(WORKER_PROCESSORS), '--memory-mb', String(WORKER_MEMORY_MB)];
+    const child = this.#spawn('stand-in-worker', [...args, ...size]);
+    this.workers[index] = { address, name, process: child };
+    await waitFor(`start of ${name}`, START_LIMIT_MS, () => callJson(`http://${address}/healthz`, 'GET', {}));
+    await this.admin('PUT', `/vms/${name}`, {
+      address,
+      connections: 64,
+      id: name,
+      rack: `rack-${index}`,
+      resources: { accelerators: 0, memoryMb: WORKER_MEMORY_MB, processors: WORKER_PROCESSORS },
+      role: 'worker',
+      slots: WORKER_PROCESSORS,
+      state: 'live',
+      zone: `zone-${index % 3}`,
+    });
+  }
+
   #startEntryVm(index: number, own: number[], all: number[][]): EntryVm {
     const name = `vm-${index}`;
     const controls = [...all.slice(index), ...all.slice(0, index)].map(
