--- a/packages/core/src/records/fleet-record.ts
+++ b/packages/core/src/records/fleet-record.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { resourcesSchema } from '../tasks/task-spec';
 import { nameSchema } from './names';
 import { recordBase } from './record-base';
--- a/packages/entry/src/tasks/task-settings.ts
+++ b/packages/entry/src/tasks/task-settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Settings for tasks on workers. Times in ms. */
 export const taskSettingsSchema = z.strictObject({
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,4 +5,5 @@
 export * from './vm-list-client';
 export * from './fleet-replica';
 export * from './fleet-source';
+export * from './member-joiner';
 export * from './worker-client';
--- a/packages/platform/src/vm-list-client.ts
+++ b/packages/platform/src/vm-list-client.ts
@@ -1,6 +1,6 @@
 import type { ResultAsync } from 'neverthrow';
 import { resourcesSchema } from '@sequoiaquay/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PlatformError } from './platform-error';
 import type { PlatformHttp } from './platform-http';
 
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -2,7 +2,7 @@
 import type { ResultAsync } from 'neverthrow';
 import type { ZodType } from 'zod';
 import { MAX_TASK_BODY, resourcesSchema } from '@sequoiaquay/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PlatformError } from './platform-error';
 import type { PlatformCall, PlatformSettings } from './platform-http';
 import { PlatformHttp } from './platform-http';
--- a/packages/stand-ins/src/worker-run.ts
+++ b/packages/stand-ins/src/worker-run.ts
@@ -1,6 +1,6 @@
 import type { AttemptReport, AttemptSpec } from '@sequoiaquay/platform';
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What the body of a task asks the worker stand-in for. Times in ms, memory in MB. */
 const wishSchema = z.object({
--- a/packages/stand-ins/src/worker-stand-in.ts
+++ b/packages/stand-ins/src/worker-stand-in.ts
@@ -3,7 +3,7 @@
 import { fits, minus, NO_RESOURCES, plus, resourcesSchema } from '@sequoiaquay/core';
 import { Hono } from 'hono';
 import { setTimeout as delay } from 'node:timers/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { WorkerRunSettings } from './worker-run';
 import { WorkerRun } from './worker-run';
 
