--- a/packages/entry/src/caller-api.ts
+++ b/packages/entry/src/caller-api.ts
@@ -8,9 +8,11 @@
 import type { Delivery, RequestDispatcher } from './dispatcher';
 import type { CallerRefusal } from './refusal';
 import type { RequestPlan } from './request-plan';
+import type { TaskService } from './tasks/task-service';
 import { callerGone, dropBody, readBody, writeAnswer } from './caller-io';
 import { REFUSAL_STATUS } from './refusal';
 import { HEADER, planRequest } from './request-plan';
+import { createTaskApi } from './tasks/task-api';
 
 /** Parts of an entry that the callers' interface uses. */
 export interface CallerApiParts {
@@ -21,6 +23,7 @@
   replica: FleetReplica;
   /** Aborts when the entry stops. */
   stopping: AbortSignal;
+  tasks: TaskService;
 }
 
 type CallerContext = Context<{ Bindings: HttpBindings }>;
@@ -39,6 +42,7 @@
       parts.ready() ? 200 : 503,
     );
   });
+  app.route('/', createTaskApi(parts) as unknown as typeof app);
   app.post('/v1/pools/:pool/jobs/:job', (c) => handleJob(c, parts));
   return app;
 }
