perf(control): read the platform's VM list in turns

Cause: each control read the whole list every second. Change: the controls take turns by name, so the list is still read once a second in all. Conclusion: the cost of the list per control falls with the number of controls; members that are gone are found after two turns of the same control instead of two periods.

--- a/packages/bench/src/capacity/capacity-main.ts
+++ b/packages/bench/src/capacity/capacity-main.ts
@@ -30,6 +30,8 @@
 }
 
 function describe(slope: Slope): string {
-  const points = slope.points.map((point) => `${point.size}: ${point.amount.toFixed(1)}`).join(', ');
-  return `${slope.id} = ${slope.value.toFixed(3)} ${slope.unit} (${points})`;
+  const points = slope.points
+    .map((point) => `${point.size}: ${Number(point.amount.toPrecision(5))}`)
+    .join(', ');
+  return `${slope.id} = ${Number(slope.value.toPrecision(4))} ${slope.unit} (${points})`;
 }
--- a/packages/bench/src/capacity/process-slopes.ts
+++ b/packages/bench/src/capacity/process-slopes.ts
@@ -16,7 +16,8 @@
 const VM_SIZES = [10, 100, 670];
 const SECRET = 'bench-secret';
 const SETTLE_MS = 15_000;
-const WINDOW_MS = 15_000;
+/** One turn of every control at the platform's VM list, read once a second by one of them. */
+const WINDOW_MS = TARGET_SHAPE.entries * 1000;
 /** Clock ticks a second of the kernel's process accounting. */
 const TICKS_PER_SECOND = 100;
 
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -55,7 +55,7 @@
     new VmListClient(http),
     replica,
     proposer,
-    { pollMs: cfg.vmListPollMs },
+    { name: cfg.name, pollMs: cfg.vmListPollMs },
     timers,
   );
   const snapshots = new SnapshotWriter(
--- a/packages/control/src/vm-watcher.ts
+++ b/packages/control/src/vm-watcher.ts
@@ -1,11 +1,14 @@
 import type { MissedLists } from '@sequoiaquay/core';
 import type { FleetReplica, ListedVm, VmList, VmService } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
-import { nameSchema, planListChanges } from '@sequoiaquay/core';
+import { isOnListDuty, nameSchema, planListChanges } from '@sequoiaquay/core';
 import type { Proposer } from './proposer';
 
 /** Settings of the VM watcher. */
 export interface VmWatcherSettings {
+  /** Name of this control. */
+  name: string;
+  /** Period in which one of the controls reads the list, in ms. */
   pollMs: number;
 }
 
@@ -39,7 +42,7 @@
   }
 
   async #poll(signal: AbortSignal): Promise<void> {
-    if (this.#busy || !this.replica.caughtUp) {
+    if (this.#busy || !this.replica.caughtUp || !this.#isOnDuty()) {
       return;
     }
     this.#busy = true;
@@ -51,6 +54,13 @@
     this.#busy = false;
   }
 
+  #isOnDuty(): boolean {
+    const members = [...this.replica.state.members.values()];
+    const controls = members.filter((member) => member.role === 'control').map((member) => member.id);
+    const period = Math.floor(this.timers.now() / this.settings.pollMs);
+    return isOnListDuty(controls, this.settings.name, period);
+  }
+
   async #propose(list: VmList, signal: AbortSignal): Promise<void> {
     const unknown = list.vms.filter((vm) => vm.role !== 'entry' && this.#isNew(vm));
     const changes = planListChanges(this.replica.state, list, this.#missed);
