--- a/packages/core/src/tasks/task-table.ts
+++ b/packages/core/src/tasks/task-table.ts
@@ -47,7 +47,9 @@
  */
 export class TaskTable {
   readonly #answered = new Set<string>();
-  readonly #carried = new Map<string, Carried>();
+  /** Newest whole records of ended and of live tasks, oldest first. */
+  readonly #carriedEnded = new Map<string, Carried>();
+  readonly #carriedLive = new Map<string, Carried>();
   readonly #ended = new Set<string>();
   readonly estimates = new DemandEstimates();
   readonly health = new WorkerHealth();
@@ -88,10 +90,13 @@
     return [...(this.#onWorker.get(worker) ?? [])].flatMap((id) => this.#tasks.get(id) ?? []);
   }
 
-  /** Tasks whose newest whole record is older than an offset or a time (ms since the epoch), oldest first. */
-  toCarry(beforeOffset: number, beforeAt: number, limit: number): Task[] {
+  /**
+   * Tasks, live or ended, whose newest whole record is older than an offset or a time (ms since the epoch),
+   * oldest first.
+   */
+  toCarry(which: 'ended' | 'live', beforeOffset: number, beforeAt: number, limit: number): Task[] {
     const due: Task[] = [];
-    for (const [id, carried] of this.#carried) {
+    for (const [id, carried] of which === 'live' ? this.#carriedLive : this.#carriedEnded) {
       const task = this.#tasks.get(id);
       if (due.length >= limit || (carried.offset >= beforeOffset && carried.at >= beforeAt)) {
         break;
@@ -105,15 +110,17 @@
 
   /** Offset of the newest record that carries a task whole. */
   carriedAt(id: string): Carried | undefined {
-    return this.#carried.get(id);
+    return this.#carriedLive.get(id) ?? this.#carriedEnded.get(id);
   }
 
   /** Forgets everything: records before `offset` were trimmed unread, so the fold starts there. */
   restart(offset: number): void {
-    for (const known of [this.#answered, this.#carried, this.#ended, this.#keys, this.#live, this.#tasks]) {
+    for (const ids of [this.#answered, this.#ended, this.#live]) {
+      ids.clear();
+    }
+    for (const known of [this.#carriedEnded, this.#carriedLive, this.#keys, this.#onWorker, this.#tasks]) {
       known.clear();
     }
-    this.#onWorker.clear();
     this.#orphans.clear();
     this.#start = offset;
   }
@@ -189,8 +196,17 @@
 
   // Re-inserting keeps the map ordered by offset for toCarry.
   #markCarried(id: string, carried: Carried): void {
-    this.#carried.delete(id);
-    this.#carried.set(id, carried);
+    const marks = this.#ended.has(id) ? this.#carriedEnded : this.#carriedLive;
+    marks.delete(id);
+    marks.set(id, carried);
+  }
+
+  #moveMark(id: string): void {
+    const carried = this.#carriedLive.get(id);
+    if (carried !== undefined) {
+      this.#carriedLive.delete(id);
+      this.#carriedEnded.set(id, carried);
+    }
   }
 
   #step(
@@ -297,6 +313,7 @@
     if (!this.#ended.has(task.id)) {
       this.#live.delete(task.id);
       this.#ended.add(task.id);
+      this.#moveMark(task.id);
       this.#boundAnswers(task);
     }
   }
@@ -339,7 +356,8 @@
 
   #forget(id: string, task: Task | undefined): void {
     this.#answered.delete(id);
-    this.#carried.delete(id);
+    this.#carriedEnded.delete(id);
+    this.#carriedLive.delete(id);
     this.#ended.delete(id);
     this.#live.delete(id);
     this.#tasks.delete(id);
--- a/packages/entry/src/tasks/task-carrier.ts
+++ b/packages/entry/src/tasks/task-carrier.ts
@@ -1,5 +1,6 @@
+import type { Task } from '@sequoiaquay/core';
 import type { TimerService } from '@sequoiaquay/runtime';
-import { hasEnded, ownerRank } from '@sequoiaquay/core';
+import { ownerRank } from '@sequoiaquay/core';
 import type { LiveMembers } from '../live-members';
 import type { WorkReplica } from '../work-replica';
 import type { TaskLog } from './task-log';
@@ -18,6 +19,9 @@
 /** Share of the retention after which a task's owner carries it on; the next entry waits half as long again. */
 const CARRY_SHARE = 0.25;
 
+/** Most tasks for which ended ones are carried too, as a share of the records that the log retains. */
+const MAX_ENDED_SHARE = 0.125;
+
 /** Carried states offered in one round, so that they don't crowd out other records. */
 const MAX_CARRIED = 100;
 
@@ -26,7 +30,8 @@
 
 /** Appends the state of each task again well before its newest whole record is trimmed. */
 export class TaskCarrier {
-  readonly #offered = new Map<string, number>();
+  /** Offers that the log may still take: their time, and the offset of the record that they replace. */
+  readonly #offered = new Map<string, { at: number; replaces: number }>();
 
   constructor(private readonly parts: TaskCarrierParts) {}
 
@@ -41,6 +46,8 @@
     );
   }
 
+  // Live tasks come first. Ended ones are carried only while they are few for the retention: carrying more
+  // than an eighth of it would itself trim what was carried.
   #round(): void {
     const { settings, timers, work } = this.parts;
     if (!work.caughtUp) {
@@ -49,13 +56,22 @@
     const beforeOffset = work.next - CARRY_SHARE * settings.retentionRecords;
     const beforeAt = timers.now() - CARRY_SHARE * settings.retentionMs;
     this.#forgetOffers();
-    for (const task of work.tasks.toCarry(beforeOffset, beforeAt, MAX_CARRIED)) {
+    this.#carry(work.tasks.toCarry('live', beforeOffset, beforeAt, MAX_CARRIED));
+    if (work.tasks.size <= MAX_ENDED_SHARE * settings.retentionRecords) {
+      this.#carry(work.tasks.toCarry('ended', beforeOffset, beforeAt, MAX_CARRIED));
+    }
+  }
+
+  #carry(tasks: readonly Task[]): void {
+    const { log, timers, work } = this.parts;
+    for (const task of tasks) {
       if (this.#isDue(task.id) && !this.#offered.has(task.id)) {
-        this.#offered.set(task.id, timers.mono());
-        const state = structuredClone(task);
-        // A finished task needs no body, and its answer is what callers still ask for.
-        state.body = hasEnded(task) ? '' : task.body;
-        this.parts.log.append({ asOf: work.next, kind: 'task-state', state, task: task.id }, OFFER_MS);
+        const replaces = work.tasks.carriedAt(task.id)?.offset ?? 0;
+        this.#offered.set(task.id, { at: timers.mono(), replaces });
+        log.append(
+          { asOf: work.next, kind: 'task-state', state: structuredClone(task), task: task.id },
+          OFFER_MS,
+        );
       }
     }
   }
@@ -76,8 +92,10 @@
   }
 
   #forgetOffers(): void {
-    for (const [id, at] of this.#offered) {
-      if (this.parts.timers.mono() - at > OFFER_MS) {
+    const { timers, work } = this.parts;
+    for (const [id, offer] of this.#offered) {
+      const isTaken = work.tasks.carriedAt(id)?.offset !== offer.replaces;
+      if (isTaken || timers.mono() - offer.at > OFFER_MS) {
         this.#offered.delete(id);
       }
     }
