feat: publish metrics and the steps of requests

Cause: an entry or control said nothing about itself beyond its readiness, so an operator could not tell why a request was refused or whether the log was reachable. Change: GET /metrics on both processes (prom-client counters by pool, job, outcome and reason; latency quantiles from hdr-histogram-js); the steps of each request go into the event ring, which keeps requests and changes of state apart; stamps of the hybrid logical clock travel with calls between processes in a header; log lines only for changes of state. Before/after: no metrics route before; the tests read counts and quantiles from the text, and see an effect ordered after its cause when the clock of its process is 4 s behind. Conclusion: latency quantiles are since the start of the process; names that no settings know share one label, so callers can't add series.

--- a/packages/control/src/control-source.ts
+++ b/packages/control/src/control-source.ts
@@ -1,6 +1,6 @@
 import type { FleetSnapshot } from '@sequoiaquay/core';
 import type { FleetSource, LogPage, PlatformError } from '@sequoiaquay/platform';
-import type { RpcError } from '@sequoiaquay/runtime';
+import type { HlcClock, RpcError } from '@sequoiaquay/runtime';
 import type { ResultAsync } from 'neverthrow';
 import { rpcLinkOptions, rpcResult } from '@sequoiaquay/runtime';
 import { createTRPCClient, httpLink } from '@trpc/client';
@@ -18,9 +18,11 @@
   /** Age of the control's own state at its last answer, in ms; undefined when it never reached the log. */
   sourceAgeMs: number | undefined;
 
-  constructor(address: string, secret: string) {
+  constructor(address: string, secret: string, clock?: HlcClock) {
     this.name = address;
-    this.#client = createTRPCClient<ControlRouter>({ links: [httpLink(rpcLinkOptions(address, secret))] });
+    this.#client = createTRPCClient<ControlRouter>({
+      links: [httpLink(rpcLinkOptions(address, secret, clock))],
+    });
   }
 
   bootstrap(signal: AbortSignal): ResultAsync<FleetSnapshot | undefined, PlatformError> {
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -4,12 +4,15 @@
   BatchAppender,
   FleetReplica,
   LogClient,
+  logFleetChanges,
   LogFleetSource,
   PlatformHttp,
+  publishAppenders,
+  publishFleetState,
   STREAM,
   VmListClient,
 } from '@sequoiaquay/platform';
-import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
+import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
 import type { ControlSettings } from './control-settings';
 import { createControlRouter } from './control-router';
@@ -36,7 +39,7 @@
   const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
   const sources: FleetSource[] = [
     new LogFleetSource(logClient),
-    ...cfg.peers.map((peer) => new ControlSource(peer, secret)),
+    ...cfg.peers.map((peer) => new ControlSource(peer, secret, ring)),
   ];
   const replica = new FleetReplica(() => sources, REPLICA, timers);
   const relay = new Relay(replica, signal);
@@ -59,7 +62,12 @@
   const app = new Hono();
   app.get('/healthz', (c) => c.json({ ok: true }));
   app.get('/readyz', (c) => c.json({ ready: replica.caughtUp }, replica.caughtUp ? 200 : 503));
-  mountRpc(app, createControlRouter({ relay, replica, ring }), secret);
+  const metrics = new Metrics();
+  publishAppenders(metrics, { fleet: appender });
+  publishFleetState(metrics, replica);
+  metrics.mount(app);
+  logFleetChanges({ log, logClient, replica, timers }, signal);
+  mountRpc(app, createControlRouter({ relay, replica, ring }), secret, ring);
   app.route('/v1', createOperatorApi({ proposer, replica, teamTokens: cfg.teamTokens }) as unknown as Hono);
   const server = await listen(app, cfg.listen);
   log.info({ listen: cfg.listen }, 'control process started');
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import type { ClaimAnswer, ClaimService } from './claim-service';
 import type { Grant, GrantSource } from './grant-source';
 import type { CallerRefusal, CallerRefusalReason } from './refusal';
+import type { RequestMeter } from './request-meter';
 import type { RequestPlan } from './request-plan';
 import type { TargetAnswer, TargetClient } from './target-client';
 
@@ -15,6 +16,7 @@
 export interface DispatcherParts {
   claims: ClaimService;
   grants: GrantSource;
+  meter: RequestMeter;
   replica: FleetReplica;
   targets: TargetClient;
   timers: TimerService;
@@ -55,6 +57,9 @@
         return last;
       }
       excluded.add(grant.value.vm);
+      if (attempt + 1 < MAX_TRIES) {
+        this.parts.meter.retried(plan, grant.value.vm, last.error.reason);
+      }
     }
     return last;
   }
@@ -63,6 +68,7 @@
   async #runClaimed(plan: RequestPlan & { key: string }, deadlineAt: number): Promise<Dispatched> {
     const limit = AbortSignal.timeout(plan.deadlineMs);
     const claim = await this.parts.claims.claim(plan, limit);
+    this.parts.meter.claimed(plan, claim.kind);
     if (claim.kind !== 'held') {
       return fromClaim(claim);
     }
@@ -87,9 +93,10 @@
 
   async #send(plan: RequestPlan, grant: Grant, deadlineAt: number, signal: AbortSignal): Promise<Dispatched> {
     const startedAt = this.parts.timers.mono();
+    this.parts.meter.granted(plan, grant.vm);
     const sent = await this.parts.targets.send({
       address: grant.address,
-      beforeSend: () => this.#reasonNotToSend(grant, deadlineAt),
+      beforeSend: () => this.#beforeSend(plan, grant, deadlineAt),
       body: plan.body,
       contentType: plan.contentType,
       id: plan.id,
@@ -107,6 +114,14 @@
     return refuse(reason, sent.error.message, 'unknown');
   }
 
+  #beforeSend(plan: RequestPlan, grant: Grant, deadlineAt: number): string | undefined {
+    const reason = this.#reasonNotToSend(grant, deadlineAt);
+    if (reason === undefined) {
+      this.parts.meter.sent(plan, grant.vm);
+    }
+    return reason;
+  }
+
   #reasonNotToSend(grant: Grant, deadlineAt: number): string | undefined {
     if (this.parts.timers.mono() >= deadlineAt) {
       return 'the deadline has passed';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,14 @@
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { ControlSource } from '@sequoiaquay/control';
-import { BatchAppender, FleetReplica, LogClient, PlatformHttp, STREAM } from '@sequoiaquay/platform';
-import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
+import {
+  BatchAppender,
+  FleetReplica,
+  LogClient,
+  logFleetChanges,
+  PlatformHttp,
+  STREAM,
+} from '@sequoiaquay/platform';
+import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
 import { randomUUID } from 'node:crypto';
 import type { EntrySettings } from './entry-settings';
@@ -9,9 +16,13 @@
 import { ClaimService } from './claim-service';
 import { ClearReporter } from './clear-reporter';
 import { RequestDispatcher } from './dispatcher';
+import { publishEntryMetrics } from './entry-metrics';
+import { createEntryStatus } from './entry-status';
 import { InFlight } from './in-flight';
+import { LatencyHistograms } from './latency-histograms';
 import { OwnShareGrants } from './own-share-grants';
 import { createPeerRouter } from './peer-router';
+import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
 import { WorkReplica } from './work-replica';
 
@@ -33,7 +44,10 @@
   const holder = { entry: cfg.name, incarnation: timers.now() };
   const http = new PlatformHttp({ ...cfg.platform, secret });
   const logClient = new LogClient(http);
-  const sources = cfg.controls.map((address) => new ControlSource(address, secret));
+  const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
+  const metrics = new Metrics();
+  const meter = new RequestMeter(ring, new LatencyHistograms(), metrics);
+  const sources = cfg.controls.map((address) => new ControlSource(address, secret, ring));
   const replica = new FleetReplica(() => sources, REPLICA, timers);
   const work = new WorkReplica(logClient, { ...REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
   const fleetAppender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, background.signal);
@@ -43,21 +57,38 @@
   });
   const clear = new ClearReporter(replica, inFlight, fleetAppender, holder, timers);
   const targets = new TargetClient(TARGETS);
+  const grants = new OwnShareGrants(replica, inFlight);
   const dispatcher = new RequestDispatcher({
     claims: new ClaimService(workAppender, work, holder, timers),
-    grants: new OwnShareGrants(replica, inFlight),
+    grants,
+    meter,
     replica,
     targets,
     timers,
   });
   const ready = (): boolean => replica.caughtUp && !signal.aborted;
-  const server = await listen(
-    createCallerApi({ dispatcher, maxRequestBytes: cfg.maxRequestBytes, ready, replica }),
-    cfg.listen,
-  );
-  const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
+  const app = createCallerApi({
+    dispatcher,
+    maxRequestBytes: cfg.maxRequestBytes,
+    meter,
+    ready,
+    replica,
+    timers,
+  });
+  const queued = (): Map<string, number> => grants.queued();
+  publishEntryMetrics(metrics, {
+    appenders: { fleet: fleetAppender, work: workAppender },
+    inFlight,
+    queued,
+    replica,
+    work,
+  });
+  metrics.mount(app);
+  logFleetChanges({ log, logClient, replica, timers }, background.signal);
+  const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
-  mountRpc(peerApp, createPeerRouter({ claims: work.claims, name: cfg.name, ring }), secret);
+  const status = createEntryStatus({ holder, inFlight, queued, replica });
+  mountRpc(peerApp, createPeerRouter({ claims: work.claims, name: cfg.name, ring, status }), secret, ring);
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
   fleetAppender.append(
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,4 @@
 export * from './entry-settings';
+export type * from './entry-status';
+export type * from './peer-router';
 export * from './refusal';
--- a/packages/entry/src/own-share-grants.ts
+++ b/packages/entry/src/own-share-grants.ts
@@ -33,6 +33,15 @@
     return err({ detail: 'no slot became free in time', reason: 'deadline-unreachable', waitMs: 1000 });
   }
 
+  /** Requests that wait for a slot, by pool. */
+  queued(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { req } of this.#waiters) {
+      counts.set(req.pool, (counts.get(req.pool) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   #tryGrant(req: GrantRequest): Grant | undefined {
     const targets = eligibleTargets(this.replica.state, req.pool, req.excluded);
     const loads = targets.map((vm) => ({ inFlight: this.inFlight.count(vm.id), slots: vm.slots, vm: vm.id }));
--- a/packages/entry/src/peer-clients.ts
+++ b/packages/entry/src/peer-clients.ts
@@ -1,3 +1,4 @@
+import type { HlcClock } from '@sequoiaquay/runtime';
 import type { TRPCClient } from '@trpc/client';
 import { rpcLinkOptions } from '@sequoiaquay/runtime';
 import { createTRPCClient, httpLink } from '@trpc/client';
@@ -7,7 +8,10 @@
 export class PeerClients {
   readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
 
-  constructor(private readonly secret: string) {}
+  constructor(
+    private readonly secret: string,
+    private readonly clock?: HlcClock,
+  ) {}
 
   /** Client of the entry whose peers' interface has the address. */
   at(address: string): TRPCClient<PeerRouter> {
@@ -15,7 +19,9 @@
     if (known !== undefined) {
       return known;
     }
-    const created = createTRPCClient<PeerRouter>({ links: [httpLink(rpcLinkOptions(address, this.secret))] });
+    const created = createTRPCClient<PeerRouter>({
+      links: [httpLink(rpcLinkOptions(address, this.secret, this.clock))],
+    });
     this.#clients.set(address, created);
     return created;
   }
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -2,12 +2,14 @@
 import type { EventRing } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
+import type { EntryStatus } from './entry-status';
 
 /** Parts of an entry that its peers' procedures use. */
 export interface PeerRouterParts {
   claims: ClaimTable;
   name: string;
   ring: EventRing;
+  status: () => EntryStatus;
 }
 
 const t = initTRPC.create();
@@ -23,6 +25,7 @@
         .query(({ input }) => parts.claims.find(input.scope, input.key)?.result ?? null),
     }),
     ping: t.procedure.query(() => ({ name: parts.name })),
+    status: t.procedure.query(() => parts.status()),
     timeline: t.procedure.query(() => parts.ring.list()),
   });
 }
--- /dev/null
+++ b/packages/platform/src/fleet-log.ts
@@ -0,0 +1,63 @@
+import type { FleetRecord } from '@sequoiaquay/core';
+import type { Logger, TimerService } from '@sequoiaquay/runtime';
+import { ChangeLog } from '@sequoiaquay/runtime';
+import type { FleetReplica } from './fleet-replica';
+import type { LogClient } from './log-client';
+
+/** Period at which the age of the state and the log are looked at, in ms. */
+const CHECK_PERIOD_MS = 1000;
+
+/** Age above which fleet state is called stale, in ms: a long poll of 5 s and 2 s for its call. */
+export const STALE_AFTER_MS = 7000;
+
+/** Parts whose changes of state are logged. */
+export interface FleetLogParts {
+  log: Logger;
+  logClient: LogClient;
+  replica: FleetReplica;
+  timers: TimerService;
+}
+
+/** Logs a line for each change of the fleet, of the age of its state and of the log's reachability. */
+export function logFleetChanges(parts: FleetLogParts, signal: AbortSignal): void {
+  const changes = new ChangeLog(parts.log);
+  parts.replica.subscribe((_entry, verdict) => {
+    // Records from before this process started are history, not changes.
+    if (verdict.isOk() && parts.replica.caughtUp) {
+      logRecord(parts.log, verdict.value);
+    }
+  }, signal);
+  parts.timers.every(
+    CHECK_PERIOD_MS,
+    () => {
+      const ageMs = parts.replica.ageMs ?? Number.POSITIVE_INFINITY;
+      changes.report('fleet state', ageMs > STALE_AFTER_MS ? 'stale' : 'fresh');
+      if (parts.logClient.reachable !== undefined) {
+        changes.report('log', parts.logClient.reachable ? 'reachable' : 'unreachable');
+      }
+    },
+    signal,
+  );
+}
+
+function logRecord(log: Logger, record: FleetRecord): void {
+  switch (record.kind) {
+    case 'epoch-claim':
+      log.info({ epoch: record.epoch, member: record.member }, 'planner changed');
+      return;
+    case 'member-gone':
+      log.info({ member: record.member }, 'member left');
+      return;
+    case 'member-join':
+      log.info({ incarnation: record.incarnation, member: record.member }, 'member joined');
+      return;
+    case 'vm-drain':
+      log.info({ drain: record.id, purpose: record.purpose, vm: record.vm }, 'VM left routing');
+      return;
+    case 'vm-health':
+      log.info({ health: record.health, vm: record.vm }, 'VM health changed');
+      return;
+    default:
+      return;
+  }
+}
--- a/packages/platform/src/log-client.ts
+++ b/packages/platform/src/log-client.ts
@@ -16,6 +16,9 @@
   records: z.array(z.object({ offset: z.int().min(0), value: z.unknown() })),
 });
 
+/** HTTP statuses from here on are failures of the service. */
+const SERVICE_FAILURE = 500;
+
 /** A record read from the log, not yet checked. */
 export interface LogEntry {
   offset: number;
@@ -55,32 +58,56 @@
 
 /** Log service reached over HTTP. */
 export class LogClient implements LogService {
+  #reachable: boolean | undefined;
+
   constructor(private readonly http: PlatformHttp) {}
 
+  /** Whether the last call got an answer other than a failure of the service; undefined before the first. */
+  get reachable(): boolean | undefined {
+    return this.#reachable;
+  }
+
   append(
     stream: StreamName,
     records: readonly unknown[],
     signal: AbortSignal,
   ): ResultAsync<number, PlatformError> {
-    return this.http
-      .call({
+    return this.#note(
+      signal,
+      this.http.call({
         body: { records },
         method: 'POST',
         path: `/v1/streams/${stream}/records`,
         schema: appendAnswerSchema,
         signal,
-      })
-      .map((answer) => answer.offset);
+      }),
+    ).map((answer) => answer.offset);
   }
 
   read(read: LogRead): ResultAsync<LogPage, PlatformError> {
     const query = `from=${read.from}&limit=${read.limit}&waitMs=${read.waitMs}`;
-    return this.http.call({
-      method: 'GET',
-      path: `/v1/streams/${read.stream}/records?${query}`,
-      schema: readAnswerSchema,
-      signal: read.signal,
-      waitMs: read.waitMs,
-    });
+    return this.#note(
+      read.signal,
+      this.http.call({
+        method: 'GET',
+        path: `/v1/streams/${read.stream}/records?${query}`,
+        schema: readAnswerSchema,
+        signal: read.signal,
+        waitMs: read.waitMs,
+      }),
+    );
+  }
+
+  #note<T>(signal: AbortSignal, call: ResultAsync<T, PlatformError>): ResultAsync<T, PlatformError> {
+    return call
+      .andTee(() => {
+        this.#reachable = true;
+      })
+      .orTee((error) => {
+        // A call that its own caller ended says nothing about the service.
+        if (!signal.aborted) {
+          this.#reachable = error.status.unwrapOr(SERVICE_FAILURE) < SERVICE_FAILURE;
+        }
+      });
   }
 }
--- /dev/null
+++ b/packages/platform/src/platform-metrics.ts
@@ -0,0 +1,50 @@
+import type { Metrics } from '@sequoiaquay/runtime';
+import { single } from '@sequoiaquay/runtime';
+import type { BatchAppender } from './batch-appender';
+import type { FleetReplica } from './fleet-replica';
+
+/** Publishes the counts of appenders to streams of the log. */
+export function publishAppenders(metrics: Metrics, appenders: Record<string, BatchAppender>): void {
+  const read = (value: (appender: BatchAppender) => number) => () =>
+    Object.entries(appenders).map(([stream, appender]) => ({ labels: { stream }, value: value(appender) }));
+  metrics.readCounter(
+    { help: 'Appends that the log took.', labels: ['stream'], name: 'sequoiaquay_log_appends_total' },
+    read((appender) => appender.counters.appends),
+  );
+  metrics.readCounter(
+    {
+      help: 'Appends that failed or whose answer was lost; each is repeated.',
+      labels: ['stream'],
+      name: 'sequoiaquay_log_append_failures_total',
+    },
+    read((appender) => appender.counters.failures),
+  );
+  metrics.readCounter(
+    { help: 'Records that the log took.', labels: ['stream'], name: 'sequoiaquay_log_records_total' },
+    read((appender) => appender.counters.records),
+  );
+  metrics.readGauge(
+    {
+      help: 'Records that the log has not taken yet.',
+      labels: ['stream'],
+      name: 'sequoiaquay_log_pending_records',
+    },
+    read((appender) => appender.pending),
+  );
+}
+
+/** Publishes the age and offset of a replica of the fleet state. */
+export function publishFleetState(metrics: Metrics, replica: FleetReplica): void {
+  metrics.readGauge(
+    {
+      help: 'Time since a source of fleet state last answered.',
+      labels: [],
+      name: 'sequoiaquay_state_age_seconds',
+    },
+    () => single(replica.ageMs === undefined ? undefined : replica.ageMs / 1000),
+  );
+  metrics.readGauge(
+    { help: 'Offset of the next fleet record to apply.', labels: [], name: 'sequoiaquay_fleet_offset' },
+    () => single(replica.state.next),
+  );
+}
--- a/packages/runtime/src/event-ring.ts
+++ b/packages/runtime/src/event-ring.ts
@@ -1,10 +1,6 @@
+import type { HlcClock, HlcTime } from './hlc';
 import type { TimerService } from './timer-service';
-
-/** Hybrid logical clock value: wall time in ms and a counter for events of the same ms. */
-export interface HlcTime {
-  count: number;
-  ms: number;
-}
+import { HybridClock } from './hlc';
 
 /** An event of the time line. */
 export interface TimelineEvent {
@@ -16,55 +12,71 @@
   process: string;
 }
 
+/** Kinds of events about requests start with this. */
+export const REQUEST_EVENT_PREFIX = 'request-';
+
 /** Orders two events of any processes. */
 export function compareEvents(a: TimelineEvent, b: TimelineEvent): number {
   return a.hlc.ms - b.hlc.ms || a.hlc.count - b.hlc.count || a.process.localeCompare(b.process);
 }
 
-/** Bounded ring of a process's events, stamped by a hybrid logical clock. */
-export class EventRing {
-  #last: HlcTime = { count: 0, ms: 0 };
-  readonly #events: TimelineEvent[] = [];
-  #oldest = 0;
+/**
+ * Bounded ring of a process's events, stamped by a hybrid logical clock.
+ * Events about requests have a ring of their own, so that traffic doesn't push out changes of state.
+ */
+export class EventRing implements HlcClock {
+  readonly #clock: HybridClock;
+  readonly #requests: Ring;
+  readonly #states: Ring;
 
   constructor(
     readonly process: string,
-    private readonly capacity: number,
-    private readonly timers: TimerService,
-  ) {}
+    capacity: number,
+    timers: TimerService,
+  ) {
+    this.#clock = new HybridClock(timers);
+    this.#requests = new Ring(capacity);
+    this.#states = new Ring(capacity);
+  }
 
-  /** Adds an event; the oldest one is dropped when the ring is full. */
+  /** Adds an event; the oldest one of its ring is dropped when the ring is full. */
   add(kind: string, id: string, data: TimelineEvent['data'] = {}): void {
-    const event: TimelineEvent = { data, hlc: this.#tick(), id, kind, process: this.process };
-    if (this.#events.length < this.capacity) {
-      this.#events.push(event);
-      return;
-    }
-    this.#events[this.#oldest] = event;
-    this.#oldest = (this.#oldest + 1) % this.capacity;
+    const ring = kind.startsWith(REQUEST_EVENT_PREFIX) ? this.#requests : this.#states;
+    ring.add({ data, hlc: this.#clock.stamp(), id, kind, process: this.process });
   }
 
   /** Moves the clock past a time received from another process. */
   observe(remote: HlcTime): void {
-    const ms = Math.max(remote.ms, this.#last.ms);
-    const count = Math.max(remote.ms === ms ? remote.count : 0, this.#last.ms === ms ? this.#last.count : 0);
-    this.#last = { count, ms };
+    this.#clock.observe(remote);
   }
 
   /** Current time of the clock, for sending to another process. */
   stamp(): HlcTime {
-    return this.#tick();
+    return this.#clock.stamp();
   }
 
   /** Events in the ring, oldest first. */
   list(): TimelineEvent[] {
-    return [...this.#events.slice(this.#oldest), ...this.#events.slice(0, this.#oldest)];
+    return [...this.#requests.list(), ...this.#states.list()].sort(compareEvents);
+  }
+}
+
+class Ring {
+  readonly #events: TimelineEvent[] = [];
+  #oldest = 0;
+
+  constructor(private readonly capacity: number) {}
+
+  add(event: TimelineEvent): void {
+    if (this.#events.length < this.capacity) {
+      this.#events.push(event);
+      return;
+    }
+    this.#events[this.#oldest] = event;
+    this.#oldest = (this.#oldest + 1) % this.capacity;
   }
 
-  #tick(): HlcTime {
-    const now = this.timers.now();
-    this.#last =
-      now > this.#last.ms ? { count: 0, ms: now } : { count: this.#last.count + 1, ms: this.#last.ms };
-    return this.#last;
+  list(): TimelineEvent[] {
+    return [...this.#events.slice(this.#oldest), ...this.#events.slice(0, this.#oldest)];
   }
 }
--- a/packages/runtime/src/rpc.ts
+++ b/packages/runtime/src/rpc.ts
@@ -3,6 +3,8 @@
 import { TRPCClientError } from '@trpc/client';
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
 import { ResultAsync } from 'neverthrow';
+import type { HlcClock } from './hlc';
+import { formatHlc, HLC_HEADER, parseHlc } from './hlc';
 
 /** Path under which a process serves its procedures. */
 export const RPC_PATH = '/rpc';
@@ -14,27 +16,51 @@
   message: string;
 }
 
-/** Serves a router to callers that know the shared secret. */
-export function mountRpc(app: Hono, router: AnyRouter, secret: string): void {
+/** Serves a router to callers that know the shared secret; stamps of the clock travel with the calls. */
+export function mountRpc(app: Hono, router: AnyRouter, secret: string, clock?: HlcClock): void {
   app.use(`${RPC_PATH}/*`, async (c) => {
     if (c.req.header('authorization') !== `Bearer ${secret}`) {
       return c.json({ error: 'bad secret' }, 401);
     }
-    return fetchRequestHandler({ endpoint: RPC_PATH, req: c.req.raw, router });
+    observeHeader(clock, c.req.header(HLC_HEADER));
+    const res = await fetchRequestHandler({ endpoint: RPC_PATH, req: c.req.raw, router });
+    if (clock !== undefined) {
+      res.headers.set(HLC_HEADER, formatHlc(clock.stamp()));
+    }
+    return res;
   });
 }
 
+/** Options of a client's link to another process. */
+export interface RpcLinkOptions {
+  fetch: (url: string | URL | Request, options?: RequestInit) => Promise<Response>;
+  headers: () => Record<string, string>;
+  url: string;
+}
+
 /** Options of a client's link to the process at a `host:port` address. */
-export function rpcLinkOptions(
-  address: string,
-  secret: string,
-): { headers: { authorization: string }; url: string } {
+export function rpcLinkOptions(address: string, secret: string, clock?: HlcClock): RpcLinkOptions {
   return {
-    headers: { authorization: `Bearer ${secret}` },
+    fetch: async (url, options) => {
+      const res = await fetch(url, options);
+      observeHeader(clock, res.headers.get(HLC_HEADER));
+      return res;
+    },
+    headers: () => ({
+      authorization: `Bearer ${secret}`,
+      ...(clock === undefined ? {} : { [HLC_HEADER]: formatHlc(clock.stamp()) }),
+    }),
     url: `http://${address}${RPC_PATH}`,
   };
 }
 
+function observeHeader(clock: HlcClock | undefined, header: string | null | undefined): void {
+  const remote = parseHlc(header);
+  if (remote !== undefined) {
+    clock?.observe(remote);
+  }
+}
+
 /** Turns a call to another process into a result. */
 export function rpcResult<T>(call: Promise<T>): ResultAsync<T, RpcError> {
   return ResultAsync.fromPromise(call, toRpcError);
