feat(control): explain, status, timeline, history and record look-ups for operators

Cause: the operators' interface could change the fleet but not tell what is in force where, or why. A client may choose the id of its record (Sequoiaquay-Record-Id) and look it up with GET /v1/records/{id}, so that a change whose answer was lost can be finished through another control without being made twice.

--- a/packages/control/src/control-router.ts
+++ b/packages/control/src/control-router.ts
@@ -1,6 +1,7 @@
 import type { FleetReplica } from '@sequoiaquay/platform';
 import type { EventRing } from '@sequoiaquay/runtime';
 import { toSnapshot } from '@sequoiaquay/core';
+import { timelineQuerySchema } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
 import type { Relay } from './relay';
@@ -36,7 +37,7 @@
       caughtUp: parts.replica.caughtUp,
       state: toSnapshot(parts.replica.state),
     })),
-    timeline: t.procedure.query(() => parts.ring.list()),
+    timeline: t.procedure.input(timelineQuerySchema).query(({ input }) => parts.ring.select(input)),
   });
 }
 
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -9,6 +9,7 @@
   PlatformHttp,
   publishAppenders,
   publishFleetState,
+  recordFleetEvents,
   STREAM,
   VmListClient,
 } from '@sequoiaquay/platform';
@@ -17,9 +18,12 @@
 import type { ControlSettings } from './control-settings';
 import { createControlRouter } from './control-router';
 import { ControlSource } from './control-source';
+import { RpcPeers } from './entry-peers';
+import { Journal } from './journal';
 import { createOperatorApi } from './operator-api';
 import { Proposer } from './proposer';
 import { Relay } from './relay';
+import { SettingsHistory } from './settings-history';
 import { VmWatcher } from './vm-watcher';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
@@ -45,12 +49,13 @@
   const relay = new Relay(replica, signal);
   const appender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, signal);
   const proposer = new Proposer(appender, replica, timers, cfg.name);
+  const journal = new Journal();
+  const history = new SettingsHistory();
   replica.subscribe((entry, verdict) => {
-    const accepted = verdict.isOk();
-    ring.add(accepted ? verdict.value.kind : 'refused', String(entry.offset), {
-      reason: accepted ? '' : verdict.error.detail,
-    });
+    history.add(entry, verdict);
+    journal.add(entry, verdict, replica.state);
   }, signal);
+  recordFleetEvents(replica, ring, signal);
   const watcher = new VmWatcher(
     new VmListClient(http),
     replica,
@@ -68,7 +73,18 @@
   metrics.mount(app);
   logFleetChanges({ log, logClient, replica, timers }, signal);
   mountRpc(app, createControlRouter({ relay, replica, ring }), secret, ring);
-  app.route('/v1', createOperatorApi({ proposer, replica, teamTokens: cfg.teamTokens }) as unknown as Hono);
+  const operatorApi = createOperatorApi({
+    history,
+    journal,
+    logReachable: () => logClient.reachable,
+    name: cfg.name,
+    peers: new RpcPeers(replica, cfg.peers, secret, ring),
+    proposer,
+    replica,
+    ring,
+    teamTokens: cfg.teamTokens,
+  });
+  app.route('/v1', operatorApi as unknown as Hono);
   const server = await listen(app, cfg.listen);
   log.info({ listen: cfg.listen }, 'control process started');
   watcher.start(signal);
--- /dev/null
+++ b/packages/control/src/explain.ts
@@ -0,0 +1,131 @@
+import type { FleetState, Vm } from '@sequoiaquay/core';
+import type { EntryStatus } from '@sequoiaquay/entry';
+import type { TimelineEvent } from '@sequoiaquay/runtime';
+import { isServing, minServing, servingCount, vmsOfPool } from '@sequoiaquay/core';
+import type { PeerAnswer } from './entry-peers';
+import type { JournalEntry } from './journal';
+
+/** Why a thing is in its present state. */
+export interface Explanation {
+  /** Events about it from all processes that answered, oldest first. */
+  events: TimelineEvent[];
+  id: string;
+  kind: ExplainedKind;
+  /** Records about it that this control has applied, with their verdicts, in log order. */
+  records: JournalEntry[];
+  /** Processes that did not answer. */
+  silent: string[];
+  /** Plain lines, the present state first. */
+  summary: string[];
+}
+
+/** Kinds of things that can be explained. */
+export const EXPLAINED_KINDS = ['vm', 'pool', 'task', 'request'] as const;
+/** Kind of thing that can be explained. */
+export type ExplainedKind = (typeof EXPLAINED_KINDS)[number];
+
+/** Lines about a VM's state; for a draining VM also which entries it waits for and why. */
+export function explainVm(
+  vm: Vm | undefined,
+  id: string,
+  records: readonly JournalEntry[],
+  entries: readonly PeerAnswer<EntryStatus>[],
+): string[] {
+  if (vm === undefined) {
+    return [`VM ${id} is not registered`, ...lastRefusal(records)];
+  }
+  const lines = [
+    `VM ${id} is ${vm.state}, health ${vm.health}, in pool ${vm.pool}, zone ${vm.zone}, rack ${vm.rack}`,
+  ];
+  if (vm.drain !== undefined) {
+    const { drain } = vm;
+    const record = records.find((entry) => entry.id === drain.id);
+    const purpose = drain.to === undefined ? drain.purpose : `${drain.purpose} to pool ${drain.to}`;
+    const from = record === undefined ? 'an unknown writer' : record.by;
+    lines.push(`drain ${drain.id} for ${purpose}, asked by ${from}, accepted at offset ${drain.offset}`);
+    lines.push(
+      ...[...drain.waitingFor].map(([name, incarnation]) => whyWaiting(vm, name, incarnation, entries)),
+    );
+  }
+  if (vm.state === 'released') {
+    lines.push('every entry is clear of it; it serves again when it is reported up after its reboot');
+  }
+  return [...lines, ...lastRefusal(records)];
+}
+
+/** Lines about a pool: its budget, and each VM that does not serve. */
+export function explainPool(state: FleetState, pool: string, records: readonly JournalEntry[]): string[] {
+  const team = state.poolOwners.get(pool);
+  if (team === undefined) {
+    return [`pool ${pool} doesn't exist`, ...lastRefusal(records)];
+  }
+  const serving = servingCount(state, pool);
+  const budget = minServing(state, pool);
+  const version = state.branches.get(team)?.version ?? 0;
+  return [
+    `pool ${pool} of team ${team} (settings version ${version}) has ${serving} serving VMs, budget ${budget}`,
+    drainable(serving, budget),
+    ...vmsOfPool(state, pool)
+      .filter((vm) => !isServing(vm))
+      .map((vm) => `VM ${vm.id} does not serve: ${vm.state}, health ${vm.health}`),
+    ...lastRefusal(records),
+  ];
+}
+
+/** Lines about a request or task from the events of all processes. */
+export function explainEvents(
+  kind: 'request' | 'task',
+  id: string,
+  events: readonly TimelineEvent[],
+): string[] {
+  if (events.length === 0) {
+    return [`no process that answered remembers ${kind} ${id}`];
+  }
+  return events.map((event) => {
+    const data = Object.entries(event.data).map(([name, value]) => `${name} ${value}`);
+    return [`${event.process}: ${event.kind.replace(/^request-/, '')}`, ...data].join(', ');
+  });
+}
+
+function whyWaiting(
+  vm: Vm,
+  name: string,
+  incarnation: number,
+  entries: readonly PeerAnswer<EntryStatus>[],
+): string {
+  const waits = `waits for ${name}`;
+  const asked = entries.find((entry) => entry.name === name);
+  if (asked === undefined) {
+    return `${waits}: it is no longer a member`;
+  }
+  if (asked.answer.isErr()) {
+    return `${waits}: it does not answer; the drain goes on when it answers, restarts, or leaves the platform's list`;
+  }
+  const status = asked.answer.value;
+  if (status.incarnation !== incarnation) {
+    return `${waits}: it has restarted and its new incarnation has not joined yet`;
+  }
+  const offset = vm.drain?.offset ?? 0;
+  if (status.next <= offset) {
+    return `${waits}: it has applied records up to offset ${status.next - 1} and the drain is at ${offset}`;
+  }
+  const count = status.inFlight[vm.id] ?? 0;
+  return count > 0
+    ? `${waits}: it has ${count} ${count === 1 ? 'request' : 'requests'} in flight on the VM`
+    : `${waits}: it has nothing in flight on the VM; its record has not reached the log`;
+}
+
+function drainable(serving: number, budget: number): string {
+  const spare = serving - budget;
+  return spare > 0
+    ? `${spare} more of its VMs can be drained now`
+    : 'no VM of it can be drained now without breaking the budget';
+}
+
+function lastRefusal(records: readonly JournalEntry[]): string[] {
+  const last = records.at(-1);
+  if (last === undefined || last.accepted) {
+    return [];
+  }
+  return [`the last proposal, ${last.kind} by ${last.by}, was rejected: ${last.reason} (${last.detail})`];
+}
--- a/packages/control/src/proposer.ts
+++ b/packages/control/src/proposer.ts
@@ -25,13 +25,13 @@
     private readonly by: string,
   ) {}
 
-  /** Proposes a record and gives the fold's verdict, unless the signal aborts first. */
+  /** Proposes a record, under a given id or a new one, and gives the fold's verdict, unless the signal aborts first. */
   async propose(
     proposal: FleetProposal,
     signal: AbortSignal,
     by = this.by,
+    recordId: string = randomUUID(),
   ): Promise<Result<{ recordId: string; verdict: FleetVerdict }, NoVerdict>> {
-    const recordId = randomUUID();
     const record = { ...proposal, at: this.timers.now(), by, id: recordId, v: 1 };
     const verdict = this.replica.verdictOf(recordId, signal);
     this.appender.append(record, signal);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './records/decode';
 export * from './records/fleet-record';
 export * from './records/names';
+export * from './records/settings-difference';
 export * from './records/settings-schema';
 export * from './records/work-record';
 export * from './routing/rendezvous';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,6 +6,7 @@
   LogClient,
   logFleetChanges,
   PlatformHttp,
+  recordFleetEvents,
   STREAM,
 } from '@sequoiaquay/platform';
 import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
@@ -84,6 +85,7 @@
     work,
   });
   metrics.mount(app);
+  recordFleetEvents(replica, ring, background.signal);
   logFleetChanges({ log, logClient, replica, timers }, background.signal);
   const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,5 +1,6 @@
 import type { ClaimTable } from '@sequoiaquay/core';
 import type { EventRing } from '@sequoiaquay/runtime';
+import { timelineQuerySchema } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
 import type { EntryStatus } from './entry-status';
@@ -26,7 +27,7 @@
     }),
     ping: t.procedure.query(() => ({ name: parts.name })),
     status: t.procedure.query(() => parts.status()),
-    timeline: t.procedure.query(() => parts.ring.list()),
+    timeline: t.procedure.input(timelineQuerySchema).query(({ input }) => parts.ring.select(input)),
   });
 }
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,7 @@
 export * from './platform-error';
 export * from './platform-http';
 export * from './vm-list-client';
+export * from './fleet-events';
 export * from './fleet-log';
 export * from './fleet-replica';
 export * from './fleet-source';
--- a/packages/runtime/src/event-ring.ts
+++ b/packages/runtime/src/event-ring.ts
@@ -1,3 +1,4 @@
+import { z } from 'zod';
 import type { HlcClock, HlcTime } from './hlc';
 import type { TimerService } from './timer-service';
 import { HybridClock } from './hlc';
@@ -12,6 +13,21 @@
   process: string;
 }
 
+/** Most events that one answer carries; a full ring of each process would not fit into a control. */
+export const MAX_TIMELINE_EVENTS = 2000;
+
+/** Which events of a ring are wanted. */
+export const timelineQuerySchema = z.object({
+  /** Only events about this request, record, VM or member. */
+  id: z.string().max(200).optional(),
+  /** Most events; the latest ones are given. */
+  limit: z.int().min(1).max(MAX_TIMELINE_EVENTS).default(500),
+  /** Only events at or after this time, in ms since the epoch. */
+  sinceMs: z.int().min(0).default(0),
+});
+/** Which events of a ring are wanted. */
+export type TimelineQuery = z.infer<typeof timelineQuerySchema>;
+
 /** Kinds of events about requests start with this. */
 export const REQUEST_EVENT_PREFIX = 'request-';
 
@@ -20,6 +36,11 @@
   return a.hlc.ms - b.hlc.ms || a.hlc.count - b.hlc.count || a.process.localeCompare(b.process);
 }
 
+/** Merges events of any processes into one order and keeps the latest. */
+export function latestEvents(events: readonly TimelineEvent[], limit: number): TimelineEvent[] {
+  return events.toSorted(compareEvents).slice(-limit);
+}
+
 /**
  * Bounded ring of a process's events, stamped by a hybrid logical clock.
  * Events about requests have a ring of their own, so that traffic doesn't push out changes of state.
@@ -55,9 +76,19 @@
     return this.#clock.stamp();
   }
 
+  /** Latest events that match a query, oldest first. */
+  select(query: TimelineQuery): TimelineEvent[] {
+    return latestEvents(
+      this.list().filter(
+        (event) => event.hlc.ms >= query.sinceMs && (query.id === undefined || event.id === query.id),
+      ),
+      query.limit,
+    );
+  }
+
   /** Events in the ring, oldest first. */
   list(): TimelineEvent[] {
-    return [...this.#requests.list(), ...this.#states.list()].sort(compareEvents);
+    return latestEvents([...this.#requests.list(), ...this.#states.list()], Number.POSITIVE_INFINITY);
   }
 }
 
