--- a/packages/control/src/entry-peers.ts
+++ b/packages/control/src/entry-peers.ts
@@ -63,6 +63,7 @@
   #joinedEntries(): { client: TRPCClient<PeerRouter>; name: string }[] {
     return [...this.replica.state.members.values()]
       .filter((member) => member.role === 'entry')
+      .sort((a, b) => a.id.localeCompare(b.id))
       .map((member) => ({ client: this.#entryAt(member.address), name: member.id }));
   }
 
--- a/tests/operators.test.ts
+++ b/tests/operators.test.ts
@@ -76,7 +76,7 @@
   it('says which entry a drain waits for and why', async () => {
     const runs = await Promise.all([post(1), post(1)]);
     expect(runs.map((res) => res.status)).toEqual([200, 200]);
-    const slow = [post(1500), post(1500)];
+    const slow = [post(3000), post(3000)];
     await waitFor('requests in flight', 2000, async () => {
       const { body } = await cluster.operate(TEAM, 'GET', '/status');
       return (body.entries as { inFlight: number }[])[0]?.inFlight === 2 ? true : undefined;
