--- /dev/null
+++ b/packages/cli/src/cli-settings.ts
@@ -0,0 +1,73 @@
+import type { Result } from 'neverthrow';
+import { describeProblems, nameSchema } from '@sequoiaquay/core';
+import { loadSettings, readSecret } from '@sequoiaquay/runtime';
+import { err, ok } from 'neverthrow';
+import { existsSync } from 'node:fs';
+import { z } from 'zod';
+import type { CliError } from './cli-error';
+import { usageError } from './cli-error';
+
+const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port');
+
+/** Settings of the command line. Times in milliseconds. */
+export const cliSettingsSchema = z.strictObject({
+  /** Controls, tried in turn. */
+  controls: z.array(address).min(1),
+  /** Team whose settings the commands read and change. */
+  team: nameSchema,
+  /** Limit for one call to a control. */
+  timeoutMs: z.int().min(100).default(12_000),
+  /** File with the team's bearer token. */
+  tokenFile: z.string().min(1),
+});
+
+/** Settings of the command line. */
+export type CliSettings = z.infer<typeof cliSettingsSchema>;
+
+/** Settings file that is read when no other is named. */
+export const DEFAULT_SETTINGS_FILE = 'sequoiaquay.json';
+
+/** Settings and token with which a command runs. */
+export interface CliAccess {
+  settings: CliSettings;
+  token: string;
+}
+
+/** Reads the settings file, lays flags over it and reads the token file. */
+export function loadAccess(
+  file: string | undefined,
+  flags: Record<string, unknown>,
+): Result<CliAccess, CliError> {
+  return readSettings(file, flags).andThen((settings) =>
+    readSecret(settings.tokenFile)
+      .map((token) => ({ settings, token }))
+      .mapErr((error) =>
+        usageError(...error.problems.map((problem) => `tokenFile ${error.file}: ${problem}`)),
+      ),
+  );
+}
+
+/** Reads and checks a settings file without using it. */
+export function checkSettings(file: string): Result<CliSettings, CliError> {
+  return readSettings(file, {});
+}
+
+function readSettings(
+  file: string | undefined,
+  flags: Record<string, unknown>,
+): Result<CliSettings, CliError> {
+  if (file === undefined && !existsSync(DEFAULT_SETTINGS_FILE)) {
+    const parsed = cliSettingsSchema.safeParse(flags);
+    return parsed.success
+      ? ok(parsed.data)
+      : err(
+          usageError(
+            `there is no ${DEFAULT_SETTINGS_FILE} and the flags don't give all settings`,
+            ...describeProblems(parsed.error),
+          ),
+        );
+  }
+  return loadSettings(file ?? DEFAULT_SETTINGS_FILE, cliSettingsSchema, flags).mapErr((error) =>
+    usageError(...error.problems.map((problem) => `${error.file}: ${problem}`)),
+  );
+}
--- /dev/null
+++ b/packages/cli/src/cli.ts
@@ -0,0 +1,100 @@
+import type { CAC } from 'cac';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { CliError } from './cli-error';
+import type { Flags, Run } from './command-line';
+import type { Output } from './output';
+import { EXIT, usageError } from './cli-error';
+import { checkSettings, loadAccess } from './cli-settings';
+import { defineCommands, flagsSchema } from './command-line';
+import { ControlClient } from './control-client';
+
+/** Where a command prints. */
+export interface CliStreams {
+  err: (text: string) => void;
+  out: (text: string) => void;
+}
+
+/** Runs one command line, without the program's name, and gives its exit code. */
+export async function runCli(argv: readonly string[], streams: CliStreams): Promise<number> {
+  const json = argv.includes('--json');
+  const result = await runParsed(argv);
+  return result.match(
+    (output) => {
+      print(streams.out, json ? [JSON.stringify(output.json)] : output.lines);
+      return EXIT.ok;
+    },
+    (error) => {
+      const exit = EXIT[error.kind];
+      if (json) {
+        const { answer, kind, lines } = error;
+        print(streams.out, [JSON.stringify({ error: { answer: answer ?? null, kind, lines }, exit })]);
+      } else {
+        print(streams.err, error.lines);
+      }
+      return exit;
+    },
+  );
+}
+
+async function runParsed(argv: readonly string[]): Promise<Result<Output, CliError>> {
+  let chosen: Result<Run, CliError> | undefined;
+  const cli = defineCommands((run) => {
+    chosen = run;
+  });
+  const parsed = parse(cli, argv);
+  if (parsed.isErr()) {
+    return err(parsed.error);
+  }
+  const flags = parsed.value;
+  if (flags.help === true) {
+    return ok({ json: null, lines: [] });
+  }
+  if (flags.checkConfig !== undefined) {
+    const file = flags.checkConfig;
+    return checkSettings(file).map(() => ({ json: { ok: true }, lines: [`${file}: ok`] }));
+  }
+  if (chosen === undefined) {
+    const names = cli.commands.map((command) => command.name).join(', ');
+    return err(usageError(`command: ${argv[0] ?? '(none)'} is not allowed; allowed: ${names}`));
+  }
+  return chosen.isErr() ? err(chosen.error) : runWithAccess(flags, chosen.value);
+}
+
+async function runWithAccess(flags: Flags, run: Run): Promise<Result<Output, CliError>> {
+  const access = loadAccess(flags.config, {
+    ...(flags.control === undefined ? {} : { controls: flags.control }),
+    ...(flags.team === undefined ? {} : { team: flags.team }),
+    ...(flags.timeoutMs === undefined ? {} : { timeoutMs: flags.timeoutMs }),
+    ...(flags.tokenFile === undefined ? {} : { tokenFile: flags.tokenFile }),
+  });
+  if (access.isErr()) {
+    return err(access.error);
+  }
+  const client = new ControlClient(access.value);
+  const result = await run({ client, team: access.value.settings.team });
+  await client.close();
+  return result;
+}
+
+// The argument parser reports mistakes by exceptions; they end here.
+function parse(cli: CAC, argv: readonly string[]): Result<Flags, CliError> {
+  try {
+    cli.parse(['node', 'sequoiaquay', ...argv], { run: false });
+    if (cli.matchedCommand !== undefined && cli.options.help !== true) {
+      cli.runMatchedCommand();
+    }
+  } catch (error) {
+    return err(usageError(error instanceof Error ? error.message : String(error)));
+  }
+  const flags = flagsSchema.safeParse(cli.options);
+  return flags.success
+    ? ok(flags.data)
+    : err(usageError(...flags.error.issues.map((issue) => issue.message)));
+}
+
+function print(write: (text: string) => void, lines: readonly string[]): void {
+  if (lines.length > 0) {
+    write(`${lines.join('\n')}\n`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/command-line.ts
@@ -0,0 +1,160 @@
+import type { CAC } from 'cac';
+import type { Result } from 'neverthrow';
+import { cac } from 'cac';
+import { err, ok } from 'neverthrow';
+import { z } from 'zod';
+import type { CliError } from './cli-error';
+import type { CommandContext, CommandResult } from './commands/command';
+import { usageError } from './cli-error';
+import { drainVm, listPools, listVms, moveVm, undrainVm } from './commands/fleet';
+import { explain, listTasks, showStatus, showTimeline } from './commands/inspect';
+import { applyFile, diffFile, getSettings, setOption, showHistory } from './commands/settings';
+import { planWave, showWave, startWave, stopWave } from './commands/waves';
+
+/** Values of flags; numbers come as numbers from the argument parser. */
+export const flagsSchema = z.object({
+  checkConfig: z.coerce.string().optional(),
+  config: z.coerce.string().optional(),
+  control: z.union([z.array(z.coerce.string()), z.coerce.string().transform((one) => [one])]).optional(),
+  from: z.coerce.string().optional(),
+  help: z.boolean().optional(),
+  id: z.coerce.string().optional(),
+  json: z.boolean().default(false),
+  limit: z.coerce.string().optional(),
+  purpose: z.coerce.string().default('reboot'),
+  sinceMs: z.coerce.string().optional(),
+  team: z.coerce.string().optional(),
+  timeoutMs: z.coerce.number().optional(),
+  tokenFile: z.coerce.string().optional(),
+});
+/** Flags of a command line. */
+export type Flags = z.infer<typeof flagsSchema>;
+
+/** A command with its arguments. */
+export type Run = (context: CommandContext) => CommandResult;
+
+type Choose = (run: Result<Run, CliError>) => void;
+
+/** Defines all commands; the one that the command line names is passed on. */
+export function defineCommands(choose: Choose): CAC {
+  const cli = cac('sequoiaquay');
+  cli.option('--check-config <file>', 'check a settings file and exit');
+  cli.option('--config <file>', 'settings file, JSON (default: sequoiaquay.json)');
+  cli.option('--control <address>', 'control, host:port; may be given several times');
+  cli.option('--json', 'print the answer as JSON');
+  cli.option('--team <team>', 'overrides "team" of the settings file');
+  cli.option('--timeout-ms <ms>', 'limit for one call to a control');
+  cli.option('--token-file <file>', 'file with the bearer token of the team');
+  cli.help();
+  defineChanges(cli, choose);
+  defineReads(cli, choose);
+  return cli;
+}
+
+function defineChanges(cli: CAC, choose: Choose): void {
+  cli
+    .command('settings <action> [...args]', 'get [PATH] | set PATH VALUE | apply FILE | diff FILE | history')
+    .action((action: string, args: string[]) => {
+      choose(selectSettings(action, args.map(String)));
+    });
+  cli
+    .command('drain <vm>', 'drain a VM')
+    .option('--purpose <purpose>', 'reboot or remove')
+    .action((vm: string, options: { purpose?: string }) => {
+      choose(ok((context) => drainVm(context, vm, options.purpose ?? 'reboot')));
+    });
+  cli.command('undrain <vm>', 'take a draining VM back into service').action((vm: string) => {
+    choose(ok((context) => undrainVm(context, vm)));
+  });
+  cli
+    .command('move <vm> <pool>', 'drain a VM and put it into another pool')
+    .option('--from <pool>', 'refuse when the VM is in another pool')
+    .action((vm: string, pool: string, options: { from?: string }) => {
+      choose(ok((context) => moveVm(context, vm, pool, options.from)));
+    });
+  cli
+    .command('wave <action> [...args]', 'plan VM... | start VM... | status | stop WAVE')
+    .action((action: string, args: string[]) => {
+      choose(selectWave(action, args.map(String)));
+    });
+}
+
+function defineReads(cli: CAC, choose: Choose): void {
+  cli.command('pools', 'list pools').action(() => {
+    choose(ok(listPools));
+  });
+  cli.command('vms', 'list VMs').action(() => {
+    choose(ok(listVms));
+  });
+  cli.command('tasks', 'list tasks').action(() => {
+    choose(ok(listTasks));
+  });
+  cli.command('status', 'what is in force where').action(() => {
+    choose(ok(showStatus));
+  });
+  cli
+    .command('explain <kind> <id>', 'why a vm, pool, task or request is in its state')
+    .action((kind: string, id: string) => {
+      choose(ok((context) => explain(context, kind, id)));
+    });
+  cli
+    .command('timeline', 'events of all processes in causal order')
+    .option('--id <id>', 'only events about this request, record, VM or member')
+    .option('--limit <n>', 'most events, up to 2000')
+    .option('--since-ms <ms>', 'only events from this time on, ms since the epoch')
+    .action((options: Record<string, unknown>) => {
+      const { id, limit, sinceMs } = flagsSchema.parse(options);
+      const query = Object.entries({ id, limit, sinceMs }).filter(([, value]) => value !== undefined);
+      choose(ok((context) => showTimeline(context, Object.fromEntries(query))));
+    });
+}
+
+function selectSettings(action: string, args: readonly string[]): Result<Run, CliError> {
+  const [first, second] = args;
+  switch (action) {
+    case 'apply':
+      return first === undefined || args.length > 1
+        ? wrongUse('settings apply FILE')
+        : ok((context) => applyFile(context, first));
+    case 'diff':
+      return first === undefined || args.length > 1
+        ? wrongUse('settings diff FILE')
+        : ok((context) => diffFile(context, first));
+    case 'get':
+      return args.length > 1 ? wrongUse('settings get [PATH]') : ok((context) => getSettings(context, first));
+    case 'history':
+      return args.length > 0 ? wrongUse('settings history') : ok(showHistory);
+    case 'set':
+      return first === undefined || second === undefined || args.length > 2
+        ? wrongUse('settings set PATH VALUE')
+        : ok((context) => setOption(context, first, second));
+    default:
+      return unknownAction('settings', action, 'get, set, apply, diff, history');
+  }
+}
+
+function selectWave(action: string, args: readonly string[]): Result<Run, CliError> {
+  const [first] = args;
+  switch (action) {
+    case 'plan':
+      return first === undefined ? wrongUse('wave plan VM...') : ok((context) => planWave(context, args));
+    case 'start':
+      return first === undefined ? wrongUse('wave start VM...') : ok((context) => startWave(context, args));
+    case 'status':
+      return args.length > 0 ? wrongUse('wave status') : ok(showWave);
+    case 'stop':
+      return first === undefined || args.length > 1
+        ? wrongUse('wave stop WAVE')
+        : ok((context) => stopWave(context, first));
+    default:
+      return unknownAction('wave', action, 'plan, start, status, stop');
+  }
+}
+
+function wrongUse(usage: string): Result<Run, CliError> {
+  return err(usageError(`usage: sequoiaquay ${usage}`));
+}
+
+function unknownAction(command: string, action: string, allowed: string): Result<Run, CliError> {
+  return err(usageError(`${command}: the action ${action} is not allowed; allowed: ${allowed}`));
+}
--- /dev/null
+++ b/packages/cli/src/commands/settings.ts
@@ -0,0 +1,195 @@
+import type { SettingsDifference, TeamBranch } from '@sequoiaquay/core';
+import type { Result } from 'neverthrow';
+import { settingsDifference, teamBranchSchema } from '@sequoiaquay/core';
+import { err, ok } from 'neverthrow';
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+import type { CliError } from '../cli-error';
+import type { Output } from '../output';
+import type { CommandContext, CommandResult } from './command';
+import { usageError } from '../cli-error';
+import { toText, toTime } from '../output';
+import { checkBranch, editBranch, valueAt } from '../settings-edit';
+import { readAs } from './command';
+
+const differenceSchema = z.object({
+  from: z.unknown().optional(),
+  path: z.string(),
+  to: z.unknown().optional(),
+});
+
+const branchAnswerSchema = z.object({
+  branch: teamBranchSchema.nullable(),
+  team: z.string(),
+  version: z.int(),
+});
+
+const historySchema = z.object({
+  changes: z.array(
+    z.object({
+      accepted: z.boolean(),
+      at: z.number(),
+      base: z.int(),
+      by: z.string(),
+      difference: z.array(differenceSchema).nullable(),
+      reason: z.string(),
+      version: z.int(),
+    }),
+  ),
+});
+
+const staleSchema = z.object({
+  changedSince: z.array(
+    z.object({ by: z.string(), difference: z.array(differenceSchema).nullable(), version: z.int() }),
+  ),
+  difference: z.array(differenceSchema),
+  reason: z.literal('stale-base'),
+  version: z.int(),
+});
+
+const acceptedSchema = z.object({ version: z.int() });
+
+const fileSchema = z.object({ branch: z.unknown(), version: z.int().min(0) });
+
+/** Prints the team's branch, or one option of it. */
+export async function getSettings(context: CommandContext, path: string | undefined): CommandResult {
+  const read = await readBranch(context);
+  return read.map(({ json, value }) => {
+    const shown: unknown = path === undefined ? value.branch : valueAt(value.branch, path);
+    return {
+      json: path === undefined ? json : { path, value: shown ?? null, version: value.version },
+      lines: [`team ${value.team}, version ${value.version}`, JSON.stringify(shown ?? null, undefined, 2)],
+    };
+  });
+}
+
+/** Sets one option, based on the version just read. */
+export async function setOption(context: CommandContext, path: string, text: string): CommandResult {
+  const read = await readBranch(context);
+  if (read.isErr()) {
+    return err(read.error);
+  }
+  const { branch, version } = read.value.value;
+  const edited = editBranch(branch, path, text);
+  return edited.isErr() ? err(edited.error) : apply(context, branch, edited.value, version);
+}
+
+/** Replaces the branch by that of a file; the base is the file's version, or the version in force. */
+export async function applyFile(context: CommandContext, file: string): CommandResult {
+  const wanted = readBranchFile(file);
+  if (wanted.isErr()) {
+    return err(wanted.error);
+  }
+  const read = await readBranch(context);
+  if (read.isErr()) {
+    return err(read.error);
+  }
+  const { branch, version } = read.value.value;
+  return apply(context, branch, wanted.value.branch, wanted.value.version ?? version);
+}
+
+/** Prints in which options a file differs from the branch in force. */
+export async function diffFile(context: CommandContext, file: string): CommandResult {
+  const wanted = readBranchFile(file);
+  if (wanted.isErr()) {
+    return err(wanted.error);
+  }
+  const read = await readBranch(context);
+  return read.map(({ value }) => {
+    const difference = settingsDifference(value.branch ?? undefined, wanted.value.branch);
+    const lines = difference.length === 0 ? ['no difference'] : difference.map(describeDifference);
+    return { json: { difference, version: value.version }, lines };
+  });
+}
+
+/** Prints the latest changes of the branch. */
+export async function showHistory(context: CommandContext): CommandResult {
+  const read = await readAs(context, `/settings/${context.team}/history`, historySchema);
+  return read.map(({ json, value }) => ({
+    json,
+    lines: value.changes.flatMap((change) => [
+      `${toTime(change.at)} ${change.by} on base ${change.base}: ${change.accepted ? `version ${change.version}` : `rejected, ${change.reason}`}`,
+      ...(change.difference ?? []).map((difference) => `  ${describeDifference(difference)}`),
+    ]),
+  }));
+}
+
+async function apply(
+  { client, team }: CommandContext,
+  before: TeamBranch | null,
+  branch: TeamBranch,
+  base: number,
+): CommandResult {
+  const difference = settingsDifference(before ?? undefined, branch);
+  if (difference.length === 0) {
+    return ok({ json: { accepted: true, difference, version: base }, lines: ['no change'] });
+  }
+  const answer = await client.change({
+    body: branch,
+    headers: { 'if-match': String(base) },
+    method: 'PUT',
+    path: `/settings/${team}`,
+    recorded: true,
+  });
+  return answer.map((json) => accepted(json, difference)).mapErr(withStaleBase);
+}
+
+function accepted(json: unknown, difference: SettingsDifference[]): Output {
+  const parsed = acceptedSchema.safeParse(json);
+  const version = parsed.success ? `, now version ${parsed.data.version}` : '';
+  return {
+    json: { accepted: true, difference, ...(parsed.success ? parsed.data : {}) },
+    lines: [`accepted${version}`, ...difference.map(describeDifference)],
+  };
+}
+
+function withStaleBase(error: CliError): CliError {
+  const stale = staleSchema.safeParse(error.answer);
+  if (!stale.success) {
+    return error;
+  }
+  const since = stale.data.changedSince.flatMap((change) =>
+    (change.difference ?? []).map(
+      (difference) => `  version ${change.version} by ${change.by}: ${describeDifference(difference)}`,
+    ),
+  );
+  return {
+    ...error,
+    lines: [
+      ...error.lines,
+      `changed since the version you read (now ${stale.data.version}):`,
+      ...since,
+      'your change against the version in force:',
+      ...stale.data.difference.map((difference) => `  ${describeDifference(difference)}`),
+    ],
+  };
+}
+
+function readBranch(
+  context: CommandContext,
+): Promise<Result<{ json: unknown; value: z.infer<typeof branchAnswerSchema> }, CliError>> {
+  return readAs(context, `/settings/${context.team}`, branchAnswerSchema);
+}
+
+// A file holds a branch, or the output of `settings get --json` with the version it was read at.
+function readBranchFile(file: string): Result<{ branch: TeamBranch; version?: number }, CliError> {
+  return readJsonFile(file).andThen((value) => {
+    const whole = fileSchema.safeParse(value);
+    const branch = checkBranch(whole.success ? whole.data.branch : value);
+    return branch
+      .map((checked) => ({ branch: checked, ...(whole.success ? { version: whole.data.version } : {}) }))
+      .mapErr((error) => usageError(...error.lines.map((line) => `${file}: ${line}`)));
+  });
+}
+
+function readJsonFile(file: string): Result<unknown, CliError> {
+  try {
+    return ok<unknown, CliError>(JSON.parse(readFileSync(file, 'utf8')));
+  } catch (error) {
+    return err(usageError(`${file}: ${error instanceof Error ? error.message : String(error)}`));
+  }
+}
+
+function describeDifference({ from, path, to }: SettingsDifference): string {
+  return `${path}: ${toText(from)} -> ${toText(to)}`;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,5 +1,6 @@
-import { cac } from 'cac';
+import { runCli } from './cli';
 
-const cli = cac('sequoiaquay');
-cli.help();
-cli.parse();
+process.exitCode = await runCli(process.argv.slice(2), {
+  err: (text) => process.stderr.write(text),
+  out: (text) => process.stdout.write(text),
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
 export * from './hlc';
 export * from './logger';
 export * from './metrics';
+export * from './schema-options';
 export * from './settings-file';
 export * from './shutdown';
 export * from './timer-service';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './free-ports';
 export * from './fault-proxy';
 export * from './executor-stand-in';
 export * from './platform-faults';
