--- a/packages/cli/src/cli-settings.ts
+++ b/packages/cli/src/cli-settings.ts
@@ -3,7 +3,7 @@
 import { loadSettings, readSecret } from '@sequoiaquay/runtime';
 import { err, ok } from 'neverthrow';
 import { existsSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CliError } from './cli-error';
 import { usageError } from './cli-error';
 
--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import { cac } from 'cac';
 import { err, ok } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CliError } from './cli-error';
 import type { CommandContext, CommandResult } from './commands/command';
 import { usageError } from './cli-error';
--- a/packages/cli/src/commands/inspect.ts
+++ b/packages/cli/src/commands/inspect.ts
@@ -1,5 +1,5 @@
 import { err, ok } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CommandContext, CommandResult } from './command';
 import { usageError } from '../cli-error';
 import { table, toText, toTime } from '../output';
--- a/packages/cli/src/commands/settings.ts
+++ b/packages/cli/src/commands/settings.ts
@@ -3,7 +3,7 @@
 import { settingsDifference, teamBranchSchema } from '@sequoiaquay/core';
 import { err, ok } from 'neverthrow';
 import { readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CliError } from '../cli-error';
 import type { Output } from '../output';
 import type { CommandContext, CommandResult } from './command';
--- a/packages/cli/src/control-client.ts
+++ b/packages/cli/src/control-client.ts
@@ -3,7 +3,7 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CliError } from './cli-error';
 import type { CliAccess } from './cli-settings';
 
--- a/packages/control/src/control-router.ts
+++ b/packages/control/src/control-router.ts
@@ -3,7 +3,7 @@
 import { toSnapshot } from '@sequoiaquay/core';
 import { timelineQuerySchema } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Relay } from './relay';
 
 /** Parts of a control process that its procedures use. */
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,4 +1,4 @@
-import type { FleetSource } from '@sequoiaquay/platform';
+import type { FleetSource, MemberIdentity } from '@sequoiaquay/platform';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import {
   BatchAppender,
@@ -6,6 +6,7 @@
   LogClient,
   logFleetChanges,
   LogFleetSource,
+  MemberJoiner,
   PlatformHttp,
   publishAppenders,
   publishFleetState,
@@ -24,10 +25,12 @@
 import { Proposer } from './proposer';
 import { Relay } from './relay';
 import { SettingsHistory } from './settings-history';
+import { SnapshotWriter } from './snapshot-writer';
 import { VmWatcher } from './vm-watcher';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
-const REPLICA = { retryMs: 200, waitMs: 5000 };
+const REPLICA = { maxSourceAgeMs: 1500, preferredMs: 500, retryMs: 200, waitMs: 500 };
+const SNAPSHOT_CHECK_MS = 250;
 const RING_CAPACITY = 10_000;
 
 /** Runs a control process until the signal aborts. */
@@ -63,10 +66,30 @@
     { pollMs: cfg.vmListPollMs },
     timers,
   );
+  const snapshots = new SnapshotWriter(
+    replica,
+    proposer,
+    { checkMs: SNAPSHOT_CHECK_MS, member: cfg.name, retentionRecords: cfg.retentionRecords },
+    timers,
+  );
+  const self: MemberIdentity = {
+    address: cfg.listen,
+    incarnation: timers.now(),
+    member: cfg.name,
+    role: 'control',
+    vm: cfg.vm,
+    zone: cfg.zone,
+  };
+  const joiner = new MemberJoiner(self, replica, appender, timers);
 
   const app = new Hono();
   app.get('/healthz', (c) => c.json({ ok: true }));
-  app.get('/readyz', (c) => c.json({ ready: replica.caughtUp }, replica.caughtUp ? 200 : 503));
+  app.get('/readyz', (c) =>
+    c.json(
+      { next: replica.state.next, ready: replica.caughtUp, stateAgeMs: replica.ageMs ?? null },
+      replica.caughtUp ? 200 : 503,
+    ),
+  );
   const metrics = new Metrics();
   publishAppenders(metrics, { fleet: appender });
   publishFleetState(metrics, replica);
@@ -88,6 +111,8 @@
   const server = await listen(app, cfg.listen);
   log.info({ listen: cfg.listen }, 'control process started');
   watcher.start(signal);
+  snapshots.start(signal);
+  joiner.start(signal);
   await replica.run(signal);
   await closeServer(server);
   await http.close();
--- a/packages/control/src/explain-routes.ts
+++ b/packages/control/src/explain-routes.ts
@@ -1,7 +1,7 @@
 import type { FleetState } from '@sequoiaquay/core';
 import type { Hono } from 'hono';
 import { latestEvents, MAX_TIMELINE_EVENTS } from '@sequoiaquay/runtime';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ExplainedKind, Explanation } from './explain';
 import type { JournalEntry } from './journal';
 import type { OperatorApiParts, OperatorEnv } from './operator-http';
--- a/packages/control/src/operator-proposal.ts
+++ b/packages/control/src/operator-proposal.ts
@@ -1,7 +1,7 @@
 import type { FleetRefusal, RefusalReason } from '@sequoiaquay/core';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
 import { randomUUID } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { JournalEntry } from './journal';
 import type { OperatorApiParts, OperatorContext } from './operator-http';
 import type { FleetProposal } from './proposer';
--- a/packages/control/src/status-routes.ts
+++ b/packages/control/src/status-routes.ts
@@ -1,7 +1,7 @@
 import type { EntryStatus } from '@sequoiaquay/entry';
 import type { Hono } from 'hono';
 import { latestEvents, MAX_TIMELINE_EVENTS, timelineQuerySchema } from '@sequoiaquay/runtime';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PeerAnswer } from './entry-peers';
 import type { OperatorApiParts, OperatorEnv } from './operator-http';
 import { refuse, refuseInvalid } from './operator-http';
--- a/packages/control/src/vm-routes.ts
+++ b/packages/control/src/vm-routes.ts
@@ -1,7 +1,7 @@
 import type { FleetState, Vm } from '@sequoiaquay/core';
 import type { Hono } from 'hono';
 import { isServing, minServing, nameSchema, servingCount } from '@sequoiaquay/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { OperatorApiParts, OperatorContext, OperatorEnv } from './operator-http';
 import { readJson, refuse, refuseInvalid } from './operator-http';
 import { propose } from './operator-proposal';
--- a/packages/core/src/fleet/snapshot.ts
+++ b/packages/core/src/fleet/snapshot.ts
@@ -1,9 +1,10 @@
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { DecodeError } from '../records/decode';
 import type { FleetState } from './fleet-state';
 import { decodeRecord } from '../records/decode';
 import { teamBranchSchema } from '../records/settings-schema';
+import { resourcesSchema } from '../tasks/task-spec';
 import { rebuildPoolOwners } from './apply-settings';
 
 const drainSchema = z.object({
@@ -24,6 +25,7 @@
   maintainedAt: z.int(),
   pool: z.string(),
   rack: z.string(),
+  resources: resourcesSchema.optional(),
   role: z.enum(['target', 'worker']),
   slots: z.int(),
   state: z.enum(['draining', 'released', 'serving']),
@@ -72,10 +74,15 @@
       ...vm,
       drain: vm.drain && { ...vm.drain, waitingFor: [...vm.drain.waitingFor] },
     })),
-    wave: state.wave,
+    wave: state.wave && { ...state.wave },
   };
 }
 
+/** Checks the plain form of a fleet state read from the log or a peer. */
+export function parseSnapshot(raw: unknown): Result<FleetSnapshot | undefined, DecodeError> {
+  return decodeRecord(snapshotSchema, raw);
+}
+
 /** Restores the fleet state from a snapshot read from the log or a peer. */
 export function fromSnapshot(raw: unknown): Result<FleetState, DecodeError> {
   return decodeRecord(snapshotSchema, raw).map((plain) => {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,3 +1,4 @@
+import type { MemberIdentity } from '@sequoiaquay/platform';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { ControlSource } from '@sequoiaquay/control';
 import {
@@ -5,31 +6,49 @@
   FleetReplica,
   LogClient,
   logFleetChanges,
+  MemberJoiner,
   PlatformHttp,
   recordFleetEvents,
   STREAM,
+  VmListClient,
 } from '@sequoiaquay/platform';
 import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
-import { randomUUID } from 'node:crypto';
 import type { EntrySettings } from './entry-settings';
 import { createCallerApi } from './caller-api';
+import { ClaimLookup } from './claim-lookup';
 import { ClaimService } from './claim-service';
 import { ClearReporter } from './clear-reporter';
 import { RequestDispatcher } from './dispatcher';
+import { EarlierClaims } from './earlier-claims';
 import { publishEntryMetrics } from './entry-metrics';
 import { createEntryStatus } from './entry-status';
+import { GracefulStop } from './graceful-stop';
+import { HolderInquiry } from './holder-inquiry';
 import { InFlight } from './in-flight';
+import { KeptResults } from './kept-results';
 import { LatencyHistograms } from './latency-histograms';
+import { LeavingVms } from './leaving-vms';
+import { LeavingWatch } from './leaving-watch';
+import { JoinedMembers } from './live-members';
 import { OwnShareGrants } from './own-share-grants';
+import { PauseGuard } from './pause-guard';
+import { PeerClients } from './peer-clients';
 import { createPeerRouter } from './peer-router';
 import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
-const REPLICA = { retryMs: 200, waitMs: 5000 };
+const REPLICA = { maxSourceAgeMs: 1500, preferredMs: 500, retryMs: 200, waitMs: 500 };
+const WORK_REPLICA = { retryMs: 200, waitMs: 5000 };
 const RING_CAPACITY = 10_000;
+const GUARD = { maxGapMs: 1000 };
+/** Results kept for repeats, in bytes. */
+const KEPT_BYTES = 32 * 1_048_576;
+/** Claim and outcome records that may wait for the log. */
+const MAX_PENDING_RECORDS = 5000;
+const REFRESH_TIMEOUT_MS = 4000;
 const TARGETS = { connections: 8, connectTimeoutMs: 1000 };
 
 /** Runs an entry process until the signal aborts and its requests have ended. */
@@ -42,7 +61,20 @@
 ): Promise<void> {
   // Background parts outlive the stop signal until the last request has ended.
   const background = new AbortController();
-  const holder = { entry: cfg.name, incarnation: timers.now() };
+  const self: MemberIdentity = {
+    address: cfg.peerListen,
+    incarnation: timers.now(),
+    member: cfg.name,
+    role: 'entry',
+    vm: cfg.vm,
+    zone: cfg.zone,
+  };
+  const holder = {
+    entry: cfg.name,
+    get incarnation(): number {
+      return self.incarnation;
+    },
+  };
   const http = new PlatformHttp({ ...cfg.platform, secret });
   const logClient = new LogClient(http);
   const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
@@ -50,20 +82,43 @@
   const meter = new RequestMeter(ring, new LatencyHistograms(), metrics);
   const sources = cfg.controls.map((address) => new ControlSource(address, secret, ring));
   const replica = new FleetReplica(() => sources, REPLICA, timers);
-  const work = new WorkReplica(logClient, { ...REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
+  const work = new WorkReplica(logClient, { ...WORK_REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
   const fleetAppender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, background.signal);
   const workAppender = new BatchAppender(logClient, STREAM.work, BATCH, timers, background.signal);
   const inFlight = new InFlight(() => {
     clear.check(background.signal);
   });
   const clear = new ClearReporter(replica, inFlight, fleetAppender, holder, timers);
-  const targets = new TargetClient(TARGETS);
+  const membership = new MemberJoiner(self, replica, fleetAppender, timers);
+  const targets = new TargetClient({ ...TARGETS, bufferLimitBytes: cfg.bufferLimitBytes });
+  const guard = new PauseGuard(
+    () => replica.refresh(AbortSignal.any([background.signal, AbortSignal.timeout(REFRESH_TIMEOUT_MS)])),
+    GUARD,
+    timers,
+  );
+  const kept = new KeptResults(KEPT_BYTES);
+  const lookup = new ClaimLookup(work.claims, kept, holder);
+  const peers = new PeerClients(secret, ring);
+  const leaving = new LeavingVms();
+  const claims = new ClaimService({
+    appender: workAppender,
+    earlier: new EarlierClaims(work, new HolderInquiry(replica, peers, holder, lookup), timers),
+    holder,
+    kept,
+    maxPending: MAX_PENDING_RECORDS,
+    signal: background.signal,
+    timers,
+    work,
+  });
   const grants = new OwnShareGrants(replica, inFlight);
   const dispatcher = new RequestDispatcher({
-    claims: new ClaimService(workAppender, work, holder, timers),
+    claims,
     grants,
+    guard,
+    leaving,
     meter,
     replica,
+    stopping: signal,
     targets,
     timers,
   });
@@ -74,45 +129,39 @@
     meter,
     ready,
     replica,
+    stopping: signal,
     timers,
   });
   const queued = (): Map<string, number> => grants.queued();
-  publishEntryMetrics(metrics, {
-    appenders: { fleet: fleetAppender, work: workAppender },
-    inFlight,
-    queued,
-    replica,
-    work,
-  });
+  const appenders = { fleet: fleetAppender, work: workAppender };
+  publishEntryMetrics(metrics, { appenders, inFlight, queued, replica, work });
   metrics.mount(app);
   recordFleetEvents(replica, ring, background.signal);
   logFleetChanges({ log, logClient, replica, timers }, background.signal);
   const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
   const status = createEntryStatus({ holder, inFlight, queued, replica });
-  mountRpc(peerApp, createPeerRouter({ claims: work.claims, name: cfg.name, ring, status }), secret, ring);
+  const router = createPeerRouter({ claims: lookup, leaving, name: cfg.name, ring, status });
+  mountRpc(peerApp, router, secret, ring);
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
-  fleetAppender.append(
-    {
-      address: cfg.peerListen,
-      at: timers.now(),
-      by: cfg.name,
-      id: randomUUID(),
-      incarnation: holder.incarnation,
-      kind: 'member-join',
-      member: cfg.name,
-      role: 'entry',
-      v: 1,
-      vm: cfg.vm,
-      zone: cfg.zone,
-    },
-    background.signal,
-  );
+  membership.start(background.signal);
   clear.start(background.signal);
+  guard.start(background.signal);
+  new LeavingWatch(
+    leaving,
+    new VmListClient(http),
+    new JoinedMembers(replica),
+    peers,
+    { name: cfg.name, pollMs: cfg.vmListPollMs },
+    timers,
+  ).start(background.signal);
   const running = [replica.run(background.signal), work.run(background.signal)];
   await stopped(signal);
-  await closeServer(server);
+  const stop = new GracefulStop(dispatcher, [workAppender, fleetAppender], timers, () => {
+    membership.leave(background.signal);
+  });
+  await stop.drain(server, cfg.stopGraceMs);
   background.abort();
   await closeServer(peerServer);
   await Promise.all(running);
--- a/packages/entry/src/request-meter.ts
+++ b/packages/entry/src/request-meter.ts
@@ -1,7 +1,6 @@
-import type { Outcome } from '@sequoiaquay/core';
 import type { EventRing, Metrics } from '@sequoiaquay/runtime';
 import type { LatencyHistograms } from './latency-histograms';
-import type { CallerRefusalReason } from './refusal';
+import type { CallerRefusal, CallerRefusalReason } from './refusal';
 
 /** Pool and job that a request names. */
 export interface MeteredRequest {
@@ -10,14 +9,8 @@
   pool: string;
 }
 
-/** How a request ended for its caller. */
-export interface RequestEnd {
-  /** Time since the entry received the request, in ms. */
-  ms: number;
-  outcome: Outcome;
-  /** Reason of a refusal; `answered` otherwise. */
-  reason: CallerRefusalReason | 'answered';
-}
+/** Part of a refusal that is counted. */
+export type RefusedRequest = Pick<CallerRefusal, 'outcome' | 'reason'>;
 
 /** Kinds of events that an entry records about a request. */
 export const REQUEST_EVENT = {
@@ -33,6 +26,16 @@
 /** Label for a pool or job that no settings name; callers could make up any number of names. */
 const UNKNOWN_NAME = '(unknown)';
 
+/** Refusals that may be given before the pool and job are looked up in the settings. */
+const UNPLANNED: ReadonlySet<CallerRefusalReason> = new Set([
+  'bad-request',
+  'entry-not-ready',
+  'request-too-large',
+  'stopping',
+  'unknown-job',
+  'unknown-pool',
+]);
+
 /** Puts the steps of requests into the event ring and counts them. */
 export class RequestMeter {
   readonly #claims;
@@ -96,21 +99,20 @@
     this.ring.add(REQUEST_EVENT.retried, req.id, { reason, vm });
   }
 
-  /** The caller gets its answer or a refusal. */
-  ended(req: MeteredRequest, end: RequestEnd): void {
-    const known = end.reason !== 'unknown-job' && end.reason !== 'unknown-pool' && isPlanned(end.reason);
-    const labels = known ? { job: req.job, pool: req.pool } : { job: UNKNOWN_NAME, pool: UNKNOWN_NAME };
-    this.#requests.inc({ ...labels, outcome: end.outcome, reason: end.reason });
-    if (end.outcome === 'answered') {
-      this.latency.record(req.pool, req.job, end.ms);
-      this.ring.add(REQUEST_EVENT.answered, req.id, { ms: Math.round(end.ms) });
-      return;
-    }
-    this.ring.add(REQUEST_EVENT.refused, req.id, { outcome: end.outcome, reason: end.reason });
+  /** The caller gets a target's answer; `ms` is the time since the request was received. */
+  answered(req: MeteredRequest, ms: number): void {
+    const names = { job: req.job, pool: req.pool };
+    this.#requests.inc({ ...names, outcome: 'answered', reason: 'answered' });
+    this.latency.record(req.pool, req.job, ms);
+    this.ring.add(REQUEST_EVENT.answered, req.id, { ms: Math.round(ms) });
   }
-}
 
-// These refusals are given before the pool and job are looked up.
-function isPlanned(reason: RequestEnd['reason']): boolean {
-  return reason !== 'request-too-large' && reason !== 'entry-not-ready';
+  /** The caller gets a refusal. */
+  refused(req: MeteredRequest, { outcome, reason }: RefusedRequest): void {
+    const names = UNPLANNED.has(reason)
+      ? { job: UNKNOWN_NAME, pool: UNKNOWN_NAME }
+      : { job: req.job, pool: req.pool };
+    this.#requests.inc({ ...names, outcome, reason });
+    this.ring.add(REQUEST_EVENT.refused, req.id, { outcome, reason });
+  }
 }
--- a/packages/entry/tests/request-meter.test.ts
+++ b/packages/entry/tests/request-meter.test.ts
@@ -14,8 +14,8 @@
 it('counts each end of a request once, by outcome and reason', async () => {
   const { meter, metrics, ring } = open();
   meter.accepted(REQUEST);
-  meter.ended(REQUEST, { ms: 20, outcome: 'answered', reason: 'answered' });
-  meter.ended(REQUEST, { ms: 1, outcome: 'not-run', reason: 'no-target' });
+  meter.answered(REQUEST, 20);
+  meter.refused(REQUEST, { outcome: 'not-run', reason: 'no-target' });
   const text = await metrics.text();
   expect(text).toContain(
     'sequoiaquay_requests_total{job="quote",pool="bookings",outcome="answered",reason="answered"} 1',
@@ -34,10 +34,8 @@
 it('gives names that no settings know one label, so that callers cannot add series', async () => {
   const { meter, metrics } = open();
   for (let index = 0; index < 100; index += 1) {
-    meter.ended(
-      { id: 'r', job: `j${index}`, pool: `p${index}` },
-      { ms: 1, outcome: 'not-run', reason: 'unknown-pool' },
-    );
+    const req = { id: 'r', job: `j${index}`, pool: `p${index}` };
+    meter.refused(req, { outcome: 'not-run', reason: 'unknown-pool' });
   }
   const series = (await metrics.text())
     .split('\n')
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,3 +8,4 @@
 export * from './fleet-replica';
 export * from './fleet-source';
 export * from './platform-metrics';
+export * from './member-joiner';
--- a/packages/runtime/src/event-ring.ts
+++ b/packages/runtime/src/event-ring.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { HlcClock, HlcTime } from './hlc';
 import type { TimerService } from './timer-service';
 import { HybridClock } from './hlc';
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -1,4 +1,4 @@
-import type { Hono } from 'hono';
+import type { Env, Hono } from 'hono';
 import { Counter, Gauge, Registry } from 'prom-client';
 
 /** One value of a metric that is read when the metrics are asked for. */
@@ -67,7 +67,7 @@
   }
 
   /** Serves `GET /metrics`. */
-  mount(app: Hono): void {
+  mount<E extends Env>(app: Hono<E>): void {
     app.get('/metrics', async (c) =>
       c.text(await this.text(), 200, { 'content-type': this.#registry.contentType }),
     );
--- a/packages/runtime/src/schema-options.ts
+++ b/packages/runtime/src/schema-options.ts
@@ -1,5 +1,5 @@
 import type { ZodType } from 'zod';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** An option of a settings schema. */
 export interface SchemaOption {
