feat: npm run quickstart shows the main job in one process

Cause: a newcomer had to write settings files and start four kinds of processes to see anything. Change: npm run quickstart builds one bundle with embedded stand-ins, entries and controls and runs two pools, short work, a charge sent twice, a drain with work in flight, a refused drain, a change of settings and the explanations, through the real command line; it checks each step and exits 1 when one fails. The processes' stop signals have no listener limit, which printed a warning at 11 parts.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -14,6 +14,7 @@
 } from '@sequoiaquay/platform';
 import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
+import { setMaxListeners } from 'node:events';
 import type { EntrySettings } from './entry-settings';
 import { createCallerApi } from './caller-api';
 import { ClaimLookup } from './claim-lookup';
@@ -61,6 +62,7 @@
 ): Promise<void> {
   // Background parts outlive the stop signal until the last request has ended.
   const background = new AbortController();
+  setMaxListeners(0, background.signal);
   const self: MemberIdentity = {
     address: cfg.peerListen,
     incarnation: timers.now(),
--- a/packages/runtime/src/shutdown.ts
+++ b/packages/runtime/src/shutdown.ts
@@ -1,8 +1,12 @@
+import { setMaxListeners } from 'node:events';
+
 /**
  * Signal that aborts on SIGTERM or SIGINT. A second signal ends the process at once.
  */
 export function shutdownSignal(): AbortSignal {
   const controller = new AbortController();
+  // Every part of the process listens; Node's limit of 10 is for signals of one operation.
+  setMaxListeners(0, controller.signal);
   const stop = (): void => {
     if (controller.signal.aborted) {
       process.exit(1);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,7 @@
 import { chmod } from 'node:fs/promises';
 
 const binaries = {
+  quickstart: 'packages/stand-ins/src/quickstart-main.ts',
   capacity: 'packages/bench/src/capacity/capacity-main.ts',
   sequoiaquay: 'packages/cli/src/main.ts',
   'sequoiaquay-control': 'packages/control/src/main.ts',
