--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -38,6 +38,7 @@
 import { createPeerRouter } from './peer-router';
 import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
+import { startTasks } from './tasks/task-runtime';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
@@ -84,7 +85,11 @@
   const meter = new RequestMeter(ring, new LatencyHistograms(), metrics);
   const sources = cfg.controls.map((address) => new ControlSource(address, secret, ring));
   const replica = new FleetReplica(() => sources, REPLICA, timers);
-  const work = new WorkReplica(logClient, { ...WORK_REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
+  const work = new WorkReplica(
+    logClient,
+    { ...WORK_REPLICA, keepFinishedMs: cfg.tasks.keepFinishedMs, keyWindowMs: cfg.keyWindowMs },
+    timers,
+  );
   const fleetAppender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, background.signal);
   const workAppender = new BatchAppender(logClient, STREAM.work, BATCH, timers, background.signal);
   const inFlight = new InFlight(() => {
@@ -124,6 +129,18 @@
     targets,
     timers,
   });
+  const tasks = startTasks({
+    appender: workAppender,
+    entry: cfg.name,
+    inFlight,
+    members: new JoinedMembers(replica),
+    replica,
+    secret,
+    settings: cfg.tasks,
+    signal: background.signal,
+    timers,
+    work,
+  });
   const ready = (): boolean => replica.caughtUp && !signal.aborted;
   const app = createCallerApi({
     dispatcher,
@@ -132,6 +149,7 @@
     ready,
     replica,
     stopping: signal,
+    tasks: tasks.service,
     timers,
   });
   const queued = (): Map<string, number> => grants.queued();
@@ -168,6 +186,7 @@
   await closeServer(peerServer);
   await Promise.all(running);
   await targets.close();
+  await tasks.close();
   await http.close();
   log.info('entry process stopped');
 }
--- a/packages/entry/src/work-replica.ts
+++ b/packages/entry/src/work-replica.ts
@@ -54,6 +54,11 @@
     return this.#caughtUp && !this.#gapOpen && this.timers.now() >= this.#gapUntil;
   }
 
+  /** Whether the replica has read the stream to its end once. */
+  get caughtUp(): boolean {
+    return this.#caughtUp;
+  }
+
   /** Offset of the next record to apply. */
   get next(): number {
     return this.#next;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,3 +9,4 @@
 export * from './fleet-source';
 export * from './platform-metrics';
 export * from './member-joiner';
+export * from './worker-client';
