--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -263,7 +263,7 @@
     method,
   });
   if (res.status >= 400) {
-    throw new Error(`${method} ${url}: status ${res.status}`);
+    throw new Error(`${method} ${url}: status ${res.status} ${await res.text()}`);
   }
   return (await res.json()) as T;
 }
