--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -15,6 +15,8 @@
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   maxRequestBytes: z.int().min(1024).default(1_048_576),
   name: nameSchema,
+  /** Address at which other entries reach `peerListen`, where that is another one. */
+  peerAdvertise: address.optional(),
   peerListen: address,
   platform: z.strictObject({
     addresses: z.array(z.url()).min(1),
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -34,6 +34,8 @@
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
 const REPLICA = { retryMs: 200, waitMs: 5000 };
+/** A read whose answer is lost delays every claim by `waitMs` and the call's own limit. */
+const WORK_REPLICA = { retryMs: 200, waitMs: 1000 };
 const RING_CAPACITY = 10_000;
 const GUARD = { maxGapMs: 1000 };
 /** Results kept for repeats, in bytes. */
@@ -58,7 +60,7 @@
   const logClient = new LogClient(http);
   const sources = cfg.controls.map((address) => new ControlSource(address, secret));
   const replica = new FleetReplica(() => sources, REPLICA, timers);
-  const work = new WorkReplica(logClient, { ...REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
+  const work = new WorkReplica(logClient, { ...WORK_REPLICA, keyWindowMs: cfg.keyWindowMs }, timers);
   const fleetAppender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, background.signal);
   const workAppender = new BatchAppender(logClient, STREAM.work, BATCH, timers, background.signal);
   const inFlight = new InFlight(() => {
@@ -69,7 +71,7 @@
     replica,
     fleetAppender,
     holder,
-    { address: cfg.peerListen, vm: cfg.vm, zone: cfg.zone },
+    { address: cfg.peerAdvertise ?? cfg.peerListen, vm: cfg.vm, zone: cfg.zone },
     timers,
   );
   const targets = new TargetClient({ ...TARGETS, bufferLimitBytes: cfg.bufferLimitBytes });
--- a/packages/stand-ins/tests/fault-proxy.test.ts
+++ b/packages/stand-ins/tests/fault-proxy.test.ts
@@ -6,14 +6,15 @@
 
 const ANSWER = 'x'.repeat(1000);
 
-let served = 0;
+/** Requests served for each path. */
+const served = new Map<string, number>();
 let upstream: Server;
 let route: FaultRoute;
 let port: number;
 
 beforeAll(async () => {
-  upstream = createServer((_req, res) => {
-    served += 1;
+  upstream = createServer((req, res) => {
+    served.set(req.url ?? '', (served.get(req.url ?? '') ?? 0) + 1);
     res.end(ANSWER);
   });
   await new Promise<void>((resolve) => {
@@ -38,9 +39,9 @@
   route.setFaults({});
 });
 
-function get(timeoutMs: number): Promise<string> {
+function get(path: string, timeoutMs: number): Promise<string> {
   return new Promise((resolve) => {
-    const req = request({ agent: false, host: '127.0.0.1', port, timeout: timeoutMs }, (res) => {
+    const req = request({ agent: false, host: '127.0.0.1', path, port, timeout: timeoutMs }, (res) => {
       let text = '';
       res.on('data', (chunk: Buffer) => (text += chunk.toString()));
       res.on('end', () => {
@@ -70,9 +71,10 @@
     { expected: 'timeout', faults: { dropAnswers: true }, reaches: true },
     { expected: 'cut', faults: { cutAnswerAfterBytes: 500 }, reaches: true },
   ])('shows $faults', async ({ expected, faults, reaches }) => {
-    const before = served;
+    // A path of its own: a frozen request goes on to the server when the next case lifts the freeze.
+    const path = `/${expected.slice(0, 10)}-${JSON.stringify(faults).replaceAll(/\W/g, '')}`;
     route.setFaults(faults);
-    expect(await get(300)).toBe(expected);
-    expect(served - before).toBe(reaches ? 1 : 0);
+    expect(await get(path, 300)).toBe(expected);
+    expect(served.get(path) ?? 0).toBe(reaches ? 1 : 0);
   });
 });
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -1,3 +1,4 @@
+import { FaultRoute } from '@sequoiaquay/stand-ins';
 import { createHash } from 'node:crypto';
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -17,6 +18,8 @@
   /** Settings laid over those of every entry. */
   entrySettings?: Record<string, unknown>;
   executors: number;
+  /** Puts a fault route between every entry and the platform, and before every target. */
+  faultRoutes?: boolean;
   /** Arguments added for the platform stand-in. */
   platformArgs?: string[];
   teams?: string[];
@@ -27,16 +30,25 @@
   control: BinaryProcess;
   controlUrl: string;
   entry: BinaryProcess;
+  /** Settings file of the entry process. */
+  entryFile: string;
   name: string;
   peerAddress: string;
+  /** Route from other entries to this one, when the cluster has fault routes. */
+  peerRoute: FaultRoute | undefined;
+  /** Route from the entry process to the platform, when the cluster has fault routes. */
+  platformRoute: FaultRoute | undefined;
   url: string;
 }
 
 /** One target VM. */
 export interface Executor {
+  /** Address of the executor itself. */
   address: string;
   name: string;
   process: BinaryProcess;
+  /** Route before the executor, when the cluster has fault routes. */
+  route: FaultRoute | undefined;
 }
 
 const START_LIMIT_MS = 20_000;
@@ -47,6 +59,7 @@
   readonly entries: EntryVm[] = [];
   readonly executors: Executor[] = [];
   platform!: BinaryProcess;
+  readonly #routes: FaultRoute[] = [];
   platformUrl = '';
   readonly #shape: ClusterShape;
 
@@ -65,7 +78,7 @@
     }
     const portsOfVm = Array.from({ length: shape.entries }, () => ports.splice(0, 3));
     for (const [index, own] of portsOfVm.entries()) {
-      cluster.entries.push(cluster.#startEntryVm(index, own, portsOfVm));
+      cluster.entries.push(await cluster.#startEntryVm(index, own, portsOfVm));
     }
     await Promise.all(cluster.entries.map((vm) => waitReady(vm.url)));
     return cluster;
@@ -84,6 +97,33 @@
       ...this.entries.flatMap((vm) => [vm.entry, vm.control]),
     ];
     await Promise.all(all.map((child) => child.stop()));
+    for (const route of this.#routes) {
+      route.close();
+    }
+  }
+
+  /** Starts the entry process of a VM again, with the same settings; it must have ended. */
+  restartEntry(index: number): void {
+    const vm = this.entries[index];
+    if (vm !== undefined) {
+      vm.entry = this.#spawn('sequoiaquay-entry', ['--config', vm.entryFile]);
+    }
+  }
+
+  /** Starts another executor and puts it on the platform's list. */
+  async addExecutor(index: number): Promise<void> {
+    const [port] = await freePorts(1);
+    await this.#startExecutor(`target-${index}`, port ?? 0, index);
+  }
+
+  async #openRoute(address: string): Promise<{ address: string; route: FaultRoute | undefined }> {
+    if (this.#shape.faultRoutes !== true) {
+      return { address, route: undefined };
+    }
+    const [host, port] = address.split(':');
+    const route = new FaultRoute({ host: host ?? '', port: Number(port) });
+    this.#routes.push(route);
+    return { address: `127.0.0.1:${await route.listenAnywhere()}`, route };
   }
 
   /** Calls the admin interface of the platform stand-in. */
@@ -132,10 +172,11 @@
   async #startExecutor(name: string, port: number, index: number): Promise<void> {
     const address = `127.0.0.1:${port}`;
     const child = this.#spawn('stand-in-executor', ['--listen', address, '--name', name]);
-    this.executors.push({ address, name, process: child });
+    const behind = await this.#openRoute(address);
+    this.executors.push({ address, name, process: child, route: behind.route });
     await waitFor(`start of ${name}`, START_LIMIT_MS, () => callJson(`http://${address}/healthz`, 'GET', {}));
     await this.admin('PUT', `/vms/${name}`, {
-      address,
+      address: behind.address,
       connections: 64,
       id: name,
       rack: `rack-${index}`,
@@ -146,7 +187,7 @@
     });
   }
 
-  #startEntryVm(index: number, own: number[], all: number[][]): EntryVm {
+  async #startEntryVm(index: number, own: number[], all: number[][]): Promise<EntryVm> {
     const name = `vm-${index}`;
     const controls = [...all.slice(index), ...all.slice(0, index)].map(
       (ports) => `127.0.0.1:${ports[2] ?? 0}`,
@@ -159,11 +200,15 @@
       zone: `zone-${index % 3}`,
     };
     const peerAddress = `127.0.0.1:${own[1] ?? 0}`;
+    const behind = await this.#openRoute(this.platformUrl.replace('http://', ''));
+    const peer = await this.#openRoute(peerAddress);
     const entryFile = this.#writeSettings(`entry-${index}.json`, {
       ...common,
+      platform: { ...common.platform, addresses: [`http://${behind.address}`] },
       controls,
       listen: `127.0.0.1:${own[0] ?? 0}`,
       name: `entry-${index}`,
+      peerAdvertise: peer.address,
       peerListen: peerAddress,
       ...this.#shape.entrySettings,
     });
@@ -180,8 +225,11 @@
       control: this.#spawn('sequoiaquay-control', ['--config', controlFile]),
       controlUrl: `http://${controls[0] ?? ''}`,
       entry: this.#spawn('sequoiaquay-entry', ['--config', entryFile]),
+      entryFile,
       name: `entry-${index}`,
       peerAddress,
+      peerRoute: peer.route,
+      platformRoute: behind.route,
       url: `http://127.0.0.1:${own[0] ?? 0}`,
     };
   }
--- a/tests/support/process.ts
+++ b/tests/support/process.ts
@@ -3,7 +3,8 @@
 import { closeSync, openSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
-const DIST = fileURLToPath(new URL('../../dist/', import.meta.url));
+// The variable lets a proof run against the entry and control binaries of another version.
+const DIST = process.env.SEQUOIAQUAY_DIST ?? fileURLToPath(new URL('../../dist/', import.meta.url));
 
 /** A bundled binary that runs as a separate process. */
 export class BinaryProcess {
