--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,9 +1,11 @@
+import type { MemberIdentity } from '@sequoiaquay/platform';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { ControlSource } from '@sequoiaquay/control';
 import {
   BatchAppender,
   FleetReplica,
   LogClient,
+  MemberJoiner,
   PlatformHttp,
   STREAM,
   VmListClient,
@@ -28,12 +30,11 @@
 import { PauseGuard } from './pause-guard';
 import { PeerClients } from './peer-clients';
 import { createPeerRouter } from './peer-router';
-import { SelfMembership } from './self-membership';
 import { TargetClient } from './target-client';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
-const REPLICA = { retryMs: 200, waitMs: 5000 };
+const REPLICA = { maxSourceAgeMs: 1500, preferredMs: 500, retryMs: 200, waitMs: 500 };
 /** A read whose answer is lost delays every claim by `waitMs` and the call's own limit. */
 const WORK_REPLICA = { retryMs: 200, waitMs: 1000 };
 const RING_CAPACITY = 10_000;
@@ -55,7 +56,20 @@
 ): Promise<void> {
   // Background parts outlive the stop signal until the last request has ended.
   const background = new AbortController();
-  const holder = { entry: cfg.name, incarnation: timers.now() };
+  const self: MemberIdentity = {
+    address: cfg.peerAdvertise ?? cfg.peerListen,
+    incarnation: timers.now(),
+    member: cfg.name,
+    role: 'entry',
+    vm: cfg.vm,
+    zone: cfg.zone,
+  };
+  const holder = {
+    entry: cfg.name,
+    get incarnation(): number {
+      return self.incarnation;
+    },
+  };
   const http = new PlatformHttp({ ...cfg.platform, secret });
   const logClient = new LogClient(http);
   const sources = cfg.controls.map((address) => new ControlSource(address, secret));
@@ -67,13 +81,7 @@
     clear.check(background.signal);
   });
   const clear = new ClearReporter(replica, inFlight, fleetAppender, holder, timers);
-  const membership = new SelfMembership(
-    replica,
-    fleetAppender,
-    holder,
-    { address: cfg.peerAdvertise ?? cfg.peerListen, vm: cfg.vm, zone: cfg.zone },
-    timers,
-  );
+  const membership = new MemberJoiner(self, replica, fleetAppender, timers);
   const targets = new TargetClient({ ...TARGETS, bufferLimitBytes: cfg.bufferLimitBytes });
   const guard = new PauseGuard(
     () => replica.refresh(AbortSignal.any([background.signal, AbortSignal.timeout(REFRESH_TIMEOUT_MS)])),
@@ -104,7 +112,7 @@
     targets,
     timers,
   });
-  const ready = (): boolean => replica.caughtUp && !signal.aborted;
+  const ready = (): boolean => replica.caughtUp && !membership.outdated && !signal.aborted;
   const server = await listen(
     createCallerApi({
       dispatcher,
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,6 +1,6 @@
 import type { EventRing } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ClaimLookup } from './claim-lookup';
 import type { LeavingVms } from './leaving-vms';
 
--- a/packages/platform/src/log-client.ts
+++ b/packages/platform/src/log-client.ts
@@ -1,5 +1,5 @@
 import type { ResultAsync } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PlatformError } from './platform-error';
 import type { PlatformHttp } from './platform-http';
 
@@ -28,6 +28,8 @@
   end: number;
   oldest: number;
   records: LogEntry[];
+  /** Age of the source's own state, in ms; absent when the source is the log itself. */
+  sourceAgeMs?: number;
 }
 
 /** A read from a stream. */
