--- a/packages/stand-ins/src/executor-main.ts
+++ b/packages/stand-ins/src/executor-main.ts
@@ -8,4 +8,7 @@
 const { options } = cli.parse();
 
 const standIn = new ExecutorStandIn(String(options.name));
-await listen(standIn.app, String(options.listen));
+const server = await listen(standIn.app, String(options.listen));
+server.on('connection', () => {
+  standIn.countConnection();
+});
--- a/packages/stand-ins/src/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy.ts
@@ -25,6 +25,7 @@
 export class FaultRoute {
   #faults: RouteFaults = routeFaultsSchema.parse({});
   readonly #pairs = new Set<{ client: Socket; upstream: Socket }>();
+  #port = 0;
   readonly #server: Server;
 
   constructor(private readonly target: { host: string; port: number }) {
@@ -58,6 +59,23 @@
     }
   }
 
+  /** Stops listening, so that connections are refused, and ends the open ones. */
+  refuse(): Promise<void> {
+    return new Promise((resolve) => {
+      const address = this.#server.address();
+      this.#port = typeof address === 'object' && address !== null ? address.port : 0;
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#endConnections();
+    });
+  }
+
+  /** Listens again after `refuse`. */
+  async accept(): Promise<void> {
+    await this.listen(this.#port);
+  }
+
   /** Sets the faults from now on; those left out are switched off. */
   setFaults(faults: Partial<RouteFaults>): void {
     this.#faults = routeFaultsSchema.parse(faults);
@@ -69,6 +87,13 @@
     }
   }
 
+  #endConnections(): void {
+    for (const pair of this.#pairs) {
+      pair.client.destroy();
+      pair.upstream.destroy();
+    }
+  }
+
   #accept(client: Socket): void {
     if (this.#faults.cut) {
       client.resetAndDestroy();
