--- a/packages/entry/src/caller-api.ts
+++ b/packages/entry/src/caller-api.ts
@@ -1,5 +1,6 @@
 import type { HttpBindings } from '@hono/node-server';
 import type { FleetReplica } from '@sequoiaquay/platform';
+import type { TimerService } from '@sequoiaquay/runtime';
 import type { Context } from 'hono';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
@@ -7,20 +8,26 @@
 import { Maybe } from 'true-myth';
 import type { Delivery, RequestDispatcher } from './dispatcher';
 import type { CallerRefusal } from './refusal';
+import type { MeteredRequest, RequestMeter } from './request-meter';
 import type { RequestPlan } from './request-plan';
+import type { TaskService } from './tasks/task-service';
 import { callerGone, dropBody, readBody, writeAnswer } from './caller-io';
 import { REFUSAL_STATUS } from './refusal';
 import { HEADER, planRequest } from './request-plan';
+import { createTaskApi } from './tasks/task-api';
 
 /** Parts of an entry that the callers' interface uses. */
 export interface CallerApiParts {
   dispatcher: RequestDispatcher;
   maxRequestBytes: number;
+  meter: RequestMeter;
   /** Whether the entry can serve callers. */
   ready: () => boolean;
   replica: FleetReplica;
   /** Aborts when the entry stops. */
   stopping: AbortSignal;
+  tasks: TaskService;
+  timers: TimerService;
 }
 
 type CallerContext = Context<{ Bindings: HttpBindings }>;
@@ -39,30 +46,42 @@
       parts.ready() ? 200 : 503,
     );
   });
+  app.route('/', createTaskApi(parts) as unknown as typeof app);
   app.post('/v1/pools/:pool/jobs/:job', (c) => handleJob(c, parts));
   return app;
 }
 
 async function handleJob(c: CallerContext, parts: CallerApiParts): Promise<Response> {
   const gone = callerGone(c.env.outgoing);
-  const planned = await planJob(c, parts);
+  const startedAt = parts.timers.mono();
+  const req = { id: randomUUID(), job: c.req.param('job') ?? '', pool: c.req.param('pool') ?? '' };
+  const planned = await planJob(c, parts, req);
   if ('refusal' in planned) {
     closeAfterAnswer(c, parts.stopping);
     dropBody(c.env.incoming);
-    return refused(c, planned.refusal);
+    parts.meter.refused(req, planned.refusal);
+    return refused(c, planned.refusal, req.id);
   }
   const { plan } = planned;
+  parts.meter.accepted(req);
   const dispatched = await parts.dispatcher.dispatch(plan, gone);
   closeAfterAnswer(c, parts.stopping);
   return dispatched.match(
-    (delivery) => answered(c, delivery, plan),
-    (refusal) => refused(c, refusal),
+    (delivery) => {
+      parts.meter.answered(req, parts.timers.mono() - startedAt);
+      return answered(c, delivery, plan);
+    },
+    (refusal) => {
+      parts.meter.refused(req, refusal);
+      return refused(c, refusal, req.id);
+    },
   );
 }
 
 async function planJob(
   c: CallerContext,
   parts: CallerApiParts,
+  req: MeteredRequest,
 ): Promise<{ plan: RequestPlan } | { refusal: CallerRefusal }> {
   const before = notReady(parts);
   if (before !== undefined) {
@@ -78,12 +97,10 @@
     return { refusal: after };
   }
   const plan = planRequest(parts.replica.state, {
+    ...req,
     body: body.value,
     contentType: c.req.header('content-type') ?? 'application/octet-stream',
     header: (name) => c.req.header(name),
-    id: randomUUID(),
-    job: c.req.param('job') ?? '',
-    pool: c.req.param('pool') ?? '',
   });
   return plan.match(
     (value): { plan: RequestPlan } | { refusal: CallerRefusal } => ({ plan: value }),
@@ -126,11 +143,12 @@
   return RESPONSE_ALREADY_SENT;
 }
 
-function refused(c: CallerContext, refusal: CallerRefusal): Response {
+function refused(c: CallerContext, refusal: CallerRefusal, requestId: string): Response {
   const status = REFUSAL_STATUS[refusal.reason];
   const headers: Record<string, string> = {
     'content-type': 'application/problem+json',
     [HEADER.outcome]: refusal.outcome,
+    [HEADER.requestId]: requestId,
   };
   if (refusal.retryAfterS.isJust) {
     headers['retry-after'] = String(refusal.retryAfterS.value);
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -10,6 +10,7 @@
 import type { LeavingVms } from './leaving-vms';
 import type { PauseGuard } from './pause-guard';
 import type { CallerRefusal, CallerRefusalReason } from './refusal';
+import type { RequestMeter } from './request-meter';
 import type { RequestPlan } from './request-plan';
 import type { TargetAnswer } from './target-answer';
 import type { TargetClient, TargetError } from './target-client';
@@ -21,6 +22,7 @@
   guard: PauseGuard;
   /** VMs that a notice reports as leaving. */
   leaving: LeavingVms;
+  meter: RequestMeter;
   replica: FleetReplica;
   /** Aborts when the entry stops: work that has not been sent is refused. */
   stopping: AbortSignal;
@@ -96,6 +98,9 @@
         return last;
       }
       excluded.add(grant.value.vm);
+      if (attempt + 1 < MAX_TRIES) {
+        this.parts.meter.retried(plan, grant.value.vm, last.error.reason);
+      }
     }
     return last;
   }
@@ -106,6 +111,7 @@
     const work = AbortSignal.timeout(plan.jobSettings.timeoutMs);
     const limits = this.#limits(plan, deadline, work);
     const claim = await this.parts.claims.claim(plan, limits.start);
+    this.parts.meter.claimed(plan, claim.kind);
     if (claim.kind !== 'held') {
       return this.#fromClaim(claim);
     }
@@ -157,6 +163,7 @@
 
   async #send(plan: RequestPlan, grant: Grant, limits: Limits): Promise<Sent> {
     const startedAt = this.parts.timers.mono();
+    this.parts.meter.granted(plan, grant.vm);
     const sent = await this.parts.targets.send({
       address: grant.address,
       beforeSend: () => this.#reasonNotToSend(plan, grant, limits),
@@ -166,6 +173,7 @@
       job: plan.job,
       onSent: () => {
         limits.sent = true;
+        this.parts.meter.sent(plan, grant.vm);
       },
       signal: limits.work,
       startSignal: limits.start,
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,7 +1,9 @@
 import type { EventRing } from '@sequoiaquay/runtime';
+import { timelineQuerySchema } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
 import * as z from 'zod';
 import type { ClaimLookup } from './claim-lookup';
+import type { EntryStatus } from './entry-status';
 import type { LeavingVms } from './leaving-vms';
 
 /** Parts of an entry that its peers' procedures use. */
@@ -10,6 +12,7 @@
   leaving: LeavingVms;
   name: string;
   ring: EventRing;
+  status: () => EntryStatus;
 }
 
 const t = initTRPC.create();
@@ -26,7 +29,8 @@
     }),
     leaving: t.procedure.query(() => parts.leaving.list()),
     ping: t.procedure.query(() => ({ name: parts.name })),
-    timeline: t.procedure.query(() => parts.ring.list()),
+    status: t.procedure.query(() => parts.status()),
+    timeline: t.procedure.input(timelineQuerySchema).query(({ input }) => parts.ring.select(input)),
   });
 }
 
--- a/packages/entry/src/target-client.ts
+++ b/packages/entry/src/target-client.ts
@@ -187,8 +187,12 @@
   return (dispatch) => (options, handler) => {
     const watched: Dispatcher.DispatchHandler = {
       onRequestStart(controller, context) {
-        onStart(controller);
+        // The handler first: it fails an assertion when it is started after its request was aborted, and in
+        // a minified bundle Node takes minutes to word a failed assertion.
         handler.onRequestStart?.(controller, context);
+        if (!controller.aborted) {
+          onStart(controller);
+        }
       },
       onRequestUpgrade(controller, status, headers, socket) {
         handler.onRequestUpgrade?.(controller, status, headers, socket);
--- a/packages/platform/src/member-joiner.ts
+++ b/packages/platform/src/member-joiner.ts
@@ -14,18 +14,19 @@
   readonly zone: string;
 }
 
-/** Period at which the own membership is looked at without a new record, in ms. */
+/** Period at which a process looks whether it is a member, in ms. */
 const CHECK_PERIOD_MS = 500;
 
 /**
- * Joins a process to the fleet, and again when the log took it to be gone while it runs: a member that
- * serves must be waited for by drains. The incarnation rises above a known one when the wall clock was set
- * back between two lives of the process.
+ * Joins a process in the log under an incarnation above every earlier one of the same name, also when the
+ * wall clock was set back, and joins again after it was removed: a member that serves must be waited for
+ * by drains.
  */
 export class MemberJoiner {
-  #everJoined = false;
-  #joined = false;
+  #joining = new AbortController();
   #left = false;
+  #proposed: number | undefined;
+  #wasJoined = false;
 
   constructor(
     private readonly self: MemberIdentity,
@@ -36,28 +37,54 @@
 
   /** Whether the log lists a newer incarnation of the same name, so that this one must not take work. */
   get outdated(): boolean {
-    return (this.#known() ?? -1) > this.self.incarnation;
+    return (this.replica.state.members.get(this.self.member)?.incarnation ?? -1) > this.self.incarnation;
   }
 
-  /** Joins, and watches the own membership until the signal aborts. */
+  /** Whether the log lists this incarnation. */
+  get joined(): boolean {
+    return this.replica.state.members.get(this.self.member)?.incarnation === this.self.incarnation;
+  }
+
+  /** Keeps this process a member until the signal aborts. */
   start(signal: AbortSignal): void {
-    this.#join(signal);
     this.replica.subscribe(() => {
-      this.#check(signal);
+      this.check(signal);
     }, signal);
     this.timers.every(
       CHECK_PERIOD_MS,
       () => {
-        this.#check(signal);
+        this.check(signal);
       },
       signal,
     );
   }
 
+  /** Proposes to join when the process is not a member and no proposal of this incarnation is under way. */
+  check(signal: AbortSignal): void {
+    if (!this.replica.caughtUp || this.joined || this.#left) {
+      this.#wasJoined ||= this.joined;
+      return;
+    }
+    const known = this.replica.state.members.get(this.self.member)?.incarnation ?? -1;
+    // Joining again would fight with the process that has taken this one's place.
+    if (this.#wasJoined && known > this.self.incarnation) {
+      return;
+    }
+    // Others take the claims of a removed incarnation to have no living holder, so it isn't used again.
+    if (known > this.self.incarnation || this.#wasJoined) {
+      this.#wasJoined = false;
+      this.self.incarnation = Math.max(known, this.self.incarnation, this.timers.now()) + 1;
+    }
+    if (this.#proposed !== this.self.incarnation) {
+      this.#propose(signal);
+    }
+  }
+
   /** Leaves after the last request, so that no drain waits for this process any more. */
   leave(signal: AbortSignal): void {
     this.#left = true;
-    if (this.#known() !== this.self.incarnation) {
+    this.#joining.abort();
+    if (!this.joined) {
       return;
     }
     const record: FleetRecordOf<'member-gone'> = {
@@ -72,24 +99,10 @@
     this.appender.append(record, signal);
   }
 
-  #known(): number | undefined {
-    return this.replica.state.members.get(this.self.member)?.incarnation;
-  }
-
-  #check(signal: AbortSignal): void {
-    const known = this.#known();
-    this.#joined ||= known === this.self.incarnation;
-    this.#everJoined ||= this.#joined;
-    const removed = this.#joined && known === undefined;
-    const setBack = !this.#everJoined && known !== undefined && known > this.self.incarnation;
-    if (!this.#left && (removed || setBack)) {
-      this.#joined = false;
-      this.self.incarnation = Math.max(this.self.incarnation + 1, (known ?? 0) + 1, this.timers.now());
-      this.#join(signal);
-    }
-  }
-
-  #join(signal: AbortSignal): void {
+  #propose(signal: AbortSignal): void {
+    this.#joining.abort();
+    this.#joining = new AbortController();
+    this.#proposed = this.self.incarnation;
     const record: FleetRecordOf<'member-join'> = {
       ...this.self,
       at: this.timers.now(),
@@ -98,6 +111,6 @@
       kind: 'member-join',
       v: 1,
     };
-    this.appender.append(record, signal);
+    this.appender.append(record, AbortSignal.any([signal, this.#joining.signal]));
   }
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './free-ports';
 export * from './fault-proxy';
 export * from './executor-stand-in';
 export * from './misbehaviour';
@@ -5,3 +6,5 @@
 export * from './platform-stand-in';
 export * from './random';
 export * from './stream-store';
+export * from './worker-stand-in';
+export * from './worker-run';
