--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -43,7 +43,8 @@
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
 const REPLICA = { maxSourceAgeMs: 1500, preferredMs: 500, retryMs: 200, waitMs: 500 };
-const WORK_REPLICA = { retryMs: 200, waitMs: 5000 };
+/** A read whose answer is lost delays every claim by `waitMs` and the call's own limit. */
+const WORK_REPLICA = { retryMs: 200, waitMs: 1000 };
 const RING_CAPACITY = 10_000;
 const GUARD = { maxGapMs: 1000 };
 /** Results kept for repeats, in bytes. */
@@ -65,7 +66,7 @@
   const background = new AbortController();
   setMaxListeners(0, background.signal);
   const self: MemberIdentity = {
-    address: cfg.peerListen,
+    address: cfg.peerAdvertise ?? cfg.peerListen,
     incarnation: timers.now(),
     member: cfg.name,
     role: 'entry',
@@ -141,7 +142,7 @@
     timers,
     work,
   });
-  const ready = (): boolean => replica.caughtUp && !signal.aborted;
+  const ready = (): boolean => replica.caughtUp && !membership.outdated && !signal.aborted;
   const app = createCallerApi({
     dispatcher,
     maxRequestBytes: cfg.maxRequestBytes,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 export * from './free-ports';
 export * from './fault-proxy';
 export * from './executor-stand-in';
+export * from './misbehaviour';
 export * from './platform-faults';
 export * from './platform-stand-in';
 export * from './random';
