feat(entry): grant slots from one queue owner per pool

Cause: each entry granted slots from its own view, so entries together could overfill a target, short work waited behind long work of other entries, and retries had no limit.

Change: the rendezvous owner of a pool leases its slots (sub-router `queue`: acquire as a long poll, release, renew, report). OwnerGrants asks the owner, falls back to the entry's own share while none answers, and reports grants in use to a new owner, which grants nothing until the others have reported or 250 ms have passed. The owner counts grants of other entries in its own in-flight count until they are released or expire. An entry that has not joined uses only a joined owner's grants. The dispatcher uses circuit breakers, a retry budget and back-off. The connections of a target are divided among the joined entries. Request bodies held are bounded. A caller that hangs up frees its place and, for repeatable work, its slot.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './fleet/snapshot';
 export * from './queue/admission';
 export * from './queue/class-learner';
+export * from './queue/kept-short-slots';
 export * from './queue/pool-queue';
 export * from './queue/queue-request';
 export * from './queue/queue-settings';
--- a/packages/core/src/queue/pool-queue.ts
+++ b/packages/core/src/queue/pool-queue.ts
@@ -45,6 +45,7 @@
   readonly #admission: Admission;
   readonly #gate: UrgentGate;
   readonly #grants = new GrantTable();
+  #keptShortSlots = 0;
   readonly #lanes: Record<LaneName, LaneState>;
   #queuedBytes = 0;
   readonly #queued = new Map<string, QueuedRequest>();
@@ -75,10 +76,11 @@
     return this.#queuedBytes;
   }
 
-  /** Sets the VMs that may receive work. */
-  setTargets(targets: readonly QueueTarget[]): void {
+  /** Sets the VMs that may receive work and the slots kept for short work; long work always has one slot. */
+  setTargets(targets: readonly QueueTarget[], keptShortSlots: number): void {
     this.#targets = targets;
     this.#slots = targets.reduce((sum, target) => sum + target.slots, 0);
+    this.#keptShortSlots = Math.max(0, Math.min(keptShortSlots, this.#slots - 1));
   }
 
   /** Gives a request a place in the queue, or refuses it at once. */
@@ -175,7 +177,7 @@
     const better = LANE_ORDER.slice(0, LANE_ORDER.indexOf(name));
     const betterWorkMs = better.reduce((sum, each) => sum + this.#lanes[each].lane.workMs, 0);
     const { lane, rate } = this.#lanes[name];
-    const usable = Math.max(1, this.#slots - (isLong(name) ? this.parts.settings.keptShortSlots : 0));
+    const usable = Math.max(1, this.#slots - (isLong(name) ? this.#keptShortSlots : 0));
     // The measured rate of the own lane includes what better work that keeps arriving takes away.
     return betterWorkMs / Math.max(1, this.#slots) + lane.workMs / rate.perMs(usable);
   }
@@ -302,7 +304,7 @@
 
   #longMayStart(): boolean {
     const long = this.#targets.reduce((sum, { vm }) => sum + this.#grants.longOnVm(vm), 0);
-    return long < this.#slots - this.parts.settings.keptShortSlots;
+    return long < this.#slots - this.#keptShortSlots;
   }
 
   #longestWait(now: number, ...names: LaneName[]): number {
--- a/packages/core/src/queue/queue-settings.ts
+++ b/packages/core/src/queue/queue-settings.ts
@@ -1,7 +1,5 @@
 /** Settings of a pool's queue. Times in ms, sizes in bytes. */
 export interface QueueSettings {
-  /** Slots of the pool that are never given to long work. */
-  keptShortSlots: number;
   /** Life of a grant without renewal. */
   leaseMs: number;
   maxQueued: number;
@@ -23,7 +21,6 @@
 
 /** Settings of a queue whose pool sets nothing. */
 export const DEFAULT_QUEUE_SETTINGS: QueueSettings = {
-  keptShortSlots: 8,
   leaseMs: 5000,
   maxQueued: 10_000,
   maxQueuedBytes: 67_108_864,
--- a/packages/core/tests/queue/pool-queue.test.ts
+++ b/packages/core/tests/queue/pool-queue.test.ts
@@ -10,7 +10,7 @@
 }
 
 function setup(
-  settings: Partial<QueueSettings>,
+  settings: Partial<QueueSettings> & { kept?: number },
   targets: Record<string, number>,
   teamOf: PoolQueueParts['teamOf'] = () => ({ quota: undefined, weight: 1 }),
 ): Setup {
@@ -22,10 +22,13 @@
   const queue = new PoolQueue({
     classes: learner,
     seed: 1,
-    settings: { ...DEFAULT_QUEUE_SETTINGS, keptShortSlots: 0, ...settings },
+    settings: { ...DEFAULT_QUEUE_SETTINGS, ...settings },
     teamOf,
   });
-  queue.setTargets(Object.entries(targets).map(([vm, slots]) => ({ slots, vm })));
+  queue.setTargets(
+    Object.entries(targets).map(([vm, slots]) => ({ slots, vm })),
+    settings.kept ?? 0,
+  );
   return { learner, queue };
 }
 
@@ -108,7 +111,7 @@
 describe('slots of a pool queue', () => {
   // Guards against long work that occupies every slot.
   it('keeps slots for short work, also against urgent long work', () => {
-    const { queue } = setup({ keptShortSlots: 2 }, { a: 2, b: 2 });
+    const { queue } = setup({ kept: 2 }, { a: 2, b: 2 });
     for (let index = 0; index < 4; index += 1) {
       queue.offer(request(`long-${index}`, { job: 'long', urgent: index % 2 === 0 }), 0);
     }
@@ -119,7 +122,7 @@
 
   // Guards against unknown long jobs that fill the slots kept for short work.
   it('reclassifies unknown work past the threshold and moves waiting work of the job', () => {
-    const { queue } = setup({ keptShortSlots: 1 }, { a: 2 });
+    const { queue } = setup({ kept: 1 }, { a: 2 });
     queue.offer(request('first', { job: 'unknown' }), 0);
     expect(queue.pump(0).granted[0]?.class).toBe('short');
     queue.tick(251);
@@ -128,13 +131,21 @@
     expect(ids(queue.pump(253).granted)).toEqual(['short']);
   });
 
+  // Guards against long work that never runs in a pool that has shrunk to its kept slots.
+  it('leaves long work one slot when all slots would be kept', () => {
+    const { queue } = setup({ kept: 8 }, { a: 2 });
+    queue.offer(request('l1', { job: 'long' }), 0);
+    queue.offer(request('l2', { job: 'long' }), 0);
+    expect(ids(queue.pump(0).granted)).toEqual(['l1']);
+  });
+
   // Guards against a drain that idles slots of the VMs that stay.
   it('does not count work on a draining VM against the slots of the others', () => {
-    const { queue } = setup({ keptShortSlots: 1 }, { a: 2 });
+    const { queue } = setup({ kept: 1 }, { a: 2 });
     queue.offer(request('l1', { job: 'long' }), 0);
     queue.offer(request('s1'), 0);
     queue.pump(0);
-    queue.setTargets([{ slots: 2, vm: 'b' }]);
+    queue.setTargets([{ slots: 2, vm: 'b' }], 1);
     queue.offer(request('l2', { job: 'long' }), 1);
     queue.offer(request('s2'), 1);
     expect(ids(queue.pump(1).granted)).toEqual(['s2', 'l2']);
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -13,6 +13,8 @@
   keyWindowMs: z.int().min(1000).default(3_600_000),
   listen: address,
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+  /** Most bytes of request bodies held at a time; more are refused. */
+  maxHeldBytes: z.int().min(1024).default(134_217_728),
   maxRequestBytes: z.int().min(1024).default(1_048_576),
   name: nameSchema,
   peerListen: address,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,14 +5,18 @@
 import { Hono } from 'hono';
 import { randomUUID } from 'node:crypto';
 import type { EntrySettings } from './entry-settings';
+import { ByteBudget } from './byte-budget';
 import { createCallerApi } from './caller-api';
 import { ClaimService } from './claim-service';
 import { ClearReporter } from './clear-reporter';
+import { connectionsPerMember } from './connection-share';
 import { RequestDispatcher } from './dispatcher';
 import { InFlight } from './in-flight';
-import { OwnShareGrants } from './own-share-grants';
+import { JoinedMembers } from './live-members';
 import { createPeerRouter } from './peer-router';
+import { createQueueing } from './queueing';
 import { TargetClient } from './target-client';
+import { TargetHealth } from './target-health';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
@@ -43,9 +47,23 @@
   });
   const clear = new ClearReporter(replica, inFlight, fleetAppender, holder, timers);
   const targets = new TargetClient(TARGETS);
+  const health = new TargetHealth(replica, timers);
+  const members = new JoinedMembers(replica);
+  const queueing = createQueueing({
+    health,
+    holder,
+    inFlight,
+    members,
+    replica,
+    secret,
+    stopping: signal,
+    timers,
+  });
   const dispatcher = new RequestDispatcher({
+    bytes: new ByteBudget(cfg.maxHeldBytes),
     claims: new ClaimService(workAppender, work, holder, timers),
-    grants: new OwnShareGrants(replica, inFlight),
+    grants: queueing.grants,
+    health,
     replica,
     targets,
     timers,
@@ -57,7 +75,11 @@
   );
   const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
   const peerApp = new Hono();
-  mountRpc(peerApp, createPeerRouter({ claims: work.claims, name: cfg.name, ring }), secret);
+  mountRpc(
+    peerApp,
+    createPeerRouter({ claims: work.claims, name: cfg.name, queues: queueing.queues, ring }),
+    secret,
+  );
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
   fleetAppender.append(
@@ -77,6 +99,10 @@
     background.signal,
   );
   clear.start(background.signal);
+  queueing.start(background.signal);
+  replica.subscribe(() => {
+    targets.resize(connectionsPerMember(replica.state));
+  }, background.signal);
   const running = [replica.run(background.signal), work.run(background.signal)];
   await stopped(signal);
   await closeServer(server);
--- a/packages/entry/src/grant-source.ts
+++ b/packages/entry/src/grant-source.ts
@@ -2,6 +2,10 @@
 
 /** Wish for a slot on a target of a pool. */
 export interface GrantRequest {
+  /** Size of the request body, in bytes. */
+  bytes: number;
+  /** Monotonic time by which the request must have started, in ms. */
+  deadlineAt: number;
   /** Targets that have failed this request before. */
   excluded: ReadonlySet<string>;
   job: string;
@@ -15,6 +19,8 @@
   address: string;
   /** Gives the slot back; `runMs` is the time that the target took, when it answered. */
   release: (result: GrantResult) => void;
+  /** Whether the slot is still leased; a request must not be sent after its lease has expired. */
+  valid: () => boolean;
   vm: string;
 }
 
@@ -27,7 +33,7 @@
 /** Why no slot was granted. */
 export interface GrantRefusal {
   detail: string;
-  reason: 'deadline-unreachable' | 'no-target' | 'queue-full';
+  reason: 'deadline-unreachable' | 'no-target' | 'queue-full' | 'quota' | 'stopping';
   /** Expected wait, in ms. */
   waitMs: number;
 }
--- a/packages/entry/src/own-share-grants.ts
+++ b/packages/entry/src/own-share-grants.ts
@@ -1,68 +1,72 @@
-import type { FleetReplica } from '@sequoiaquay/platform';
 import type { Result } from 'neverthrow';
-import { eligibleTargets, leastLoaded } from '@sequoiaquay/core';
+import { chooseTarget, ownShare } from '@sequoiaquay/core';
 import { err, ok } from 'neverthrow';
-import type { Grant, GrantRefusal, GrantRequest, GrantSource } from './grant-source';
-import type { InFlight } from './in-flight';
+import type { GrantRefusal, GrantRequest } from './grant-source';
+import type { GrantsInUse } from './grants-in-use';
+import type { OwnerView } from './owner-view';
+import type { TargetHealth, UsableTarget } from './target-health';
 
 interface Waiter {
-  req: GrantRequest;
+  pool: string;
   wake: () => void;
 }
 
-/** Grants from this entry's own view: least in flight first, first come first served. */
-export class OwnShareGrants implements GrantSource {
-  readonly #waiters: Waiter[] = [];
+/** Slots from this entry's own share of each target, for the time without an owner; first come, first served. */
+export class OwnShareGrants {
+  #choices = 0;
+  readonly #waiters = new Set<Waiter>();
 
   constructor(
-    private readonly replica: FleetReplica,
-    private readonly inFlight: InFlight,
+    private readonly health: TargetHealth,
+    private readonly inUse: GrantsInUse,
+    private readonly owners: OwnerView,
+    private readonly entry: string,
   ) {}
 
-  async acquire(req: GrantRequest, signal: AbortSignal): Promise<Result<Grant, GrantRefusal>> {
+  /** Waits for a target with a free slot until the signal aborts; the caller counts the use of the slot. */
+  async choose(req: GrantRequest, signal: AbortSignal): Promise<Result<UsableTarget, GrantRefusal>> {
     while (!signal.aborted) {
-      const grant = this.#tryGrant(req);
-      if (grant !== undefined) {
-        return ok(grant);
-      }
-      if (eligibleTargets(this.replica.state, req.pool, req.excluded).length === 0) {
+      const usable = this.health.usable(req.pool);
+      if (usable.every((target) => req.excluded.has(target.vm))) {
         return err({ detail: `pool ${req.pool} has no serving target`, reason: 'no-target', waitMs: 1000 });
       }
-      await this.#wait(req, signal);
+      const chosen = this.#chooseNow(req, usable);
+      if (chosen !== undefined) {
+        return ok(chosen);
+      }
+      await this.#wait(req.pool, signal);
     }
     return err({ detail: 'no slot became free in time', reason: 'deadline-unreachable', waitMs: 1000 });
   }
 
-  #tryGrant(req: GrantRequest): Grant | undefined {
-    const targets = eligibleTargets(this.replica.state, req.pool, req.excluded);
-    const loads = targets.map((vm) => ({ inFlight: this.inFlight.count(vm.id), slots: vm.slots, vm: vm.id }));
-    const chosen = leastLoaded(loads);
-    const vm = targets.find((target) => target.id === chosen?.vm);
-    if (vm === undefined) {
-      return undefined;
+  /** Wakes the first request that waits for a slot of the pool. */
+  released(pool: string): void {
+    for (const waiter of this.#waiters) {
+      if (waiter.pool === pool) {
+        waiter.wake();
+        return;
+      }
     }
-    this.inFlight.begin(vm.id);
-    return {
-      address: vm.address,
-      release: () => {
-        this.inFlight.end(vm.id);
-        this.#waiters.find((waiter) => waiter.req.pool === req.pool)?.wake();
-      },
-      vm: vm.id,
-    };
   }
 
-  #wait(req: GrantRequest, signal: AbortSignal): Promise<void> {
+  #chooseNow(req: GrantRequest, usable: readonly UsableTarget[]): UsableTarget | undefined {
+    const joined = this.owners.joinedEntries;
+    const share = ownShare(usable, joined.indexOf(this.entry), joined.length);
+    this.#choices += 1;
+    return chooseTarget(share, (vm) => this.inUse.onVm(vm), req.excluded, this.#choices);
+  }
+
+  #wait(pool: string, signal: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       const waiter: Waiter = {
-        req,
+        pool,
         wake: () => {
-          this.#waiters.splice(this.#waiters.indexOf(waiter), 1);
+          this.#waiters.delete(waiter);
           signal.removeEventListener('abort', waiter.wake);
           resolve();
         },
       };
-      this.#waiters.push(waiter);
+      this.#waiters.add(waiter);
       signal.addEventListener('abort', waiter.wake, { once: true });
     });
   }
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -2,11 +2,14 @@
 import type { EventRing } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
+import type { QueueService } from './queue-service';
+import { createQueueRouter } from './queue-router';
 
 /** Parts of an entry that its peers' procedures use. */
 export interface PeerRouterParts {
   claims: ClaimTable;
   name: string;
+  queues: QueueService;
   ring: EventRing;
 }
 
@@ -22,6 +25,7 @@
         .input(z.object({ key: z.string(), scope: z.string() }))
         .query(({ input }) => parts.claims.find(input.scope, input.key)?.result ?? null),
     }),
+    queue: createQueueRouter(parts.queues),
     ping: t.procedure.query(() => ({ name: parts.name })),
     timeline: t.procedure.query(() => parts.ring.list()),
   });
--- /dev/null
+++ b/packages/entry/src/queueing.ts
@@ -0,0 +1,54 @@
+import type { FleetReplica } from '@sequoiaquay/platform';
+import type { TimerService } from '@sequoiaquay/runtime';
+import type { ClaimHolder } from './claim-service';
+import type { InFlight } from './in-flight';
+import type { LiveMembers } from './live-members';
+import type { TargetHealth } from './target-health';
+import { GrantsInUse } from './grants-in-use';
+import { OwnShareGrants } from './own-share-grants';
+import { OwnerGrants } from './owner-grants';
+import { OwnerLink } from './owner-link';
+import { OwnerView } from './owner-view';
+import { PeerClients } from './peer-clients';
+import { QueueService } from './queue-service';
+
+/** Parts of an entry that its queueing is built from. */
+export interface QueueingParts {
+  health: TargetHealth;
+  holder: ClaimHolder;
+  inFlight: InFlight;
+  members: LiveMembers;
+  replica: FleetReplica;
+  secret: string;
+  /** Aborts when the entry stops. */
+  stopping: AbortSignal;
+  timers: TimerService;
+}
+
+/** Both sides of the pool queues: those that this entry owns, and its grants from all owners. */
+export interface Queueing {
+  grants: OwnerGrants;
+  queues: QueueService;
+  /** Runs both sides until the signal aborts. */
+  start: (signal: AbortSignal) => void;
+}
+
+/** Builds the queueing of an entry. */
+export function createQueueing(parts: QueueingParts): Queueing {
+  const { health, holder, inFlight, members, replica, secret, stopping, timers } = parts;
+  const entry = holder.entry;
+  const owners = new OwnerView(replica, members, holder);
+  const inUse = new GrantsInUse(inFlight, timers);
+  const queues = new QueueService({ entry, health, inFlight, inUse, owners, replica, timers });
+  const ownShare = new OwnShareGrants(health, inUse, owners, entry);
+  const link = new OwnerLink(entry, queues, new PeerClients(secret), timers);
+  const grants = new OwnerGrants({ entry, inUse, link, owners, ownShare, stopping, timers });
+  return {
+    grants,
+    queues,
+    start: (signal) => {
+      queues.start(signal, stopping);
+      grants.start(signal);
+    },
+  };
+}
--- a/packages/entry/src/target-client.ts
+++ b/packages/entry/src/target-client.ts
@@ -38,12 +38,27 @@
 
 /** Sends requests to targets over pooled connections; a failed connection is never used again. */
 export class TargetClient {
-  readonly #agent: Agent;
+  #agent: Agent;
+  #connections: number;
 
-  constructor(settings: TargetClientSettings) {
-    this.#agent = new Agent({
-      connect: { timeout: settings.connectTimeoutMs },
-      connections: settings.connections,
+  constructor(private readonly settings: TargetClientSettings) {
+    this.#connections = settings.connections;
+    this.#agent = this.#createAgent();
+  }
+
+  /** Changes the number of connections to one target; requests that run keep theirs until they end. */
+  resize(connections: number): void {
+    if (connections !== this.#connections) {
+      this.#connections = connections;
+      void this.#agent.close();
+      this.#agent = this.#createAgent();
+    }
+  }
+
+  #createAgent(): Agent {
+    return new Agent({
+      connect: { timeout: this.settings.connectTimeoutMs },
+      connections: this.#connections,
       // Run times are bounded by the request's deadline.
       bodyTimeout: 0,
       headersTimeout: 0,
--- /dev/null
+++ b/packages/entry/tests/dispatcher.test.ts
@@ -0,0 +1,133 @@
+import type { Server } from 'node:http';
+import { SystemTimerService } from '@sequoiaquay/runtime';
+import { err, ok } from 'neverthrow';
+import { createServer } from 'node:http';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import type { ClaimService } from '../src/claim-service';
+import type { GrantSource } from '../src/grant-source';
+import type { RequestPlan } from '../src/request-plan';
+import { ByteBudget } from '../src/byte-budget';
+import { RequestDispatcher } from '../src/dispatcher';
+import { TargetClient } from '../src/target-client';
+import { TargetHealth } from '../src/target-health';
+import { fixedReplica, POOL, poolState } from './support/members';
+
+const timers = new SystemTimerService();
+const NEVER = new AbortController().signal;
+
+/** Target that answers or breaks every connection after it has read the request. */
+class Target {
+  address = '';
+  received = 0;
+  readonly #server: Server;
+
+  constructor(works: boolean) {
+    this.#server = createServer((req, res) => {
+      this.received += 1;
+      req.resume().on('end', () => (works ? res.end('{}') : req.socket.destroy()));
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    const address = this.#server.address();
+    this.address = `127.0.0.1:${typeof address === 'object' && address !== null ? address.port : 0}`;
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+const targets = { broken: new Target(false), other: new Target(false), works: new Target(true) };
+
+beforeAll(async () => {
+  await Promise.all(Object.values(targets).map((target) => target.start()));
+});
+
+afterAll(() => {
+  for (const target of Object.values(targets)) {
+    target.stop();
+  }
+});
+
+function dispatcher(names: (keyof typeof targets)[], maxBytes = 1000): RequestDispatcher {
+  const state = poolState(Object.fromEntries(names.map((name) => [name, 8])), 0);
+  const replica = fixedReplica(state);
+  const health = new TargetHealth(replica, timers);
+  let seed = 0;
+  const grants: GrantSource = {
+    acquire: ({ excluded }) => {
+      seed += 1;
+      const left = names.filter((name) => !excluded.has(name));
+      const vm = left[seed % left.length];
+      return Promise.resolve(
+        vm === undefined
+          ? err({ detail: 'none left', reason: 'no-target', waitMs: 0 })
+          : ok({ address: targets[vm].address, release: () => undefined, valid: () => true, vm }),
+      );
+    },
+  };
+  return new RequestDispatcher({
+    bytes: new ByteBudget(maxBytes),
+    claims: undefined as unknown as ClaimService,
+    grants,
+    health,
+    replica,
+    targets: new TargetClient({ connections: 4, connectTimeoutMs: 500 }),
+    timers,
+  });
+}
+
+function plan(id: string): RequestPlan {
+  const job = { repeatable: true, timeoutMs: 5000, urgent: false };
+  return {
+    body: Buffer.from('0123456789'),
+    contentType: 'text/plain',
+    deadlineMs: 5000,
+    digest: '',
+    id,
+    job: 'quote',
+    jobSettings: job,
+    key: undefined,
+    pool: POOL,
+    poolSettings: { jobs: { quote: job }, minServing: 0 },
+    repeatable: true,
+    team: 'voyages',
+  };
+}
+
+describe('dispatcher', () => {
+  // Guards against a broken target that keeps taking requests.
+  it('retries repeatable work elsewhere and stops using a target that keeps failing', async () => {
+    const under = dispatcher(['broken', 'works']);
+    let answered = 0;
+    for (let index = 0; index < 60; index += 1) {
+      answered += (await under.dispatch(plan(`r${index}`), NEVER)).isOk() ? 1 : 0;
+    }
+    expect(targets.broken.received).toBeLessThanOrEqual(6);
+    expect(answered).toBeGreaterThanOrEqual(55);
+  });
+
+  // Guards against retries that multiply the load of a pool in which everything fails.
+  it('spends no more retries than the budget when every target fails', async () => {
+    targets.broken.received = 0;
+    const under = dispatcher(['broken', 'other']);
+    for (let index = 0; index < 4; index += 1) {
+      expect((await under.dispatch(plan(`f${index}`), NEVER)).isErr()).toBe(true);
+    }
+    expect(targets.broken.received + targets.other.received).toBeLessThanOrEqual(6);
+  });
+
+  it('refuses at once when the entry holds too many bytes, and again accepts afterwards', async () => {
+    const under = dispatcher(['works'], 15);
+    const [first, second] = await Promise.all([
+      under.dispatch(plan('b1'), NEVER),
+      under.dispatch(plan('b2'), NEVER),
+    ]);
+    expect(first.isOk()).toBe(true);
+    expect(second._unsafeUnwrapErr()).toMatchObject({ outcome: 'not-run', reason: 'entry-overloaded' });
+    expect((await under.dispatch(plan('b3'), NEVER)).isOk()).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/entry/tests/support/members.ts
@@ -0,0 +1,134 @@
+import type { FleetState } from '@sequoiaquay/core';
+import type { FleetReplica } from '@sequoiaquay/platform';
+import type { Server } from 'node:http';
+import { ClaimTable, emptyFleetState, rendezvousOwner } from '@sequoiaquay/core';
+import { EventRing, listen, mountRpc, SystemTimerService } from '@sequoiaquay/runtime';
+import { Hono } from 'hono';
+import type { GrantRequest } from '../../src/grant-source';
+import type { LiveEntry } from '../../src/live-members';
+import type { Queueing } from '../../src/queueing';
+import { InFlight } from '../../src/in-flight';
+import { createPeerRouter } from '../../src/peer-router';
+import { createQueueing } from '../../src/queueing';
+import { TargetHealth } from '../../src/target-health';
+
+const SECRET = 'secret';
+const timers = new SystemTimerService();
+
+/** Pool whose targets the members of a test share. */
+export const POOL = 'bookings';
+
+/** Fleet state with one pool of the given targets (VM to slots). */
+export function poolState(targets: Record<string, number>, minServing = 0): FleetState {
+  const state = emptyFleetState();
+  const pools = { [POOL]: { jobs: {}, minServing } };
+  state.branches.set('voyages', { value: { pools, weight: 1 }, version: 1 });
+  state.poolOwners.set(POOL, 'voyages');
+  for (const [id, slots] of Object.entries(targets)) {
+    const place = { address: '127.0.0.1:1', connections: 64, pool: POOL, rack: 'r', zone: 'z' };
+    state.vms.set(id, {
+      ...place,
+      health: 'up',
+      id,
+      maintainedAt: 0,
+      role: 'target',
+      slots,
+      state: 'serving',
+    });
+  }
+  return state;
+}
+
+/** Replica that holds a state and receives no records. */
+export function fixedReplica(state: FleetState): FleetReplica {
+  return { state, subscribe: () => undefined } as unknown as FleetReplica;
+}
+
+/** One entry's queueing with its peers' interface on loopback. */
+export interface TestMember {
+  inFlight: InFlight;
+  name: string;
+  queueing: Queueing;
+  server: Server;
+}
+
+/** Entries of a test that reach each other over loopback. */
+export class TestMembers {
+  readonly #all: LiveEntry[] = [];
+  readonly #end = new AbortController();
+  /** Entries that each member takes to be alive; tests change it. */
+  live: LiveEntry[] = [];
+  readonly members: TestMember[] = [];
+
+  constructor(readonly state: FleetState) {}
+
+  /** Adds an entry; one that has not joined is not in the log. */
+  async add(name: string, joined = true): Promise<TestMember> {
+    const inFlight = new InFlight(() => undefined);
+    const replica = fixedReplica(this.state);
+    const queueing = createQueueing({
+      health: new TargetHealth(replica, timers),
+      holder: { entry: name, incarnation: 1 },
+      inFlight,
+      members: { entries: () => this.live },
+      replica,
+      secret: SECRET,
+      stopping: this.#end.signal,
+      timers,
+    });
+    const app = new Hono();
+    const claims = new ClaimTable({ keyWindowMs: 1000 });
+    const ring = new EventRing(name, 10, timers);
+    mountRpc(app, createPeerRouter({ claims, name, queues: queueing.queues, ring }), SECRET);
+    const server = await listen(app, '127.0.0.1:0');
+    const address = server.address();
+    const port = typeof address === 'object' && address !== null ? address.port : 0;
+    this.#all.push({ address: `127.0.0.1:${port}`, name });
+    this.live = [...this.#all];
+    if (joined) {
+      const place = { address: `127.0.0.1:${port}`, vm: name, zone: 'z' };
+      this.state.members.set(name, { ...place, id: name, incarnation: 1, role: 'entry' });
+    }
+    queueing.start(this.#end.signal);
+    const member = { inFlight, name, queueing, server };
+    this.members.push(member);
+    return member;
+  }
+
+  /** Makes one entry the only possible owner of all queues. */
+  own(name: string): void {
+    this.live = this.#all.filter((entry) => entry.name === name);
+  }
+
+  /** Takes all entries to be alive and returns the name of the owner of the test pool. */
+  ownTogether(): string {
+    this.live = [...this.#all];
+    const names = this.live.map((entry) => entry.name);
+    return rendezvousOwner(POOL, names) ?? '';
+  }
+
+  /** Ends all entries. */
+  stop(): void {
+    this.#end.abort();
+    for (const { server } of this.members) {
+      server.close();
+      if ('closeAllConnections' in server) {
+        server.closeAllConnections();
+      }
+    }
+  }
+}
+
+/** Wish for a slot of the test pool. */
+export function wish(over: Partial<GrantRequest> = {}): GrantRequest {
+  return {
+    bytes: 1,
+    deadlineAt: timers.mono() + 10_000,
+    excluded: new Set(),
+    job: 'quote',
+    pool: POOL,
+    team: 'voyages',
+    urgent: false,
+    ...over,
+  };
+}
