--- a/packages/entry/src/queue-messages.ts
+++ b/packages/entry/src/queue-messages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_NAME = 256;
 const name = z.string().min(1).max(MAX_NAME);
