feat(bench): compare policies on recorded traces and through real processes

Cause: the order of the queue, the kept slots and the fallback rules were chosen from trial figures only.

Change: `npm run bench` drives one pool's decisions (the classes of core) on a simulated clock with a seeded trace, beside seven baselines, for both deployments, with fresh and mixed jobs, the loss of the owner in each peak, and retries with and without a budget. `--path` measures the added latency of an entry and short work beside long work with real processes.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './arrival-trace';
+export * from './event-heap';
+export * from './failing-pool';
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,51 @@
+import { SystemTimerService } from '@sequoiaquay/runtime';
+import { cac } from 'cac';
+import { runFailingPool } from './failing-pool';
+import { measurePath } from './path-suite';
+import { comparePolicies, DEPLOYMENTS } from './pool-suite';
+import { formatTable } from './table';
+
+const cli = cac('bench');
+cli.option('--path', 'measure with real processes instead of the pool model');
+cli.option('--peak <factor>', 'load of a peak as a multiple of the capacity', { default: 1.5 });
+cli.option('--seconds <seconds>', 'length of the trace', { default: 1200 });
+cli.option('--seed <seed>', 'seed of the trace', { default: 1 });
+cli.help();
+const { options } = cli.parse();
+
+const seed = Number(options.seed);
+if (options.path === true) {
+  print(await measurePath());
+} else if (options.help !== true) {
+  comparePools();
+}
+
+function comparePools(): void {
+  const durationMs = Number(options.seconds) * 1000;
+  const peak = Number(options.peak);
+  print(`seed ${seed}, ${durationMs / 1000} s, peaks of ${peak} times the capacity; waits in ms`);
+  for (const [name, pool] of Object.entries(DEPLOYMENTS)) {
+    print(`${name}: ${pool.targets} targets of ${pool.slots} slots, ${pool.entries} entries`);
+    print(comparePolicies(pool, { durationMs, peak, seed, timers: new SystemTimerService() }));
+  }
+  print('Pool that fails for 10 s, 200 requests a second, at most 3 tries:');
+  print(formatTable(['failing tries', 'retry budget', 'retries/request', 'answered'], failingRows()));
+}
+
+function failingRows(): string[][] {
+  return [1, 0.5].flatMap((failing) =>
+    [false, true].map((budget) => {
+      const result = runFailingPool({ budget, failing, seed });
+      return [
+        `${failing * 100}%`,
+        budget ? 'yes' : 'no',
+        result.retriesPerRequest.toFixed(3),
+        result.answeredShare.toFixed(3),
+      ];
+    }),
+  );
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n\n`);
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,7 @@
 import { chmod } from 'node:fs/promises';
 
 const binaries = {
+  bench: 'packages/bench/src/main.ts',
   sequoiaquay: 'packages/cli/src/main.ts',
   'sequoiaquay-control': 'packages/control/src/main.ts',
   'sequoiaquay-entry': 'packages/entry/src/main.ts',
--- a/tests/support/process.ts
+++ b/tests/support/process.ts
@@ -1,9 +1,10 @@
 import type { ChildProcess } from 'node:child_process';
 import { spawn } from 'node:child_process';
 import { closeSync, openSync } from 'node:fs';
-import { fileURLToPath } from 'node:url';
+import { resolve } from 'node:path';
 
-const DIST = fileURLToPath(new URL('../../dist/', import.meta.url));
+// Tests and the bench tool run in the root of the workspace.
+const DIST = `${resolve('dist')}/`;
 
 /** A bundled binary that runs as a separate process. */
 export class BinaryProcess {
