--- a/packages/core/src/queue/pool-queue.ts
+++ b/packages/core/src/queue/pool-queue.ts
@@ -91,7 +91,7 @@
       expectedWaitMs: this.expectedWaitMs(laneOf(req.urgent, workClass)),
       queued: this.#queued.size,
       queuedBytes: this.#queuedBytes,
-      slots: this.#slots,
+      slots: this.#targets.reduce((sum, { slots, vm }) => sum + (req.excluded.has(vm) ? 0 : slots), 0),
       teamInFlight: this.#grants.ofTeam(req.team),
       teamQueued: this.#queuedOfTeam.get(req.team) ?? 0,
     };
--- a/packages/entry/src/queueing.ts
+++ b/packages/entry/src/queueing.ts
@@ -3,13 +3,13 @@
 import type { ClaimHolder } from './claim-service';
 import type { InFlight } from './in-flight';
 import type { LiveMembers } from './live-members';
+import type { PeerClients } from './peer-clients';
 import type { TargetHealth } from './target-health';
 import { GrantsInUse } from './grants-in-use';
 import { OwnShareGrants } from './own-share-grants';
 import { OwnerGrants } from './owner-grants';
 import { OwnerLink } from './owner-link';
 import { OwnerView } from './owner-view';
-import { PeerClients } from './peer-clients';
 import { QueueService } from './queue-service';
 
 /** Parts of an entry that its queueing is built from. */
@@ -18,8 +18,8 @@
   holder: ClaimHolder;
   inFlight: InFlight;
   members: LiveMembers;
+  peers: PeerClients;
   replica: FleetReplica;
-  secret: string;
   /** Aborts when the entry stops. */
   stopping: AbortSignal;
   timers: TimerService;
@@ -35,13 +35,13 @@
 
 /** Builds the queueing of an entry. */
 export function createQueueing(parts: QueueingParts): Queueing {
-  const { health, holder, inFlight, members, replica, secret, stopping, timers } = parts;
+  const { health, holder, inFlight, members, peers, replica, stopping, timers } = parts;
   const entry = holder.entry;
   const owners = new OwnerView(replica, members, holder);
   const inUse = new GrantsInUse(inFlight, timers);
   const queues = new QueueService({ entry, health, inFlight, inUse, owners, replica, timers });
   const ownShare = new OwnShareGrants(health, inUse, owners, entry);
-  const link = new OwnerLink(entry, queues, new PeerClients(secret), timers);
+  const link = new OwnerLink(entry, queues, peers, timers);
   const grants = new OwnerGrants({ entry, inUse, link, owners, ownShare, stopping, timers });
   return {
     grants,
--- a/packages/entry/src/refusal.ts
+++ b/packages/entry/src/refusal.ts
@@ -4,11 +4,13 @@
 
 /** Reasons given to callers, with the HTTP status of each. */
 export const REFUSAL_STATUS = {
+  'answer-not-kept': 409,
   'bad-request': 400,
   'claim-unavailable': 503,
   'deadline-unreachable': 503,
   'entry-not-ready': 503,
   'entry-overloaded': 503,
+  'holder-gone': 409,
   'key-expired': 409,
   'key-in-use': 409,
   'key-mismatch': 422,
@@ -17,11 +19,14 @@
   'queue-full': 503,
   quota: 429,
   'request-too-large': 413,
+  'task-unavailable': 503,
+  'task-unconfirmed': 504,
   'target-failed': 502,
   'target-timeout': 504,
   'target-unreachable': 503,
   'unknown-job': 404,
   'unknown-pool': 404,
+  'unknown-task': 404,
   stopping: 503,
 } as const satisfies Record<string, ContentfulStatusCode>;
 
--- a/packages/entry/tests/dispatcher.test.ts
+++ b/packages/entry/tests/dispatcher.test.ts
@@ -8,6 +8,8 @@
 import type { RequestPlan } from '../src/request-plan';
 import { ByteBudget } from '../src/byte-budget';
 import { RequestDispatcher } from '../src/dispatcher';
+import { LeavingVms } from '../src/leaving-vms';
+import { PauseGuard } from '../src/pause-guard';
 import { TargetClient } from '../src/target-client';
 import { TargetHealth } from '../src/target-health';
 import { fixedReplica, POOL, poolState } from './support/members';
@@ -73,9 +75,12 @@
     bytes: new ByteBudget(maxBytes),
     claims: undefined as unknown as ClaimService,
     grants,
+    guard: new PauseGuard(() => Promise.resolve(true), { maxGapMs: 60_000 }, timers),
     health,
+    leaving: new LeavingVms(),
     replica,
-    targets: new TargetClient({ connections: 4, connectTimeoutMs: 500 }),
+    stopping: NEVER,
+    targets: new TargetClient({ bufferLimitBytes: 1000, connections: 4, connectTimeoutMs: 500 }),
     timers,
   });
 }
--- a/packages/entry/tests/support/members.ts
+++ b/packages/entry/tests/support/members.ts
@@ -7,7 +7,11 @@
 import type { GrantRequest } from '../../src/grant-source';
 import type { LiveEntry } from '../../src/live-members';
 import type { Queueing } from '../../src/queueing';
+import { ClaimLookup } from '../../src/claim-lookup';
 import { InFlight } from '../../src/in-flight';
+import { KeptResults } from '../../src/kept-results';
+import { LeavingVms } from '../../src/leaving-vms';
+import { PeerClients } from '../../src/peer-clients';
 import { createPeerRouter } from '../../src/peer-router';
 import { createQueueing } from '../../src/queueing';
 import { TargetHealth } from '../../src/target-health';
@@ -71,15 +75,17 @@
       holder: { entry: name, incarnation: 1 },
       inFlight,
       members: { entries: () => this.live },
+      peers: new PeerClients(SECRET),
       replica,
-      secret: SECRET,
       stopping: this.#end.signal,
       timers,
     });
     const app = new Hono();
-    const claims = new ClaimTable({ keyWindowMs: 1000 });
+    const table = new ClaimTable({ keyWindowMs: 1000 });
+    const claims = new ClaimLookup(table, new KeptResults(1), { entry: name, incarnation: 1 });
+    const leaving = new LeavingVms();
     const ring = new EventRing(name, 10, timers);
-    mountRpc(app, createPeerRouter({ claims, name, queues: queueing.queues, ring }), SECRET);
+    mountRpc(app, createPeerRouter({ claims, leaving, name, queues: queueing.queues, ring }), SECRET);
     const server = await listen(app, '127.0.0.1:0');
     const address = server.address();
     const port = typeof address === 'object' && address !== null ? address.port : 0;
--- a/packages/platform/src/member-joiner.ts
+++ b/packages/platform/src/member-joiner.ts
@@ -14,12 +14,19 @@
   readonly zone: string;
 }
 
+/** Period at which a process looks whether it is a member, in ms. */
+const CHECK_PERIOD_MS = 500;
+
 /**
- * Joins a process to the fleet, and again when the log took it to be gone while it runs: a member that
- * serves must be waited for by drains.
+ * Joins a process in the log under an incarnation above every earlier one of the same name, also when the
+ * wall clock was set back, and joins again after it was removed: a member that serves must be waited for
+ * by drains.
  */
 export class MemberJoiner {
-  #joined = false;
+  #joining = new AbortController();
+  #left = false;
+  #proposed: number | undefined;
+  #wasJoined = false;
 
   constructor(
     private readonly self: MemberIdentity,
@@ -28,25 +35,65 @@
     private readonly timers: TimerService,
   ) {}
 
-  /** Joins, and watches the own membership until the signal aborts. */
+  /** Whether the log lists this incarnation. */
+  get joined(): boolean {
+    return this.replica.state.members.get(this.self.member)?.incarnation === this.self.incarnation;
+  }
+
+  /** Keeps this process a member until the signal aborts. */
   start(signal: AbortSignal): void {
-    this.#join(signal);
     this.replica.subscribe(() => {
-      this.#check(signal);
+      this.check(signal);
     }, signal);
+    this.timers.every(
+      CHECK_PERIOD_MS,
+      () => {
+        this.check(signal);
+      },
+      signal,
+    );
   }
 
-  #check(signal: AbortSignal): void {
-    const known = this.replica.state.members.get(this.self.member);
-    this.#joined ||= known?.incarnation === this.self.incarnation;
-    if (this.#joined && known === undefined) {
-      this.#joined = false;
-      this.self.incarnation = Math.max(this.self.incarnation + 1, this.timers.now());
-      this.#join(signal);
+  /** Proposes to join when the process is not a member and no proposal of this incarnation is under way. */
+  check(signal: AbortSignal): void {
+    if (!this.replica.caughtUp || this.joined || this.#left) {
+      this.#wasJoined ||= this.joined;
+      return;
+    }
+    const known = this.replica.state.members.get(this.self.member)?.incarnation ?? -1;
+    // Others take the claims of a removed incarnation to have no living holder, so it isn't used again.
+    if (known > this.self.incarnation || this.#wasJoined) {
+      this.#wasJoined = false;
+      this.self.incarnation = Math.max(known, this.self.incarnation, this.timers.now()) + 1;
+    }
+    if (this.#proposed !== this.self.incarnation) {
+      this.#propose(signal);
     }
   }
 
-  #join(signal: AbortSignal): void {
+  /** Leaves after the last request, so that no drain waits for this process any more. */
+  leave(signal: AbortSignal): void {
+    this.#left = true;
+    this.#joining.abort();
+    if (!this.joined) {
+      return;
+    }
+    const record: FleetRecordOf<'member-gone'> = {
+      at: this.timers.now(),
+      by: this.self.member,
+      id: randomUUID(),
+      incarnation: this.self.incarnation,
+      kind: 'member-gone',
+      member: this.self.member,
+      v: 1,
+    };
+    this.appender.append(record, signal);
+  }
+
+  #propose(signal: AbortSignal): void {
+    this.#joining.abort();
+    this.#joining = new AbortController();
+    this.#proposed = this.self.incarnation;
     const record: FleetRecordOf<'member-join'> = {
       ...this.self,
       at: this.timers.now(),
@@ -55,6 +102,6 @@
       kind: 'member-join',
       v: 1,
     };
-    this.appender.append(record, signal);
+    this.appender.append(record, AbortSignal.any([signal, this.#joining.signal]));
   }
 }
