perf(entry): let every member learn the classes of its own requests

Cause: the next owner of a queue began without classes and expected 250 ms for every job, so it refused waiting work whose deadline it could have met.

Change: a member records the run times of its own requests also under another owner's grants, and uses what it has learnt when it becomes the owner.

--- a/packages/bench/src/owner-loss-policy.ts
+++ b/packages/bench/src/owner-loss-policy.ts
@@ -8,6 +8,8 @@
   /** Time until the next owner begins. */
   gapMs: number;
   keptShortSlots: number;
+  /** Whether the next owner has learnt classes from the requests that it received itself. */
+  learnt: boolean;
   name: string;
   /** Whether members use their own share during the gap. */
   ownShare: boolean;
@@ -18,6 +20,7 @@
 /** Time into a period at which the owner is lost: three seconds into the peak. */
 const LOSS_AT_MS = 20_000;
 const PERIOD_MS = 40_000;
+const NEXT_OWNER = 0;
 const NONE: ReadonlySet<string> = new Set();
 
 interface Use {
@@ -34,6 +37,8 @@
   readonly #inUseOf = new Map<string, number>();
   #lostAt: number | undefined;
   #queue: PoolQueue;
+  /** What the next owner has learnt. */
+  #standby = new ClassLearner();
   readonly #targets: { slots: number; vm: string }[];
   readonly #waiting = new Map<string, Arrival>();
 
@@ -45,7 +50,7 @@
   ) {
     this.name = options.name;
     this.#targets = Array.from({ length: pool.targets }, (_, vm) => ({ slots: pool.slots, vm: String(vm) }));
-    this.#queue = this.#newQueue();
+    this.#queue = this.#newQueue(new ClassLearner());
   }
 
   arrive(arrival: Arrival, now: number): void {
@@ -64,6 +69,9 @@
       this.#inUse.delete(arrival.id);
       this.#count(use, -1);
     }
+    if (arrival.entry === NEXT_OWNER) {
+      this.#standby.record(arrival.job, arrival.runMs);
+    }
     if (this.#lostAt !== undefined) {
       this.#useShares(now);
       return;
@@ -90,9 +98,9 @@
     }
   }
 
-  #newQueue(): PoolQueue {
+  #newQueue(classes: ClassLearner): PoolQueue {
     const queue = new PoolQueue({
-      classes: new ClassLearner(),
+      classes,
       seed: this.seed,
       settings: { ...DEFAULT_QUEUE_SETTINGS, leaseMs: Infinity },
       teamOf: () => ({ quota: undefined, weight: 1 }),
@@ -102,7 +110,8 @@
   }
 
   #begin(now: number): void {
-    this.#queue = this.#newQueue();
+    this.#queue = this.#newQueue(this.options.learnt ? this.#standby : new ClassLearner());
+    this.#standby = new ClassLearner();
     if (this.options.report) {
       const reported = [...this.#inUse.values()].map(({ arrival, startedAt, target }) => ({
         id: arrival.id,
--- a/packages/bench/src/pool-suite.ts
+++ b/packages/bench/src/pool-suite.ts
@@ -98,9 +98,10 @@
 function losses(pool: PoolShape): PolicyFactory[] {
   const common = { gapMs: 3000, keptShortSlots: keptSlots(pool, 1 / 8) };
   return [
-    ownerLoss({ ...common, name: 'wait for the next owner, report', ownShare: false, report: true }),
-    ownerLoss({ ...common, name: 'own share, no report', ownShare: true, report: false }),
-    ownerLoss({ ...common, name: 'own share, report', ownShare: true, report: true }),
+    ownerLoss({ ...common, learnt: true, name: 'wait for the next owner', ownShare: false, report: true }),
+    ownerLoss({ ...common, learnt: false, name: 'own share, nothing kept', ownShare: true, report: false }),
+    ownerLoss({ ...common, learnt: false, name: 'own share, report', ownShare: true, report: true }),
+    ownerLoss({ ...common, learnt: true, name: 'own share, report, classes', ownShare: true, report: true }),
   ];
 }
 
--- a/packages/entry/src/owner-grants.ts
+++ b/packages/entry/src/owner-grants.ts
@@ -185,6 +185,9 @@
     if (owner !== undefined && !this.parts.link.isSilent(owner)) {
       void this.parts.link.release(owner, { id: used.id, pool: used.pool, ...result });
     }
+    if (result.ok) {
+      this.parts.link.learn(owner, used.pool, used.job, result.runMs);
+    }
     this.parts.ownShare.released(used.pool);
   }
 
--- a/packages/entry/src/owner-link.ts
+++ b/packages/entry/src/owner-link.ts
@@ -59,6 +59,13 @@
     return rpcResult(this.peers.at(owner.address).queue.release.mutate(msg, options));
   }
 
+  /** Keeps the run time of work that another entry granted, for the time when this entry owns the queue. */
+  learn(owner: LiveEntry | undefined, pool: string, job: string, runMs: number): void {
+    if (owner?.name !== this.self) {
+      this.local.learn(pool, job, runMs);
+    }
+  }
+
   /** Extends grants. */
   renew(owner: LiveEntry, msg: RenewMessage): ResultAsync<{ leaseMs: number; unknown: string[] }, RpcError> {
     if (owner.name === this.self) {
--- a/packages/entry/src/queue-service.ts
+++ b/packages/entry/src/queue-service.ts
@@ -39,6 +39,7 @@
 
 /** Pool queues that this entry owns. Times in ms. */
 export class QueueService {
+  readonly #learners = new Map<string, ClassLearner>();
   readonly #queues = new Map<string, OwnedQueue>();
   #stopped = false;
 
@@ -104,6 +105,11 @@
     return { leaseMs: DEFAULT_QUEUE_SETTINGS.leaseMs, unknown };
   }
 
+  /** Learns from a run of this entry under another owner's grant, so that this entry is ready to own the queue. */
+  learn(pool: string, job: string, runMs: number): void {
+    this.#learnerOf(pool).record(job, runMs);
+  }
+
   /** Takes over grants in use that this owner doesn't know. */
   report(msg: ReportMessage): void {
     const queue = this.#queueOf(msg.pool);
@@ -135,7 +141,7 @@
       return known;
     }
     const queue = new PoolQueue({
-      classes: new ClassLearner(),
+      classes: this.#learnerOf(pool),
       seed: 0,
       settings: DEFAULT_QUEUE_SETTINGS,
       teamOf: (team) => {
@@ -154,6 +160,12 @@
     return created;
   }
 
+  #learnerOf(pool: string): ClassLearner {
+    const known = this.#learners.get(pool) ?? new ClassLearner();
+    this.#learners.set(pool, known);
+    return known;
+  }
+
   #pump(pool: string, queue: OwnedQueue): void {
     this.#refresh(pool, queue);
     queue.pump(this.#now(), () => this.#others());
