--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -2,11 +2,12 @@
 import type { FleetReplica } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
-import { isServing } from '@sequoiaquay/core';
+import { backoffMs, isServing } from '@sequoiaquay/core';
 import { err, ok } from 'neverthrow';
 import { Maybe } from 'true-myth';
+import type { ByteBudget } from './byte-budget';
 import type { ClaimAnswer, ClaimService } from './claim-service';
-import type { Grant, GrantSource } from './grant-source';
+import type { Grant, GrantRequest, GrantSource } from './grant-source';
 import type { LeavingVms } from './leaving-vms';
 import type { PauseGuard } from './pause-guard';
 import type { CallerRefusal, CallerRefusalReason } from './refusal';
@@ -14,12 +15,15 @@
 import type { RequestPlan } from './request-plan';
 import type { TargetAnswer } from './target-answer';
 import type { TargetClient, TargetError } from './target-client';
+import type { TargetHealth } from './target-health';
 
 /** Parts of an entry that carry a request to a target. */
 export interface DispatcherParts {
+  bytes: ByteBudget;
   claims: ClaimService;
   grants: GrantSource;
   guard: PauseGuard;
+  health: TargetHealth;
   /** VMs that a notice reports as leaving. */
   leaving: LeavingVms;
   meter: RequestMeter;
@@ -50,6 +54,8 @@
   sent: boolean;
   /** Ends the request while no byte of it has been written. */
   start: AbortSignal;
+  /** Whether this entry stopped the last try before it was sent, for a reason that is not the target's. */
+  stoppedHere: boolean;
   wallDeadline: number;
   /** Ends the request, also while it runs. */
   work: AbortSignal;
@@ -61,6 +67,9 @@
 /** Tries of one repeatable request, the first included. */
 const MAX_TRIES = 3;
 
+/** Wait given to callers when the entry holds too many request bytes, in ms. */
+const OVERLOAD_WAIT_MS = 1000;
+
 /** Carries requests to targets: claim, slot, send, retry. */
 export class RequestDispatcher {
   #active = 0;
@@ -74,6 +83,18 @@
 
   /** Handles one request within its deadline. */
   async dispatch(plan: RequestPlan, gone: AbortSignal): Promise<Dispatched> {
+    if (!this.parts.bytes.take(plan.body.length)) {
+      const detail = 'the entry holds too many request bytes';
+      return refuse('entry-overloaded', detail, 'not-run', OVERLOAD_WAIT_MS);
+    }
+    try {
+      return await this.#run(plan, gone);
+    } finally {
+      this.parts.bytes.give(plan.body.length);
+    }
+  }
+
+  async #run(plan: RequestPlan, gone: AbortSignal): Promise<Dispatched> {
     const deadline = AbortSignal.timeout(plan.deadlineMs);
     if (plan.key === undefined || plan.repeatable) {
       const work = AbortSignal.any([gone, deadline]);
@@ -89,6 +110,9 @@
     const excluded = new Set<string>();
     let last: Sent = refuse('no-target', 'no target was tried', 'not-run');
     for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
+      if (attempt > 0 && !(await this.#mayRetry(plan, attempt, limits))) {
+        return last;
+      }
       const grant = await this.#grant(plan, excluded, limits);
       if (grant.isErr()) {
         return attempt > 0 ? last : err(grant.error);
@@ -153,7 +177,8 @@
     limits: Limits,
   ): Promise<Result<Grant, CallerRefusal>> {
     await this.parts.guard.whenFresh(limits.start);
-    const request = grantRequest(plan, this.parts.leaving.with(excluded));
+    const unusable = new Set([...excluded, ...this.parts.health.avoided(plan.pool)]);
+    const request = grantRequest(plan, this.parts.leaving.with(unusable), limits);
     const grant = await this.parts.grants.acquire(request, limits.start);
     if (grant.isErr() && this.parts.stopping.aborted) {
       return refuse('stopping', 'the entry is stopping', 'not-run', 1000);
@@ -166,7 +191,11 @@
     this.parts.meter.granted(plan, grant.vm);
     const sent = await this.parts.targets.send({
       address: grant.address,
-      beforeSend: () => this.#reasonNotToSend(plan, grant, limits),
+      beforeSend: () => {
+        const reason = this.#reasonNotToSend(plan, grant, limits);
+        limits.stoppedHere = reason !== undefined;
+        return reason;
+      },
       body: plan.body,
       contentType: plan.contentType,
       id: plan.id,
@@ -181,6 +210,7 @@
     const release = (ok: boolean): void => {
       grant.release({ ok, runMs: this.parts.timers.mono() - startedAt });
     };
+    this.#recordHealth(plan.pool, grant.vm, sent.isOk(), limits);
     if (sent.isErr()) {
       release(false);
       return this.#unanswered(sent.error, limits);
@@ -190,6 +220,30 @@
     return ok(sent.value);
   }
 
+  // A caller that hangs up and a stop of this entry say nothing about the target; a missed deadline does.
+  #recordHealth(pool: string, vm: string, answered: boolean, limits: Limits): void {
+    const interrupted = limits.start.aborted && this.parts.timers.mono() < limits.monoDeadline;
+    const unsentAtDeadline = limits.start.aborted && !limits.sent;
+    if (answered || !(limits.stoppedHere || interrupted || unsentAtDeadline)) {
+      this.parts.health.record(pool, vm, answered);
+    }
+  }
+
+  // A request that this entry stopped before it was sent needs no retry budget.
+  async #mayRetry(plan: RequestPlan, attempt: number, limits: Limits): Promise<boolean> {
+    const { health, timers } = this.parts;
+    if (limits.stoppedHere) {
+      limits.stoppedHere = false;
+      return true;
+    }
+    const pauseMs = backoffMs(attempt, plan.id);
+    if (timers.mono() + pauseMs >= limits.monoDeadline || !health.takeRetry(plan.pool)) {
+      return false;
+    }
+    await timers.sleep(pauseMs, limits.start);
+    return !limits.start.aborted;
+  }
+
   #unanswered(error: TargetError, limits: Limits): Sent {
     if (error.sent) {
       return refuse(limits.work.aborted ? 'target-timeout' : 'target-failed', error.message, 'unknown');
@@ -208,6 +262,9 @@
       return 'the process was paused and its fleet state is not current';
     }
     const vm = replica.state.vms.get(grant.vm);
+    if (!grant.valid()) {
+      return 'the lease of the slot has expired';
+    }
     const serves = vm?.pool === plan.pool && isServing(vm) && !leaving.has(vm.id);
     return serves ? undefined : `VM ${grant.vm} has left service in pool ${plan.pool}`;
   }
@@ -217,6 +274,7 @@
       monoDeadline: this.parts.timers.mono() + plan.deadlineMs,
       sent: false,
       start: AbortSignal.any([start, this.parts.stopping]),
+      stoppedHere: false,
       wallDeadline: this.parts.timers.now() + plan.deadlineMs,
       work,
     };
@@ -272,11 +330,16 @@
   }
 }
 
-function grantRequest(
-  plan: RequestPlan,
-  excluded: ReadonlySet<string>,
-): Parameters<GrantSource['acquire']>[0] {
-  return { excluded, job: plan.job, pool: plan.pool, team: plan.team, urgent: plan.jobSettings.urgent };
+function grantRequest(plan: RequestPlan, excluded: ReadonlySet<string>, limits: Limits): GrantRequest {
+  return {
+    bytes: plan.body.length,
+    deadlineAt: limits.monoDeadline,
+    excluded,
+    job: plan.job,
+    pool: plan.pool,
+    team: plan.team,
+    urgent: plan.jobSettings.urgent,
+  };
 }
 
 // A request that may have run on one target stays so, whatever came of later tries.
--- a/packages/entry/src/entry-status.ts
+++ b/packages/entry/src/entry-status.ts
@@ -6,8 +6,10 @@
 export interface EntryStatus {
   /** Whether the entry has reached the end of its source of fleet records once. */
   caughtUp: boolean;
+  /** Grants on each VM that the queues of this entry have given out. */
+  granted: Record<string, number>;
   incarnation: number;
-  /** Grants and requests of this entry on each VM. */
+  /** Requests of this entry on each VM. */
   inFlight: Record<string, number>;
   name: string;
   /** Offset of the next fleet record to apply: all versions up to it are in force here. */
@@ -30,11 +32,8 @@
 export function createEntryStatus(parts: EntryStatusParts): () => EntryStatus {
   return () => ({
     caughtUp: parts.replica.caughtUp,
-    inFlight: Object.fromEntries(
-      [...parts.replica.state.vms.keys()]
-        .map((vm) => [vm, parts.inFlight.count(vm)] as const)
-        .filter(([, count]) => count > 0),
-    ),
+    granted: countsByVm(parts, (vm) => parts.inFlight.granted(vm)),
+    inFlight: countsByVm(parts, (vm) => parts.inFlight.count(vm)),
     incarnation: parts.holder.incarnation,
     name: parts.holder.entry,
     next: parts.replica.state.next,
@@ -42,3 +41,8 @@
     stateAgeMs: parts.replica.ageMs ?? null,
   });
 }
+
+function countsByVm(parts: EntryStatusParts, countOf: (vm: string) => number): Record<string, number> {
+  const counts = [...parts.replica.state.vms.keys()].map((vm) => [vm, countOf(vm)] as const);
+  return Object.fromEntries(counts.filter(([, count]) => count > 0));
+}
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -5,12 +5,15 @@
 import type { ClaimLookup } from './claim-lookup';
 import type { EntryStatus } from './entry-status';
 import type { LeavingVms } from './leaving-vms';
+import type { QueueService } from './queue-service';
+import { createQueueRouter } from './queue-router';
 
 /** Parts of an entry that its peers' procedures use. */
 export interface PeerRouterParts {
   claims: ClaimLookup;
   leaving: LeavingVms;
   name: string;
+  queues: QueueService;
   ring: EventRing;
   status: () => EntryStatus;
 }
@@ -28,6 +31,7 @@
         .query(({ input }) => parts.claims.state(input)),
     }),
     leaving: t.procedure.query(() => parts.leaving.list()),
+    queue: createQueueRouter(parts.queues),
     ping: t.procedure.query(() => ({ name: parts.name })),
     status: t.procedure.query(() => parts.status()),
     timeline: t.procedure.input(timelineQuerySchema).query(({ input }) => parts.ring.select(input)),
