--- a/packages/control/src/control-source.ts
+++ b/packages/control/src/control-source.ts
@@ -2,7 +2,7 @@
 import type { FleetSource, LogPage, PlatformError } from '@sequoiaquay/platform';
 import type { RpcError } from '@sequoiaquay/runtime';
 import type { ResultAsync } from 'neverthrow';
-import { rpcLinkOptions, rpcResult } from '@sequoiaquay/runtime';
+import { rpcLinkOptions, rpcResult, timeoutSignal } from '@sequoiaquay/runtime';
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { errAsync, okAsync } from 'neverthrow';
 import { Maybe } from 'true-myth';
@@ -25,7 +25,7 @@
     return rpcResult(this.#client.fleetSnapshot.query(undefined, { signal: limit(signal, 0) }))
       .mapErr(toPlatformError)
       .andThen((answer) =>
-        answer.caughtUp || answer.state.next > 0
+        answer.caughtUp
           ? okAsync<FleetSnapshot, PlatformError>(answer.state)
           : errAsync(toPlatformError({ kind: 'answered', message: `${this.name} has no state yet` })),
       );
@@ -46,7 +46,7 @@
 }
 
 function limit(signal: AbortSignal, waitMs: number): AbortSignal {
-  return AbortSignal.any([signal, AbortSignal.timeout(waitMs + CALL_TIMEOUT_MS)]);
+  return timeoutSignal(signal, waitMs + CALL_TIMEOUT_MS);
 }
 
 function toPlatformError(error: RpcError): PlatformError {
--- a/packages/control/src/relay.ts
+++ b/packages/control/src/relay.ts
@@ -27,7 +27,7 @@
   /** Records from an offset; waits for one until the signal aborts. */
   async read(from: number, signal: AbortSignal): Promise<Result<LogPage, RelayTrimmed>> {
     const next = this.replica.state.next;
-    const oldest = this.#entries[0]?.offset ?? next;
+    const oldest = this.#isCurrent() ? (this.#entries[0]?.offset ?? next) : next;
     if (from < oldest) {
       return err({ oldest });
     }
@@ -38,7 +38,15 @@
     return ok({ end: this.replica.state.next, oldest, records });
   }
 
+  #isCurrent(): boolean {
+    return this.#entries.at(-1)?.offset === this.replica.state.next - 1;
+  }
+
   #add(entry: LogEntry): void {
+    // After the replica went on from a snapshot, the kept records no longer reach up to the new one.
+    if (entry.offset !== (this.#entries.at(-1)?.offset ?? -1) + 1) {
+      this.#entries = [];
+    }
     this.#entries.push(entry);
     if (this.#entries.length > 2 * RELAY_CAPACITY) {
       this.#entries = this.#entries.slice(-RELAY_CAPACITY);
--- a/packages/control/src/vm-watcher.ts
+++ b/packages/control/src/vm-watcher.ts
@@ -2,6 +2,7 @@
 import type { FleetReplica, ListedVm, VmList, VmService } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
 import { nameSchema, planListChanges } from '@sequoiaquay/core';
+import { timeoutSignal } from '@sequoiaquay/runtime';
 import type { Proposer } from './proposer';
 
 /** Settings of the VM watcher. */
@@ -56,7 +57,7 @@
     const changes = planListChanges(this.replica.state, list, this.#missed);
     this.#missed = changes.missed;
     const proposals = [...unknown.map(toProposal), ...changes.proposals];
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(PROPOSAL_TIMEOUT_MS)]);
+    const limit = timeoutSignal(signal, PROPOSAL_TIMEOUT_MS);
     await Promise.all(proposals.map((proposal) => this.proposer.propose(proposal, limit)));
   }
 
--- a/packages/platform/src/fleet-replica.ts
+++ b/packages/platform/src/fleet-replica.ts
@@ -33,6 +33,8 @@
 export interface FleetReplicaCounters {
   applied: number;
   refused: number;
+  /** Times that a snapshot replaced the state. */
+  restored: number;
   sourceFailures: number;
   unreadable: number;
 }
@@ -42,7 +44,13 @@
  * to the first source once that answers again. The state only ever moves forward in offset.
  */
 export class FleetReplica {
-  readonly counters: FleetReplicaCounters = { applied: 0, refused: 0, sourceFailures: 0, unreadable: 0 };
+  readonly counters: FleetReplicaCounters = {
+    applied: 0,
+    refused: 0,
+    restored: 0,
+    sourceFailures: 0,
+    unreadable: 0,
+  };
   #attempt = new AbortController();
   #caughtUp = false;
   #lastContact: number | undefined;
@@ -50,6 +58,7 @@
   #source = 0;
   #started = false;
   #state: FleetState = emptyFleetState();
+  #tries = 0;
 
   constructor(
     private readonly sources: () => readonly FleetSource[],
@@ -81,15 +90,22 @@
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const watching = this.#watchPreferred(signal);
+    signal.addEventListener(
+      'abort',
+      () => {
+        this.#attempt.abort();
+      },
+      { once: true },
+    );
     while (!signal.aborted) {
-      const attempt = new AbortController();
-      this.#attempt = attempt;
+      this.#attempt = new AbortController();
+      const attempt = this.#attempt.signal;
       const source = this.#currentSource();
-      const failed =
-        source === undefined || (await this.#step(source, AbortSignal.any([signal, attempt.signal])));
-      if (failed && !attempt.signal.aborted) {
+      const failed = source === undefined || (await this.#step(source, attempt));
+      if (failed && !attempt.aborted) {
         this.counters.sourceFailures += 1;
         this.#source += 1;
+        this.#tries += 1;
         await this.timers.sleep(this.settings.retryMs, signal);
       }
     }
@@ -137,10 +153,8 @@
 
   async #tryPreferred(preferred: FleetSource, signal: AbortSignal): Promise<void> {
     const page = await preferred.read(this.#state.next, 0, signal);
-    if (page.isOk()) {
-      this.#applyPage(page.value);
-    }
-    if (page.isOk() ? !this.#isStale(page.value) : page.error.kind === 'trimmed') {
+    const whole = page.isOk() && this.#applyPage(page.value);
+    if (page.isOk() ? whole && !this.#isStale(page.value) : page.error.kind === 'trimmed') {
       this.#source = 0;
       this.#attempt.abort();
     }
@@ -155,8 +169,7 @@
     if (page.isErr()) {
       return page.error.kind === 'trimmed' ? this.#bootstrap(source, signal) : true;
     }
-    this.#applyPage(page.value);
-    return this.#isStale(page.value);
+    return this.#applyPage(page.value) ? this.#isStale(page.value) : this.#bootstrap(source, signal);
   }
 
   async #bootstrap(source: FleetSource, signal: AbortSignal): Promise<boolean> {
@@ -182,6 +195,7 @@
     if (restored.isErr()) {
       this.counters.unreadable += 1;
     } else if (restored.value.next > this.#state.next) {
+      this.counters.restored += 1;
       this.#state = restored.value;
     }
   }
@@ -190,13 +204,22 @@
     return (page.sourceAgeMs ?? 0) > this.settings.maxSourceAgeMs;
   }
 
-  #applyPage(page: LogPage): void {
-    const contact = this.timers.mono() - (page.sourceAgeMs ?? 0);
-    this.#lastContact = Math.max(contact, this.#lastContact ?? contact);
+  // False when records before the page are missing: they were trimmed while the read waited.
+  #applyPage(page: LogPage): boolean {
     for (const entry of page.records) {
+      if (entry.offset > this.#state.next) {
+        return false;
+      }
       this.#applyEntry(entry);
     }
-    this.#caughtUp ||= this.#state.next >= page.end;
+    if (this.#state.next < page.end) {
+      return true;
+    }
+    const contact = this.timers.mono() - (page.sourceAgeMs ?? 0);
+    this.#lastContact = Math.max(contact, this.#lastContact ?? contact);
+    // A stale source is only as good as any other once every source has been tried.
+    this.#caughtUp ||= !this.#isStale(page) || this.#tries >= this.sources().length;
+    return true;
   }
 
   #applyEntry(entry: LogEntry): void {
--- a/packages/platform/src/platform-http.ts
+++ b/packages/platform/src/platform-http.ts
@@ -1,4 +1,5 @@
 import type { ZodType } from 'zod';
+import { timeoutSignal } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { Maybe } from 'true-myth';
 import { Agent, request } from 'undici';
@@ -59,7 +60,7 @@
       dispatcher: this.#agent,
       headers: { authorization: `Bearer ${this.#settings.secret}`, 'content-type': 'application/json' },
       method: call.method,
-      signal: AbortSignal.any([call.signal, AbortSignal.timeout(limit)]),
+      signal: timeoutSignal(call.signal, limit),
     });
     return { body: await res.body.json(), status: res.statusCode };
   }
--- a/packages/platform/tests/fleet-replica.test.ts
+++ b/packages/platform/tests/fleet-replica.test.ts
@@ -22,6 +22,8 @@
   ageMs: number | undefined;
   down = false;
   end = 0;
+  /** Records left out of pages that start below `oldest`. */
+  gap = 0;
   reads = 0;
 
   constructor(
@@ -38,9 +40,10 @@
     if (this.down) {
       return errAsync(LOST);
     }
-    const records = Array.from({ length: Math.max(0, this.end - from) }, (_, index) => ({
-      offset: from + index,
-      value: { id: `x${from + index}`, kind: 'newer-kind' },
+    const first = from < this.oldest ? from + this.gap : from;
+    const records = Array.from({ length: Math.max(0, this.end - first) }, (_, index) => ({
+      offset: first + index,
+      value: { id: `x${first + index}`, kind: 'newer-kind' },
     }));
     const page = { end: this.end, oldest: this.oldest, records, sourceAgeMs: this.ageMs };
     return Async.fromSafePromise(delay(records.length > 0 ? 0 : waitMs, page));
@@ -99,6 +102,18 @@
     await eventually(() => replica.state.next === 5);
   });
 
+  it('starts again from a snapshot when records before a page are missing', async () => {
+    const log = new FakeSource('log');
+    log.end = 2;
+    const replica = start(log);
+    await eventually(() => replica.state.next === 2);
+    log.gap = 5;
+    log.oldest = 10;
+    log.end = 12;
+    await eventually(() => replica.state.next === 12);
+    expect(replica.counters).toMatchObject({ restored: 1 });
+  });
+
   it('does not start from a trimmed log without a snapshot that covers the trimmed records', async () => {
     const page = { end: 12, oldest: 10, records: [{ offset: 10, value: { kind: 'snapshot', state: {} } }] };
     const log = {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,3 +5,4 @@
 export * from './timer-service';
 export * from './listen';
 export * from './rpc';
+export * from './timeout-signal';
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -87,6 +87,23 @@
     await Promise.all(all.map((child) => child.stop()));
   }
 
+  /** Starts the entry process of a VM again, after it has ended. */
+  async restartEntry(index: number): Promise<void> {
+    const vm = this.#vm(index);
+    vm.entry = this.#spawn('sequoiaquay-entry', ['--config', join(this.directory, `entry-${index}.json`)]);
+    await waitReady(vm.url);
+  }
+
+  /** Starts the control process of a VM again, after it has ended. */
+  async restartControl(index: number): Promise<void> {
+    const vm = this.#vm(index);
+    vm.control = this.#spawn('sequoiaquay-control', [
+      '--config',
+      join(this.directory, `control-${index}.json`),
+    ]);
+    await waitReady(vm.controlUrl);
+  }
+
   /** Calls the admin interface of the platform stand-in. */
   async admin<T>(method: string, path: string, body?: unknown): Promise<T> {
     return callJson<T>(`${this.platformUrl}/admin${path}`, method, {}, body);
@@ -118,6 +135,14 @@
     });
   }
 
+  #vm(index: number): EntryVm {
+    const vm = this.entries[index];
+    if (vm === undefined) {
+      throw new Error(`the cluster has no entry VM ${index}`);
+    }
+    return vm;
+  }
+
   #teams(): string[] {
     return this.#shape.teams ?? ['voyages'];
   }
