--- a/packages/core/src/records/work-record.ts
+++ b/packages/core/src/records/work-record.ts
@@ -1,6 +1,15 @@
-import { z } from 'zod';
-import { recordBase } from './fleet-record';
+import * as z from 'zod';
 import { nameSchema } from './names';
+import { recordBase } from './record-base';
+import {
+  taskCancelSchema,
+  taskCarrySchema,
+  taskDoneSchema,
+  taskFailedSchema,
+  taskLeaseSchema,
+  taskRecordSchema,
+  taskRenewSchema,
+} from './task-record';
 
 /** What a caller is told about its request. */
 export const OUTCOME = { answered: 'answered', notRun: 'not-run', unknown: 'unknown' } as const;
@@ -24,14 +33,24 @@
   z.object({
     ...recordBase,
     body: z.string().optional(),
+    /** Length of the whole body in bytes; a record without `body` and above 0 leaves the body with the holder. */
+    bodyBytes: z.int().min(0).optional(),
+    bodyEncoding: z.enum(['base64', 'utf8']).optional(),
     claim: z.string(),
-    contentType: z.string().max(200).optional(),
+    headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])).optional(),
     key: z.string().min(1).max(MAX_KEY_LENGTH),
     kind: z.literal('outcome'),
     outcome: z.enum(['answered', 'not-run', 'unknown']),
     scope: z.string().max(200),
-    status: z.int().min(100).max(599).optional(),
+    status: z.int().min(100).max(999).optional(),
   }),
+  taskCancelSchema,
+  taskCarrySchema,
+  taskDoneSchema,
+  taskFailedSchema,
+  taskLeaseSchema,
+  taskRecordSchema,
+  taskRenewSchema,
 ]);
 
 /** Record of the `work` stream. */
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -6,3 +6,4 @@
 export * from './fleet-replica';
 export * from './fleet-source';
 export * from './member-joiner';
+export * from './worker-client';
