--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -4,20 +4,27 @@
   BatchAppender,
   FleetReplica,
   LogClient,
+  logFleetChanges,
   LogFleetSource,
   MemberJoiner,
   PlatformHttp,
+  publishAppenders,
+  publishFleetState,
+  recordFleetEvents,
   STREAM,
   VmListClient,
 } from '@sequoiaquay/platform';
-import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
+import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
 import type { ControlSettings } from './control-settings';
 import { createControlRouter } from './control-router';
 import { ControlSource } from './control-source';
+import { RpcPeers } from './entry-peers';
+import { Journal } from './journal';
 import { createOperatorApi } from './operator-api';
 import { Proposer } from './proposer';
 import { Relay } from './relay';
+import { SettingsHistory } from './settings-history';
 import { SnapshotWriter } from './snapshot-writer';
 import { VmWatcher } from './vm-watcher';
 
@@ -39,23 +46,24 @@
   const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
   const sources: FleetSource[] = [
     new LogFleetSource(logClient),
-    ...cfg.peers.map((peer) => new ControlSource(peer, secret)),
+    ...cfg.peers.map((peer) => new ControlSource(peer, secret, ring)),
   ];
   const replica = new FleetReplica(() => sources, REPLICA, timers);
   const relay = new Relay(replica, signal);
   const appender = new BatchAppender(logClient, STREAM.fleet, BATCH, timers, signal);
   const proposer = new Proposer(appender, replica, timers, cfg.name);
+  const journal = new Journal();
+  const history = new SettingsHistory();
   replica.subscribe((entry, verdict) => {
-    const accepted = verdict.isOk();
-    ring.add(accepted ? verdict.value.kind : 'refused', String(entry.offset), {
-      reason: accepted ? '' : verdict.error.detail,
-    });
+    history.add(entry, verdict);
+    journal.add(entry, verdict, replica.state);
   }, signal);
+  recordFleetEvents(replica, ring, signal);
   const watcher = new VmWatcher(
     new VmListClient(http),
     replica,
     proposer,
-    { pollMs: cfg.vmListPollMs },
+    { name: cfg.name, pollMs: cfg.vmListPollMs },
     timers,
   );
   const snapshots = new SnapshotWriter(
@@ -82,8 +90,24 @@
       replica.caughtUp ? 200 : 503,
     ),
   );
-  mountRpc(app, createControlRouter({ relay, replica, ring }), secret);
-  app.route('/v1', createOperatorApi({ proposer, replica, teamTokens: cfg.teamTokens }) as unknown as Hono);
+  const metrics = new Metrics();
+  publishAppenders(metrics, { fleet: appender });
+  publishFleetState(metrics, replica);
+  metrics.mount(app);
+  logFleetChanges({ log, logClient, replica, timers }, signal);
+  mountRpc(app, createControlRouter({ relay, replica, ring }), secret, ring);
+  const operatorApi = createOperatorApi({
+    history,
+    journal,
+    logReachable: () => logClient.reachable,
+    name: cfg.name,
+    peers: new RpcPeers(replica, cfg.peers, secret, ring),
+    proposer,
+    replica,
+    ring,
+    teamTokens: cfg.teamTokens,
+  });
+  app.route('/v1', operatorApi as unknown as Hono);
   const server = await listen(app, cfg.listen);
   log.info({ listen: cfg.listen }, 'control process started');
   watcher.start(signal);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,13 +5,16 @@
   BatchAppender,
   FleetReplica,
   LogClient,
+  logFleetChanges,
   MemberJoiner,
   PlatformHttp,
+  recordFleetEvents,
   STREAM,
   VmListClient,
 } from '@sequoiaquay/platform';
-import { closeServer, EventRing, listen, mountRpc } from '@sequoiaquay/runtime';
+import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
+import { setMaxListeners } from 'node:events';
 import type { EntrySettings } from './entry-settings';
 import { createCallerApi } from './caller-api';
 import { ClaimLookup } from './claim-lookup';
@@ -19,10 +22,13 @@
 import { ClearReporter } from './clear-reporter';
 import { RequestDispatcher } from './dispatcher';
 import { EarlierClaims } from './earlier-claims';
+import { publishEntryMetrics } from './entry-metrics';
+import { createEntryStatus } from './entry-status';
 import { GracefulStop } from './graceful-stop';
 import { HolderInquiry } from './holder-inquiry';
 import { InFlight } from './in-flight';
 import { KeptResults } from './kept-results';
+import { LatencyHistograms } from './latency-histograms';
 import { LeavingVms } from './leaving-vms';
 import { LeavingWatch } from './leaving-watch';
 import { JoinedMembers } from './live-members';
@@ -30,13 +36,15 @@
 import { PauseGuard } from './pause-guard';
 import { PeerClients } from './peer-clients';
 import { createPeerRouter } from './peer-router';
+import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
 import { startTasks } from './tasks/task-runtime';
 import { WorkReplica } from './work-replica';
 
 const BATCH = { batchMs: 5, maxBatch: 500, retryMaxMs: 1000, retryMinMs: 50 };
 const REPLICA = { maxSourceAgeMs: 1500, preferredMs: 500, retryMs: 200, waitMs: 500 };
-const WORK_REPLICA = { retryMs: 200, waitMs: 5000 };
+/** A read whose answer is lost delays every claim by `waitMs` and the call's own limit. */
+const WORK_REPLICA = { retryMs: 200, waitMs: 1000 };
 const RING_CAPACITY = 10_000;
 const GUARD = { maxGapMs: 1000 };
 /** Results kept for repeats, in bytes. */
@@ -56,8 +64,9 @@
 ): Promise<void> {
   // Background parts outlive the stop signal until the last request has ended.
   const background = new AbortController();
+  setMaxListeners(0, background.signal);
   const self: MemberIdentity = {
-    address: cfg.peerListen,
+    address: cfg.peerAdvertise ?? cfg.peerListen,
     incarnation: timers.now(),
     member: cfg.name,
     role: 'entry',
@@ -72,7 +81,10 @@
   };
   const http = new PlatformHttp({ ...cfg.platform, secret });
   const logClient = new LogClient(http);
-  const sources = cfg.controls.map((address) => new ControlSource(address, secret));
+  const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
+  const metrics = new Metrics();
+  const meter = new RequestMeter(ring, new LatencyHistograms(), metrics);
+  const sources = cfg.controls.map((address) => new ControlSource(address, secret, ring));
   const replica = new FleetReplica(() => sources, REPLICA, timers);
   const work = new WorkReplica(
     logClient,
@@ -94,7 +106,7 @@
   );
   const kept = new KeptResults(KEPT_BYTES);
   const lookup = new ClaimLookup(work.claims, kept, holder);
-  const peers = new PeerClients(secret);
+  const peers = new PeerClients(secret, ring);
   const leaving = new LeavingVms();
   const claims = new ClaimService({
     appender: workAppender,
@@ -106,11 +118,13 @@
     timers,
     work,
   });
+  const grants = new OwnShareGrants(replica, inFlight);
   const dispatcher = new RequestDispatcher({
     claims,
-    grants: new OwnShareGrants(replica, inFlight),
+    grants,
     guard,
     leaving,
+    meter,
     replica,
     stopping: signal,
     targets,
@@ -128,21 +142,28 @@
     timers,
     work,
   });
-  const ready = (): boolean => replica.caughtUp && !signal.aborted;
-  const server = await listen(
-    createCallerApi({
-      dispatcher,
-      maxRequestBytes: cfg.maxRequestBytes,
-      ready,
-      replica,
-      stopping: signal,
-      tasks: tasks.service,
-    }),
-    cfg.listen,
-  );
-  const ring = new EventRing(cfg.name, RING_CAPACITY, timers);
+  const ready = (): boolean => replica.caughtUp && !membership.outdated && !signal.aborted;
+  const app = createCallerApi({
+    dispatcher,
+    maxRequestBytes: cfg.maxRequestBytes,
+    meter,
+    ready,
+    replica,
+    stopping: signal,
+    tasks: tasks.service,
+    timers,
+  });
+  const queued = (): Map<string, number> => grants.queued();
+  const appenders = { fleet: fleetAppender, work: workAppender };
+  publishEntryMetrics(metrics, { appenders, inFlight, queued, replica, work });
+  metrics.mount(app);
+  recordFleetEvents(replica, ring, background.signal);
+  logFleetChanges({ log, logClient, replica, timers }, background.signal);
+  const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
-  mountRpc(peerApp, createPeerRouter({ claims: lookup, leaving, name: cfg.name, ring }), secret);
+  const status = createEntryStatus({ holder, inFlight, queued, replica });
+  const router = createPeerRouter({ claims: lookup, leaving, name: cfg.name, ring, status });
+  mountRpc(peerApp, router, secret, ring);
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
   membership.start(background.signal);
