--- a/tests/settings-in-force.test.ts
+++ b/tests/settings-in-force.test.ts
@@ -176,7 +176,7 @@
     for (const [index, vm] of cluster.entries.entries()) {
       await vm.entry.stop(index % 2 === 0 ? 'SIGTERM' : 'SIGKILL');
       const restart = async (): Promise<void> => {
-        await cluster.restartEntry(index);
+        await cluster.restartReadyEntry(index);
         readyAt[index] = Date.now();
       };
       await change('entry restart', index, restart, (at) => readyAt[at] ?? 0);
@@ -191,7 +191,7 @@
     const made = await change('entry and control start in an outage', 1);
     await cluster.entries[0]?.entry.stop();
     await faults({ down: true });
-    await Promise.all([cluster.restartControl(0), cluster.restartEntry(0)]);
+    await Promise.all([cluster.restartControl(0), cluster.restartReadyEntry(0)]);
     expect(await follows(0, made.revision)).toBe(true);
     await faults({});
     await change('after the outage', 0);
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -143,11 +143,10 @@
     return { address: `127.0.0.1:${await route.listenAnywhere()}`, route };
   }
 
-  /** Starts the entry process of a VM again, after it has ended. */
-  async restartEntry(index: number): Promise<void> {
-    const vm = this.#vm(index);
-    vm.entry = this.#spawn('sequoiaquay-entry', ['--config', join(this.directory, `entry-${index}.json`)]);
-    await waitReady(vm.url);
+  /** Starts the entry process of a VM again and waits until it is ready. */
+  async restartReadyEntry(index: number): Promise<void> {
+    this.restartEntry(index);
+    await waitReady(this.#vm(index).url);
   }
 
   /** Starts the control process of a VM again, after it has ended. */
