--- a/packages/platform/src/fleet-replica.ts
+++ b/packages/platform/src/fleet-replica.ts
@@ -37,9 +37,6 @@
   unreadable: number;
 }
 
-/** Age up to which a source's own state is current, in ms: its read of the log waits up to 5 s for a record. */
-const MAX_SOURCE_AGE_MS = 7000;
-
 /**
  * Replica of the fleet state: follows the `fleet` stream from the first source that answers, and returns
  * to the first source once that answers again. The state only ever moves forward in offset.
@@ -107,27 +104,13 @@
     const sources = this.sources();
     let answered = 0;
     for (const source of sources) {
-      if (await this.#readToEnd(source, signal)) {
-        answered += 1;
-        if ((source.sourceAgeMs ?? Infinity) <= MAX_SOURCE_AGE_MS) {
-          return true;
-        }
-      }
-    }
-    return answered > 0 && 2 * answered >= sources.length;
-  }
-
-  async #readToEnd(source: FleetSource, signal: AbortSignal): Promise<boolean> {
-    for (;;) {
-      const page = await source.read(this.#state.next, 0, signal);
-      if (page.isErr()) {
-        return page.error.kind === 'trimmed' && !(await this.#bootstrap(source, signal));
-      }
-      this.#applyPage(page.value);
-      if (this.#state.next >= page.value.end) {
+      const last = await this.#readToEnd(source, signal);
+      answered += last === undefined ? 0 : 1;
+      if (last !== undefined && !this.#isStale(last)) {
         return true;
       }
     }
+    return answered > 0 && 2 * answered >= sources.length;
   }
 
   /** Waits for the verdict on a record; undefined when the signal aborts first. */
@@ -180,6 +163,23 @@
     }
   }
 
+  // Gives the page that reached the source's end.
+  async #readToEnd(source: FleetSource, signal: AbortSignal): Promise<LogPage | undefined> {
+    for (;;) {
+      const page = await source.read(this.#state.next, 0, signal);
+      if (page.isErr()) {
+        if (page.error.kind !== 'trimmed' || (await this.#bootstrap(source, signal))) {
+          return undefined;
+        }
+        continue;
+      }
+      this.#applyPage(page.value);
+      if (this.#state.next >= page.value.end) {
+        return page.value;
+      }
+    }
+  }
+
   // Gives whether another source is to be tried.
   async #step(source: FleetSource, signal: AbortSignal): Promise<boolean> {
     if (!this.#started) {
