feat(entry): publish tasks in metrics and the time line, and settle appends before refusing

Cause: `explain task` and the metrics knew nothing of tasks. On a machine with a load above 40 the outage test saw `unknown` where `not-run` was due: an append was in flight when the deadline passed, and counted as possibly taken although its refusal came a moment later.

Change: each entry adds the steps that it took to its event ring under the task's id, and publishes live and known tasks, leases and takeovers. A refusal waits up to 500 ms for the answer of an append in flight.

Conclusion: an entry that falls behind the retention forgets tasks until their states are carried on; keep retention far above the lag of replicas.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -38,6 +38,7 @@
 import { createPeerRouter } from './peer-router';
 import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
+import { publishTasks } from './tasks/task-metrics';
 import { startTasks } from './tasks/task-runtime';
 import { WorkReplica } from './work-replica';
 
@@ -137,6 +138,7 @@
     leaving,
     members: new JoinedMembers(replica),
     replica,
+    ring,
     secret,
     settings: cfg.tasks,
     signal: background.signal,
@@ -157,6 +159,7 @@
   const queued = (): Map<string, number> => grants.queued();
   const appenders = { fleet: fleetAppender, work: workAppender };
   publishEntryMetrics(metrics, { appenders, inFlight, queued, replica, work });
+  publishTasks(metrics, work, tasks);
   metrics.mount(app);
   recordFleetEvents(replica, ring, background.signal);
   logFleetChanges({ log, logClient, replica, timers }, background.signal);
--- a/packages/entry/src/tasks/task-runtime.ts
+++ b/packages/entry/src/tasks/task-runtime.ts
@@ -1,5 +1,5 @@
 import type { BatchAppender, FleetReplica } from '@sequoiaquay/platform';
-import type { TimerService } from '@sequoiaquay/runtime';
+import type { EventRing, TimerService } from '@sequoiaquay/runtime';
 import { WorkerClient } from '@sequoiaquay/platform';
 import type { InFlight } from '../in-flight';
 import type { LeavingVms } from '../leaving-vms';
@@ -8,6 +8,7 @@
 import type { TaskSettings } from './task-settings';
 import { TaskCarrier } from './task-carrier';
 import { TaskDriver } from './task-driver';
+import { recordTaskEvents } from './task-events';
 import { TaskLog } from './task-log';
 import { TaskPlaces } from './task-places';
 import { TaskService } from './task-service';
@@ -20,6 +21,7 @@
   leaving: LeavingVms;
   members: LiveMembers;
   replica: FleetReplica;
+  ring: EventRing;
   secret: string;
   settings: TaskSettings;
   signal: AbortSignal;
@@ -41,9 +43,10 @@
   const log = new TaskLog(parts.appender, entry, timers);
   const workers = new WorkerClient({ secret: parts.secret, timeoutMs: settings.workerTimeoutMs });
   const places = new TaskPlaces(work.tasks, parts.inFlight);
-  const service = new TaskService(log, work, parts.replica, settings, signal);
+  const service = new TaskService(log, work, parts.replica, settings, timers, signal);
   const driver = new TaskDriver({ ...parts, log, places, workers });
   new TaskCarrier({ entry, log, members, settings, timers, work }).start(signal);
+  recordTaskEvents(work, parts.ring, entry, signal);
   driver.start();
   return { close: () => workers.close(), driver, service };
 }
--- a/packages/entry/src/tasks/task-service.ts
+++ b/packages/entry/src/tasks/task-service.ts
@@ -1,5 +1,6 @@
 import type { Task, TaskVerdict } from '@sequoiaquay/core';
-import type { FleetReplica } from '@sequoiaquay/platform';
+import type { AppendHandle, FleetReplica } from '@sequoiaquay/platform';
+import type { TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
 import { MAX_TASK_BODY, resourcesSchema } from '@sequoiaquay/core';
 import { err, ok } from 'neverthrow';
@@ -16,6 +17,10 @@
 /** Longest wait of a cancelling caller for the log, in ms. */
 const CANCEL_WAIT_MS = 5000;
 
+/** Longest wait for the answer of an append that is in flight when the deadline passes, in ms. */
+const LAST_ANSWER_MS = 500;
+const LAST_ANSWER_STEP_MS = 20;
+
 /** Accepts tasks into the log, and cancels them. */
 export class TaskService {
   readonly #waiting = new Map<string, (verdict: TaskVerdict) => void>();
@@ -25,7 +30,8 @@
     private readonly work: WorkReplica,
     private readonly replica: FleetReplica,
     private readonly settings: TaskSettings,
-    signal: AbortSignal,
+    private readonly timers: TimerService,
+    private readonly signal: AbortSignal,
   ) {
     work.onTask((record, verdict) => this.#waiting.get(record.id)?.(verdict), signal);
   }
@@ -65,6 +71,7 @@
     const sent = this.log.append(this.#toRecord(plan), plan.deadlineMs);
     const verdict = await this.#verdictOf(sent.id, AbortSignal.timeout(plan.deadlineMs));
     if (verdict === undefined) {
+      await this.#lastAnswer(sent);
       return this.#unconfirmed(sent);
     }
     return verdict.orElse((reason) =>
@@ -74,8 +81,16 @@
     );
   }
 
+  // The record is not sent again after the deadline, but an append of it may still be refused.
+  async #lastAnswer(sent: AppendHandle): Promise<void> {
+    const until = this.timers.mono() + LAST_ANSWER_MS;
+    while (sent.mayBeTaken() && this.timers.mono() < until && !this.signal.aborted) {
+      await this.timers.sleep(LAST_ANSWER_STEP_MS, this.signal);
+    }
+  }
+
   // An append that may have reached the log is taken back, but others may have started the task meanwhile.
-  #unconfirmed(sent: { id: string; mayBeTaken: () => boolean }): Result<Task, CallerRefusal> {
+  #unconfirmed(sent: AppendHandle & { id: string }): Result<Task, CallerRefusal> {
     if (!sent.mayBeTaken()) {
       return refuse('task-unavailable', 'the log took no record in time', 'not-run');
     }
