--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,6 +41,7 @@
 import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
 import { TargetHealth } from './target-health';
+import { publishTasks } from './tasks/task-metrics';
 import { startTasks } from './tasks/task-runtime';
 import { WorkReplica } from './work-replica';
 
@@ -150,8 +151,10 @@
     appender: workAppender,
     entry: cfg.name,
     inFlight,
+    leaving,
     members,
     replica,
+    ring,
     secret,
     settings: cfg.tasks,
     signal: background.signal,
@@ -172,6 +175,7 @@
   const queued = (): Map<string, number> => queueing.queues.queued();
   const appenders = { fleet: fleetAppender, work: workAppender };
   publishEntryMetrics(metrics, { appenders, inFlight, queued, replica, work });
+  publishTasks(metrics, work, tasks);
   metrics.mount(app);
   recordFleetEvents(replica, ring, background.signal);
   logFleetChanges({ log, logClient, replica, timers }, background.signal);
