feat: list and explain tasks, and run one in the quickstart

Cause: operators could not see tasks, and explain task had no source. Change: entries serve their fold of the tasks to controls; GET /v1/tasks and explain task ask the first entry that answers, since every entry folds all tasks. The quickstart has a worker and a task. Before/after: explain task found nothing; it now gives the state, the attempt and why earlier tries ended. Conclusion: ended tasks are explained while they are remembered.

--- a/packages/cli/src/commands/inspect.ts
+++ b/packages/cli/src/commands/inspect.ts
@@ -60,6 +60,22 @@
   summary: z.array(z.string()),
 });
 
+const tasksSchema = z.object({
+  live: z.int(),
+  tasks: z.array(
+    z.object({
+      acceptedAt: z.number(),
+      attempt: z.int(),
+      id: z.string(),
+      job: z.string(),
+      pool: z.string(),
+      progress: z.number(),
+      state: z.string(),
+      worker: z.string().optional(),
+    }),
+  ),
+});
+
 const KINDS: readonly string[] = ['vm', 'pool', 'task', 'request'];
 
 /** Prints on how many entries each team's settings are in force, and the age of each entry's state. */
@@ -118,10 +134,28 @@
   );
 }
 
-/** Prints the tasks that the entries know. */
-export async function listTasks({ client }: CommandContext): CommandResult {
-  const answer = await client.read('/tasks');
-  return answer.map((json) => ({ json, lines: [JSON.stringify(json, undefined, 2)] }));
+/** Prints the tasks that have not ended. */
+export async function listTasks(context: CommandContext): CommandResult {
+  const read = await readAs(context, '/tasks', tasksSchema);
+  return read.map(({ json, value }) => ({
+    json,
+    lines: [
+      `tasks that have not ended: ${value.live}`,
+      ...table(
+        ['TASK', 'POOL', 'JOB', 'STATE', 'ATTEMPT', 'WORKER', 'PROGRESS', 'ACCEPTED'],
+        value.tasks.map((task) => [
+          task.id,
+          task.pool,
+          task.job,
+          task.state,
+          task.attempt,
+          task.worker,
+          `${Math.round(100 * task.progress)}%`,
+          toTime(task.acceptedAt),
+        ]),
+      ),
+    ],
+  }));
 }
 
 function describeTeam(team: z.infer<typeof statusSchema>['teams'][number]): string {
--- a/packages/control/src/entry-peers.ts
+++ b/packages/control/src/entry-peers.ts
@@ -1,10 +1,11 @@
-import type { EntryStatus, PeerRouter } from '@sequoiaquay/entry';
+import type { EntryStatus, PeerRouter, TaskView } from '@sequoiaquay/entry';
 import type { FleetReplica } from '@sequoiaquay/platform';
 import type { HlcClock, RpcError, TimelineEvent, TimelineQuery } from '@sequoiaquay/runtime';
 import type { TRPCClient } from '@trpc/client';
 import type { Result } from 'neverthrow';
 import { rpcLinkOptions, rpcResult } from '@sequoiaquay/runtime';
 import { createTRPCClient, httpLink } from '@trpc/client';
+import { err, ok } from 'neverthrow';
 import type { ControlRouter } from './control-router';
 
 /** Answer of one process, or why there is none. */
@@ -14,10 +15,20 @@
   name: string;
 }
 
+/** Tasks that have not ended: how many there are, and the first of them. */
+export interface TaskList {
+  live: number;
+  tasks: TaskView[];
+}
+
 /** Other processes of the system as the operators' interface asks them. */
 export interface OperatorPeers {
   /** Status of every entry that has joined in the log. */
   entryStatus: () => Promise<PeerAnswer<EntryStatus>[]>;
+  /** A task, as the first entry that answers knows it; null when that entry knows none. */
+  findTask: (id: string) => Promise<Result<TaskView | null, RpcError>>;
+  /** Tasks that have not ended, as the first entry that answers knows them. */
+  listTasks: () => Promise<Result<TaskList, RpcError>>;
   /** Events of every entry and of the other controls. */
   timelines: (query: TimelineQuery) => Promise<PeerAnswer<TimelineEvent[]>[]>;
 }
@@ -50,6 +61,14 @@
     );
   }
 
+  findTask(id: string): Promise<Result<TaskView | null, RpcError>> {
+    return this.#askFirst((client, signal) => client.tasks.find.query({ id }, { signal }));
+  }
+
+  listTasks(): Promise<Result<TaskList, RpcError>> {
+    return this.#askFirst((client, signal) => client.tasks.list.query(undefined, { signal }));
+  }
+
   timelines(query: TimelineQuery): Promise<PeerAnswer<TimelineEvent[]>[]> {
     const entries = this.#joinedEntries().map(({ client, name }) =>
       ask(name, (signal) => client.timeline.query(query, { signal })),
@@ -60,6 +79,21 @@
     return Promise.all([...entries, ...controls]);
   }
 
+  // Every entry folds all tasks, so that any of them can be asked.
+  async #askFirst<T>(
+    call: (client: TRPCClient<PeerRouter>, signal: AbortSignal) => Promise<T>,
+  ): Promise<Result<T, RpcError>> {
+    let failure: RpcError = { kind: 'unreachable', message: 'no entry has joined' };
+    for (const { client, name } of this.#joinedEntries()) {
+      const { answer } = await ask(name, (signal) => call(client, signal));
+      if (answer.isOk()) {
+        return ok(answer.value);
+      }
+      failure = answer.error;
+    }
+    return err(failure);
+  }
+
   #joinedEntries(): { client: TRPCClient<PeerRouter>; name: string }[] {
     return [...this.replica.state.members.values()]
       .filter((member) => member.role === 'entry')
--- a/packages/control/src/explain-routes.ts
+++ b/packages/control/src/explain-routes.ts
@@ -5,7 +5,7 @@
 import type { ExplainedKind, Explanation } from './explain';
 import type { JournalEntry } from './journal';
 import type { OperatorApiParts, OperatorEnv } from './operator-http';
-import { EXPLAINED_KINDS, explainEvents, explainPool, explainVm } from './explain';
+import { EXPLAINED_KINDS, explainPool, explainRequest, explainTask, explainVm } from './explain';
 import { refuse } from './operator-http';
 import { silentOf } from './status-routes';
 
@@ -22,9 +22,15 @@
     const explanation = await explain(parts, kind.data, id);
     return isKnown(parts.replica.state, explanation)
       ? c.json(explanation)
-      : refuse(c, 404, `unknown-${kind.data}`, explanation.summary.join('; '), {
-          silent: explanation.silent,
-        });
+      : refuse(
+          c,
+          404,
+          `unknown-${kind.data}`,
+          explanation.summary.join('; ') || `${kind.data} ${id} is not known`,
+          {
+            silent: explanation.silent,
+          },
+        );
   });
 }
 
@@ -50,8 +56,14 @@
     case 'pool':
       return explainPool(state, id, records);
     case 'request':
-    case 'task':
-      return explainEvents(kind, id, events);
+      return explainRequest(id, events);
+    case 'task': {
+      const task = await parts.peers.findTask(id);
+      return task.match(
+        (found) => (found === null ? [] : explainTask(found)),
+        (error) => [`no entry answered: ${error.message}`],
+      );
+    }
     case 'vm': {
       const vm = state.vms.get(id);
       const entries = vm?.drain === undefined ? [] : await parts.peers.entryStatus();
@@ -72,7 +84,15 @@
   }
 }
 
-function isKnown(state: FleetState, { events, id, kind, records }: Explanation): boolean {
-  const present = (kind === 'vm' && state.vms.has(id)) || (kind === 'pool' && state.poolOwners.has(id));
-  return present || events.length > 0 || records.length > 0;
+function isKnown(state: FleetState, { events, id, kind, records, summary }: Explanation): boolean {
+  switch (kind) {
+    case 'pool':
+      return state.poolOwners.has(id) || records.length > 0;
+    case 'request':
+      return events.length > 0;
+    case 'task':
+      return summary.length > 0;
+    case 'vm':
+      return state.vms.has(id) || records.length > 0;
+  }
 }
--- a/packages/control/src/explain.ts
+++ b/packages/control/src/explain.ts
@@ -1,5 +1,5 @@
 import type { FleetState, Vm } from '@sequoiaquay/core';
-import type { EntryStatus } from '@sequoiaquay/entry';
+import type { EntryStatus, TaskView } from '@sequoiaquay/entry';
 import type { TimelineEvent } from '@sequoiaquay/runtime';
 import { isServing, minServing, servingCount, vmsOfPool } from '@sequoiaquay/core';
 import type { PeerAnswer } from './entry-peers';
@@ -72,14 +72,24 @@
   ];
 }
 
-/** Lines about a request or task from the events of all processes. */
-export function explainEvents(
-  kind: 'request' | 'task',
-  id: string,
-  events: readonly TimelineEvent[],
-): string[] {
+/** Lines about a task: its state, and each try that ended without an answer. */
+export function explainTask(task: TaskView): string[] {
+  const place = task.worker === undefined ? '' : ` on ${task.worker}`;
+  const progress = `${Math.round(100 * task.progress)}% done`;
+  const outcome = task.outcome === undefined ? '' : `, outcome ${task.outcome}`;
+  return [
+    `task ${task.id} of pool ${task.pool}, job ${task.job}, is ${task.state}${outcome}`,
+    task.attempt === 0 ? 'it has not been started' : `attempt ${task.attempt}${place}, ${progress}`,
+    ...task.tries.map((tried) =>
+      `attempt ${tried.attempt} on ${tried.worker} ended: ${tried.cause} ${tried.reason}`.trimEnd(),
+    ),
+  ];
+}
+
+/** Lines about a request from the events of all processes. */
+export function explainRequest(id: string, events: readonly TimelineEvent[]): string[] {
   if (events.length === 0) {
-    return [`no process that answered remembers ${kind} ${id}`];
+    return [`no process that answered remembers request ${id}`];
   }
   return events.map((event) => {
     const data = Object.entries(event.data).map(([name, value]) => `${name} ${value}`);
--- a/packages/control/src/status-routes.ts
+++ b/packages/control/src/status-routes.ts
@@ -27,6 +27,13 @@
       silent: silentOf(answers),
     });
   });
+  app.get('/tasks', async (c) => {
+    const tasks = await parts.peers.listTasks();
+    return tasks.match(
+      (list) => c.json(list),
+      (error) => refuse(c, 503, 'no-entry', `no entry answered: ${error.message}`),
+    );
+  });
   app.get('/records/:id', (c) => {
     const id = c.req.param('id');
     const entry = parts.journal.find(id);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -161,7 +161,14 @@
   const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
   const status = createEntryStatus({ holder, inFlight, queued, replica });
-  const router = createPeerRouter({ claims: lookup, leaving, name: cfg.name, ring, status });
+  const router = createPeerRouter({
+    claims: lookup,
+    leaving,
+    name: cfg.name,
+    ring,
+    status,
+    tasks: work.tasks,
+  });
   mountRpc(peerApp, router, secret, ring);
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,3 +1,4 @@
+import type { TaskTable } from '@sequoiaquay/core';
 import type { EventRing } from '@sequoiaquay/runtime';
 import { timelineQuerySchema } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
@@ -5,6 +6,7 @@
 import type { ClaimLookup } from './claim-lookup';
 import type { EntryStatus } from './entry-status';
 import type { LeavingVms } from './leaving-vms';
+import { toView } from './tasks/task-api';
 
 /** Parts of an entry that its peers' procedures use. */
 export interface PeerRouterParts {
@@ -13,8 +15,12 @@
   name: string;
   ring: EventRing;
   status: () => EntryStatus;
+  tasks: TaskTable;
 }
 
+/** Most tasks that one answer lists. */
+const MAX_LISTED_TASKS = 500;
+
 const t = initTRPC.create();
 
 /** Procedures that an entry serves to other entries; one sub-router per concern. */
@@ -30,6 +36,16 @@
     leaving: t.procedure.query(() => parts.leaving.list()),
     ping: t.procedure.query(() => ({ name: parts.name })),
     status: t.procedure.query(() => parts.status()),
+    tasks: t.router({
+      find: t.procedure.input(z.object({ id: z.string().max(200) })).query(({ input }) => {
+        const task = parts.tasks.find(input.id);
+        return task === undefined ? null : toView(task);
+      }),
+      list: t.procedure.query(() => {
+        const live = parts.tasks.live();
+        return { live: live.length, tasks: live.slice(0, MAX_LISTED_TASKS).map(toView) };
+      }),
+    }),
     timeline: t.procedure.input(timelineQuerySchema).query(({ input }) => parts.ring.select(input)),
   });
 }
--- a/packages/stand-ins/src/embedded-site.ts
+++ b/packages/stand-ins/src/embedded-site.ts
@@ -14,6 +14,7 @@
 import { ExecutorStandIn } from './executor-stand-in';
 import { freePorts } from './free-ports';
 import { PlatformStandIn } from './platform-stand-in';
+import { WorkerStandIn } from './worker-stand-in';
 
 /** Shape of an embedded site. */
 export interface EmbeddedShape {
@@ -22,6 +23,8 @@
   executors: number;
   log: Logger;
   teams: string[];
+  /** Workers of 16 processors and 64 GB. */
+  workers?: number;
 }
 
 /** Addresses of one embedded entry VM, `host:port`. */
@@ -36,6 +39,7 @@
 const START_LIMIT_MS = 20_000;
 const POLL_MS = 25;
 const SLOTS = 8;
+const WORKER = { accelerators: 0, memoryMb: 65_536, processors: 16 };
 
 /** Platform, targets and entry VMs in one process, on loopback. For the quickstart and tests only. */
 export class EmbeddedSite {
@@ -66,12 +70,16 @@
   /** Starts a site and waits until its entries are ready and its targets registered. */
   static async start(shape: EmbeddedShape): Promise<EmbeddedSite> {
     const site = new EmbeddedSite(shape);
-    const ports = await freePorts(1 + shape.executors + 3 * shape.entries);
+    const workers = shape.workers ?? 0;
+    const ports = await freePorts(1 + shape.executors + workers + 3 * shape.entries);
     const platformAddress = toAddress(ports);
     site.#servers.push(await listen(site.platform.app, platformAddress));
     for (let index = 0; index < shape.executors; index += 1) {
       await site.#startExecutor(`target-${index}`, toAddress(ports), index);
     }
+    for (let index = 0; index < workers; index += 1) {
+      await site.#startWorker(`worker-${index}`, toAddress(ports), index);
+    }
     for (let index = 0; index < shape.entries; index += 1) {
       const [entry, peers, control] = [toAddress(ports), toAddress(ports), toAddress(ports)];
       site.vms.push({ control, entry, name: `vm-${index}`, peers });
@@ -104,12 +112,23 @@
     const executor = new ExecutorStandIn(name);
     this.executors.push(executor);
     this.#servers.push(await listen(executor.app, address));
+    this.#putVm(name, address, index, 'target');
+  }
+
+  async #startWorker(name: string, address: string, index: number): Promise<void> {
+    const worker = new WorkerStandIn({ capacity: WORKER, name, secret: SECRET, usageLagMs: 200 });
+    worker.start();
+    this.#servers.push(await listen(worker.app, address));
+    this.#putVm(name, address, index, 'worker');
+  }
+
+  #putVm(name: string, address: string, index: number, role: 'target' | 'worker'): void {
     this.platform.putVm({
       address,
       connections: 64,
       id: name,
       rack: `rack-${index}`,
-      role: 'target',
+      role,
       slots: SLOTS,
       state: 'live',
       zone: `zone-${index % 3}`,
@@ -162,7 +181,7 @@
       const ready = await fetch(`http://${entry}/readyz`).catch(() => undefined);
       const vms = await fetch(`http://${control}/v1/vms`, { headers }).catch(() => undefined);
       const listed = vms?.ok === true ? ((await vms.json()) as unknown[]).length : 0;
-      return ready?.ok === true && listed >= this.shape.executors;
+      return ready?.ok === true && listed >= this.shape.executors + (this.shape.workers ?? 0);
     });
     return (await Promise.all(checks)).every(Boolean);
   }
--- a/packages/stand-ins/src/quickstart.ts
+++ b/packages/stand-ins/src/quickstart.ts
@@ -9,6 +9,7 @@
 
 const BRANCH = {
   pools: {
+    batch: { jobs: { render: { repeatable: true, timeoutMs: 5000 } }, minServing: 1 },
     bookings: {
       jobs: {
         charge: { repeatable: false, timeoutMs: 5000 },
@@ -20,17 +21,19 @@
   },
 };
 
-/** Pool that each target of the quickstart is given to. */
+/** Pool that each VM of the quickstart is given to. */
 const POOL_OF = {
   'target-0': 'bookings',
   'target-1': 'bookings',
   'target-2': 'bookings',
   'target-3': 'fares',
   'target-4': 'fares',
+  'worker-0': 'batch',
 } as const;
 
 const QUOTES = 40;
 const LONG_QUOTE_MS = 1200;
+const TASK_MS = 1500;
 const WAIT_LIMIT_MS = 10_000;
 const POLL_MS = 50;
 
@@ -44,9 +47,9 @@
 
 /** Runs the main job on an embedded site and tells what happens, line by line. */
 export async function runQuickstart(say: (line: string) => void): Promise<void> {
-  say('Starting a platform, 5 targets and 2 entry VMs, all stand-ins or embedded, on loopback.');
+  say('Starting a platform, 5 targets, a worker and 2 entry VMs in one process, on loopback.');
   const log = createLogger({ name: 'quickstart', streams: [] });
-  const site = await EmbeddedSite.start({ entries: 2, executors: 5, log, teams: [TEAM] });
+  const site = await EmbeddedSite.start({ entries: 2, executors: 5, log, teams: [TEAM], workers: 1 });
   try {
     await new Quickstart(site, say).run();
   } finally {
@@ -72,6 +75,7 @@
     await this.#definePools();
     await this.#sendShortWork();
     await this.#chargeTwice();
+    await this.#runTask();
     await this.#drain();
     await this.#breakBudget();
     await this.#changeSettings();
@@ -82,12 +86,12 @@
   }
 
   async #definePools(): Promise<void> {
-    this.#title('Two pools, with their jobs and availability budgets');
+    this.#title('Two pools of targets and one of workers, with their jobs and availability budgets');
     await this.#sequoiaquay(['settings', 'apply', this.#writeFile('voyages.json', BRANCH)]);
     for (const [vm, pool] of Object.entries(POOL_OF)) {
       await this.#sequoiaquay(['move', vm, pool]);
     }
-    await this.#until('all targets serve in their pools', async () => {
+    await this.#until('all VMs serve in their pools', async () => {
       const { out } = await this.#quiet(['pools', '--json']);
       const pools = JSON.parse(out) as { serving: number }[];
       return pools.reduce((sum, pool) => sum + pool.serving, 0) === Object.keys(POOL_OF).length;
@@ -126,6 +130,30 @@
     this.say(`Both callers got the same answer; the targets ran the charge ${count} time.`);
   }
 
+  async #runTask(): Promise<void> {
+    this.#title('A long task: accepted at once, run on the worker, its answer fetched later');
+    const { location, status } = await this.#submitTask();
+    this.#check(status === 202 && location !== null, `the task was not accepted: status ${status}`);
+    const id = location?.split('/').at(-1) ?? '';
+    this.say(`202 Accepted, Location ${location ?? ''}`);
+    await this.#until('the task runs', async () => (await this.#quiet(['tasks'])).out.includes('running'));
+    await this.#sequoiaquay(['tasks']);
+    await this.#until('the task is done', async () =>
+      (await this.#quiet(['explain', 'task', id])).out.includes('is done'),
+    );
+    await this.#sequoiaquay(['explain', 'task', id]);
+  }
+
+  async #submitTask(): Promise<{ location: string | null; status: number }> {
+    const res = await fetch(`http://${this.site.vms[0]?.entry ?? ''}/v1/pools/batch/jobs/render`, {
+      body: JSON.stringify({ nonce: 'render-1', runMs: TASK_MS }),
+      headers: { 'content-type': 'application/json', prefer: 'respond-async' },
+      method: 'POST',
+    });
+    await res.text();
+    return { location: res.headers.get('location'), status: res.status };
+  }
+
   async #drain(): Promise<void> {
     this.#title('A drain lets running work end');
     const long = Array.from({ length: 6 }, (_, index) =>
