--- a/packages/cli/src/cli-settings.ts
+++ b/packages/cli/src/cli-settings.ts
@@ -7,7 +7,10 @@
 import type { CliError } from './cli-error';
 import { usageError } from './cli-error';
 
-const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port');
+const address = z
+  .string()
+  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port')
+  .describe('IP address and port');
 
 /** Settings of the command line. Times in milliseconds. */
 export const cliSettingsSchema = z.strictObject({
--- a/packages/control/src/control-settings.ts
+++ b/packages/control/src/control-settings.ts
@@ -1,7 +1,10 @@
 import { nameSchema } from '@sequoiaquay/core';
 import * as z from 'zod';
 
-const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port');
+const address = z
+  .string()
+  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port')
+  .describe('IP address and port');
 
 /** Settings of a control process. Times in milliseconds. */
 export const controlSettingsSchema = z.strictObject({
@@ -19,7 +22,13 @@
   secretFile: z.string().min(1),
   /** SHA-256 of the bearer token of each team, in hexadecimal. */
   teamTokens: z
-    .record(nameSchema, z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 in hexadecimal'))
+    .record(
+      nameSchema,
+      z
+        .string()
+        .regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 in hexadecimal')
+        .describe('SHA-256 in hexadecimal'),
+    )
     .default({}),
   vm: nameSchema,
   vmListPollMs: z.int().min(50).default(1000),
--- a/packages/core/src/records/names.ts
+++ b/packages/core/src/records/names.ts
@@ -7,4 +7,5 @@
 export const nameSchema = z
   .string()
   .regex(/^[a-z0-9][a-z0-9-]*$/, 'must be lower-case letters, digits and hyphens')
-  .max(MAX_NAME_LENGTH);
+  .max(MAX_NAME_LENGTH)
+  .describe(`name of lower-case letters, digits and hyphens, up to ${MAX_NAME_LENGTH} characters`);
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -2,7 +2,10 @@
 import * as z from 'zod';
 import { taskSettingsSchema } from './tasks/task-settings';
 
-const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port');
+const address = z
+  .string()
+  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port')
+  .describe('IP address and port');
 
 /** Settings of an entry process. Times in milliseconds, sizes in bytes. */
 export const entrySettingsSchema = z.strictObject({
--- a/packages/runtime/src/schema-options.ts
+++ b/packages/runtime/src/schema-options.ts
@@ -7,6 +7,7 @@
   default?: string;
   /** Names from the root joined by dots; `<name>` stands for any name. */
   path: string;
+  /** Whether the option must be given when the object around it is. */
   required: boolean;
   /** What is allowed, in words. */
   type: string;
@@ -24,8 +25,8 @@
 interface JsonSchema {
   additionalProperties?: JsonSchema | boolean;
   anyOf?: JsonSchema[];
-  const?: unknown;
   default?: unknown;
+  description?: string;
   enum?: unknown[];
   exclusiveMinimum?: number;
   format?: string;
@@ -76,7 +77,7 @@
     ];
   }
   return children.flatMap(([name, next]) =>
-    walk(next, path === '' ? name : `${path}.${name}`, name === ANY_NAME || isRequired(node, name)),
+    walk(next, path === '' ? name : `${path}.${name}`, isRequired(node, name)),
   );
 }
 
@@ -108,7 +109,7 @@
 function allowedNames(node: JsonSchema): string[] {
   const fixed = Object.keys(node.properties ?? {}).sort();
   return typeof node.additionalProperties === 'object'
-    ? [...fixed, `a name matching ${node.propertyNames?.pattern ?? '.*'}`]
+    ? [...fixed, node.propertyNames?.description ?? 'any name']
     : fixed;
 }
 
@@ -149,6 +150,9 @@
 }
 
 function describeText(node: JsonSchema): string {
+  if (node.description !== undefined) {
+    return node.description;
+  }
   if (node.format === 'uri') {
     return 'URL';
   }
--- /dev/null
+++ b/tests/configuration-page.test.ts
@@ -0,0 +1,45 @@
+import type { ZodType } from 'zod';
+import { cliSettingsSchema } from '@sequoiaquay/cli';
+import { controlSettingsSchema } from '@sequoiaquay/control';
+import { teamBranchSchema } from '@sequoiaquay/core';
+import { entrySettingsSchema } from '@sequoiaquay/entry';
+import { listOptions } from '@sequoiaquay/runtime';
+import { readFileSync } from 'node:fs';
+import { describe, expect, it } from 'vitest';
+
+const PAGE = readFileSync(new URL('../docs/CONFIGURATION.md', import.meta.url), 'utf8');
+
+/** Rows of the table under a heading: path, type, default. Placeholders of names become `<name>`. */
+function rowsUnder(heading: string): string[] {
+  const section = PAGE.split(/^## /m).find((text) => text.startsWith(`${heading}\n`)) ?? '';
+  return section
+    .split('\n')
+    .filter((line) => line.startsWith('| `'))
+    .map((line) => {
+      const [, path = '', type = '', fallback = '', , meaning = ''] = line
+        .split('|')
+        .map((cell) => cell.trim());
+      expect(meaning, `meaning of ${path}`).not.toBe('');
+      return `${path.replaceAll('`', '').replaceAll(/<\w+>/g, '<name>')} | ${type} | ${fallback.replaceAll('`', '')}`;
+    })
+    .sort();
+}
+
+function rowsOf(schema: ZodType, prefix: string): string[] {
+  return listOptions(schema)
+    .map(({ default: fallback, path, required, type }) => {
+      return `${prefix}${path} | ${type} | ${required ? 'required' : (fallback ?? 'none')}`;
+    })
+    .sort();
+}
+
+describe('configuration page', () => {
+  it.each([
+    ['Entry settings', entrySettingsSchema, ''],
+    ['Control settings', controlSettingsSchema, ''],
+    ['Command line settings', cliSettingsSchema, ''],
+    ['Settings tree', teamBranchSchema, 'teams.<name>.'],
+  ] as const)('lists exactly the options of the schema under "%s"', (heading, schema, prefix) => {
+    expect(rowsUnder(heading)).toEqual(rowsOf(schema, prefix));
+  });
+});
