--- a/packages/platform/src/member-joiner.ts
+++ b/packages/platform/src/member-joiner.ts
@@ -35,6 +35,11 @@
     private readonly timers: TimerService,
   ) {}
 
+  /** Whether the log lists a newer incarnation of the same name, so that this one must not take work. */
+  get outdated(): boolean {
+    return (this.replica.state.members.get(this.self.member)?.incarnation ?? -1) > this.self.incarnation;
+  }
+
   /** Whether the log lists this incarnation. */
   get joined(): boolean {
     return this.replica.state.members.get(this.self.member)?.incarnation === this.self.incarnation;
@@ -61,6 +66,10 @@
       return;
     }
     const known = this.replica.state.members.get(this.self.member)?.incarnation ?? -1;
+    // Joining again would fight with the process that has taken this one's place.
+    if (this.#wasJoined && known > this.self.incarnation) {
+      return;
+    }
     // Others take the claims of a removed incarnation to have no living holder, so it isn't used again.
     if (known > this.self.incarnation || this.#wasJoined) {
       this.#wasJoined = false;
