fix: refuse the name __proto__ instead of losing it, and read bodies that are refused

Cause: the contract tables and fuzz tests of this commit found that a branch with a pool named __proto__ was accepted without that pool, since the schemas drop the member silently; that a body above 1 MiB cut the client's connection before it could read the 413; and that a settings file with a list was taken for an empty object. The rest of a refused body is read, up to 16 MiB. A list is checked as it is.

--- a/packages/cli/src/settings-edit.ts
+++ b/packages/cli/src/settings-edit.ts
@@ -1,8 +1,8 @@
 import type { TeamBranch } from '@sequoiaquay/core';
 import type { Result } from 'neverthrow';
-import { describeProblems, teamBranchSchema } from '@sequoiaquay/core';
+import { checkValue, teamBranchSchema } from '@sequoiaquay/core';
 import { findOption } from '@sequoiaquay/runtime';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 import type { CliError } from './cli-error';
 import { usageError } from './cli-error';
 
@@ -30,8 +30,7 @@
 
 /** Checks a whole branch. */
 export function checkBranch(value: unknown): Result<TeamBranch, CliError> {
-  const parsed = teamBranchSchema.safeParse(value);
-  return parsed.success ? ok(parsed.data) : err(usageError(...describeProblems(parsed.error)));
+  return checkValue(teamBranchSchema, value).mapErr((problems) => usageError(...problems));
 }
 
 /** Value at a path of a branch, or undefined. */
--- a/packages/control/src/operator-api.ts
+++ b/packages/control/src/operator-api.ts
@@ -11,6 +11,9 @@
 /** Largest body of an operator's request, in bytes; the log takes a branch as one record. */
 const MAX_BODY_BYTES = 1_048_576;
 
+/** Part of a body that is too large that is still read, in bytes. */
+const MAX_DROPPED_BYTES = 16 * MAX_BODY_BYTES;
+
 /** Builds the operators' interface, version 1. */
 export function createOperatorApi(parts: OperatorApiParts): Hono<OperatorEnv> {
   const app = new Hono<OperatorEnv>();
@@ -26,8 +29,10 @@
   app.use(
     bodyLimit({
       maxSize: MAX_BODY_BYTES,
-      onError: (c: OperatorContext) =>
-        refuse(c, 413, 'request-too-large', `the body is larger than ${MAX_BODY_BYTES} bytes`),
+      onError: async (c: OperatorContext) => {
+        await dropBody(c.req.raw);
+        return refuse(c, 413, 'request-too-large', `the body is larger than ${MAX_BODY_BYTES} bytes`);
+      },
     }),
   );
   routeSettings(app, parts);
@@ -36,3 +41,14 @@
   routeExplain(app, parts);
   return app;
 }
+
+// A client that still sends would see its connection cut instead of the refusal.
+async function dropBody({ body }: Request): Promise<void> {
+  let dropped = 0;
+  for await (const chunk of body ?? []) {
+    dropped += (chunk as Uint8Array).length;
+    if (dropped > MAX_DROPPED_BYTES) {
+      return;
+    }
+  }
+}
--- a/packages/control/src/operator-http.ts
+++ b/packages/control/src/operator-http.ts
@@ -2,8 +2,6 @@
 import type { EventRing } from '@sequoiaquay/runtime';
 import type { Context } from 'hono';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
-import type { z } from 'zod';
-import { describeProblems } from '@sequoiaquay/core';
 import type { OperatorPeers } from './entry-peers';
 import type { Journal } from './journal';
 import type { Proposer } from './proposer';
@@ -44,8 +42,8 @@
 }
 
 /** Answers that a body or query doesn't fit, with the path of each problem. */
-export function refuseInvalid(c: OperatorContext, reason: string, error: z.ZodError): Response {
-  return refuse(c, 422, reason, 'nothing was changed', { problems: describeProblems(error) });
+export function refuseInvalid(c: OperatorContext, reason: string, problems: readonly string[]): Response {
+  return refuse(c, 422, reason, 'nothing was changed', { problems });
 }
 
 /** JSON body of a request; an empty body counts as an empty object, a malformed one as undefined. */
--- a/packages/control/src/settings-routes.ts
+++ b/packages/control/src/settings-routes.ts
@@ -1,6 +1,6 @@
 import type { TeamBranch } from '@sequoiaquay/core';
 import type { Hono } from 'hono';
-import { nameSchema, settingsDifference, teamBranchSchema } from '@sequoiaquay/core';
+import { checkValue, nameSchema, settingsDifference, teamBranchSchema } from '@sequoiaquay/core';
 import type { OperatorApiParts, OperatorContext, OperatorEnv } from './operator-http';
 import { readJson, refuse, refuseInvalid } from './operator-http';
 import { propose } from './operator-proposal';
@@ -33,13 +33,13 @@
   if (base === undefined) {
     return refuse(c, 428, 'no-base', 'If-Match must give the version that the change is based on');
   }
-  const branch = teamBranchSchema.safeParse(await readJson(c));
-  if (!branch.success) {
+  const branch = checkValue(teamBranchSchema, await readJson(c));
+  if (branch.isErr()) {
     return refuseInvalid(c, 'bad-settings', branch.error);
   }
-  const proposal = { base, branch: branch.data, kind: 'settings-apply', team } as const;
+  const proposal = { base, branch: branch.value, kind: 'settings-apply', team } as const;
   return propose(c, parts, proposal, (refusal) =>
-    refusal.reason === 'stale-base' ? staleBase(parts, team, base, branch.data) : {},
+    refusal.reason === 'stale-base' ? staleBase(parts, team, base, branch.value) : {},
   );
 }
 
--- a/packages/control/src/status-routes.ts
+++ b/packages/control/src/status-routes.ts
@@ -1,5 +1,6 @@
 import type { EntryStatus } from '@sequoiaquay/entry';
 import type { Hono } from 'hono';
+import { checkValue } from '@sequoiaquay/core';
 import { latestEvents, MAX_TIMELINE_EVENTS, timelineQuerySchema } from '@sequoiaquay/runtime';
 import * as z from 'zod';
 import type { PeerAnswer } from './entry-peers';
@@ -16,14 +17,14 @@
 export function routeStatus(app: Hono<OperatorEnv>, parts: OperatorApiParts): void {
   app.get('/status', async (c) => c.json(await describeStatus(parts)));
   app.get('/timeline', async (c) => {
-    const query = timelineParamsSchema.safeParse(c.req.query());
-    if (!query.success) {
+    const query = checkValue(timelineParamsSchema, c.req.query());
+    if (query.isErr()) {
       return refuseInvalid(c, 'bad-request', query.error);
     }
-    const answers = await parts.peers.timelines(query.data);
+    const answers = await parts.peers.timelines(query.value);
     const events = answers.flatMap(({ answer }) => answer.unwrapOr([]));
     return c.json({
-      events: latestEvents([...parts.ring.select(query.data), ...events], query.data.limit),
+      events: latestEvents([...parts.ring.select(query.value), ...events], query.value.limit),
       silent: silentOf(answers),
     });
   });
--- a/packages/control/src/vm-routes.ts
+++ b/packages/control/src/vm-routes.ts
@@ -1,6 +1,6 @@
 import type { FleetState, Vm } from '@sequoiaquay/core';
 import type { Hono } from 'hono';
-import { isServing, minServing, nameSchema, servingCount } from '@sequoiaquay/core';
+import { checkValue, isServing, minServing, nameSchema, servingCount } from '@sequoiaquay/core';
 import * as z from 'zod';
 import type { OperatorApiParts, OperatorContext, OperatorEnv } from './operator-http';
 import { readJson, refuse, refuseInvalid } from './operator-http';
@@ -17,17 +17,17 @@
   app.get('/pools', (c) => c.json(listPools(parts.replica.state)));
   app.get('/vms', (c) => c.json([...parts.replica.state.vms.values()].map(describeVm)));
   app.post('/vms/:vm/drain', async (c) => {
-    const body = drainBodySchema.safeParse(await readJson(c));
-    if (!body.success) {
+    const body = checkValue(drainBodySchema, await readJson(c));
+    if (body.isErr()) {
       return refuseInvalid(c, 'bad-request', body.error);
     }
     const vm = c.req.param('vm');
-    const purpose = body.data.purpose;
+    const purpose = body.value.purpose;
     return notOwn(c, parts, vm) ?? propose(c, parts, { kind: 'vm-drain', purpose, vm });
   });
   app.post('/vms/:vm/undrain', async (c) => {
-    const body = undrainBodySchema.safeParse(await readJson(c));
-    if (!body.success) {
+    const body = checkValue(undrainBodySchema, await readJson(c));
+    if (body.isErr()) {
       return refuseInvalid(c, 'bad-request', body.error);
     }
     const vm = c.req.param('vm');
@@ -35,13 +35,13 @@
     return notOwn(c, parts, vm) ?? propose(c, parts, { drain, kind: 'vm-undrain', vm });
   });
   app.post('/vms/:vm/move', async (c) => {
-    const body = moveBodySchema.safeParse(await readJson(c));
-    if (!body.success) {
+    const body = checkValue(moveBodySchema, await readJson(c));
+    if (body.isErr()) {
       return refuseInvalid(c, 'bad-request', body.error);
     }
     const vm = c.req.param('vm');
-    const from = body.data.from ?? parts.replica.state.vms.get(vm)?.pool;
-    const move = { from, kind: 'vm-drain', purpose: 'move', to: body.data.to, vm } as const;
+    const from = body.value.from ?? parts.replica.state.vms.get(vm)?.pool;
+    const move = { from, kind: 'vm-drain', purpose: 'move', to: body.value.to, vm } as const;
     return notOwn(c, parts, vm) ?? propose(c, parts, move);
   });
 }
--- /dev/null
+++ b/packages/control/tests/operator-api.test.ts
@@ -0,0 +1,264 @@
+import { EmbeddedSite, tokenOf } from '@sequoiaquay/stand-ins/embedded';
+import { createLogger } from 'bunyan';
+import fc from 'fast-check';
+import { randomUUID } from 'node:crypto';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+const TEAM = 'voyages';
+const OTHER = 'office';
+const SEED = 20261204;
+
+const BRANCH = {
+  pools: { bookings: { jobs: { quote: { repeatable: true, timeoutMs: 5000 } }, minServing: 1 } },
+};
+
+interface Answer {
+  body: Record<string, unknown>;
+  status: number;
+}
+
+interface Call {
+  body?: string;
+  headers?: Record<string, string>;
+  method: string;
+  path: string;
+  team?: string;
+}
+
+let site: EmbeddedSite;
+
+async function call({ body, headers, method, path, team = TEAM }: Call, control = 0): Promise<Answer> {
+  const res = await fetch(`http://${site.vms[control]?.control ?? ''}/v1${path}`, {
+    body,
+    headers: { ...(team === '' ? {} : { authorization: `Bearer ${tokenOf(team)}` }), ...headers },
+    method,
+  });
+  return { body: (await res.json()) as Record<string, unknown>, status: res.status };
+}
+
+function put(branch: unknown, base: number, more: Partial<Call> = {}): Promise<Answer> {
+  const headers = { 'if-match': String(base), ...more.headers };
+  return call({ body: JSON.stringify(branch), method: 'PUT', path: `/settings/${TEAM}`, ...more, headers });
+}
+
+async function version(team = TEAM): Promise<number> {
+  return (await call({ method: 'GET', path: `/settings/${team}` })).body.version as number;
+}
+
+beforeAll(async () => {
+  const log = createLogger({ name: 'test', streams: [] });
+  site = await EmbeddedSite.start({ entries: 2, executors: 2, log, teams: [TEAM, OTHER] });
+  expect(await put(BRANCH, 0)).toMatchObject({ status: 200 });
+  const moved = await call({ body: '{"to":"bookings"}', method: 'POST', path: '/vms/target-0/move' });
+  expect(moved).toMatchObject({ body: { accepted: true }, status: 200 });
+  for (let left = 100; left > 0; left -= 1) {
+    const pools = (await call({ method: 'GET', path: '/pools' })).body as unknown as { serving: number }[];
+    if (pools[0]?.serving === 1) {
+      return;
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+});
+
+afterAll(async () => {
+  await site.stop();
+});
+
+const READS = [
+  '/settings/voyages',
+  '/settings/voyages/history',
+  '/pools',
+  '/vms',
+  '/status',
+  '/timeline',
+  '/tasks',
+  '/explain/vm/target-0',
+  '/explain/pool/bookings',
+] as const;
+
+const CHANGES: Call[] = [
+  { body: JSON.stringify(BRANCH), headers: { 'if-match': '0' }, method: 'PUT', path: '/settings/voyages' },
+  { body: '{}', method: 'POST', path: '/vms/target-0/drain' },
+  { body: '{}', method: 'POST', path: '/vms/target-0/undrain' },
+  { body: '{"to":"unassigned"}', method: 'POST', path: '/vms/target-0/move' },
+];
+
+describe('reads', () => {
+  it.each(READS)('%s answers any team, and nobody without a token', async (path) => {
+    expect(await call({ method: 'GET', path })).toMatchObject({ status: 200 });
+    expect(await call({ method: 'GET', path, team: OTHER })).toMatchObject({ status: 200 });
+    expect(await call({ method: 'GET', path, team: '' })).toMatchObject({
+      body: { reason: 'unauthorized' },
+      status: 401,
+    });
+    expect(await call({ method: 'GET', path, team: 'stranger' })).toMatchObject({ status: 401 });
+  });
+
+  it.each([
+    ['/settings/__proto__', 404, 'unknown-team'],
+    ['/settings/UPPER/history', 404, 'unknown-team'],
+    ['/records/none', 404, 'unknown-record'],
+    ['/explain/vm/none', 404, 'unknown-vm'],
+    ['/explain/vm/__proto__', 404, 'unknown-vm'],
+    ['/explain/pool/constructor', 404, 'unknown-pool'],
+    ['/explain/request/none', 404, 'unknown-request'],
+    ['/explain/task/none', 404, 'unknown-task'],
+    ['/explain/team/voyages', 422, 'bad-request'],
+    ['/timeline?limit=0', 422, 'bad-request'],
+    ['/timeline?limit=many', 422, 'bad-request'],
+    ['/timeline?colour=red', 422, 'bad-request'],
+  ])('%s answers %i %s', async (path, status, reason) => {
+    expect(await call({ method: 'GET', path })).toMatchObject({ body: { reason }, status });
+  });
+
+  it.each(READS)('%s answers while the log is down', async (path) => {
+    site.platform.setFaults({ down: true });
+    const answer = await call({ method: 'GET', path });
+    site.platform.setFaults({});
+    expect(answer.status).toBe(200);
+  });
+});
+
+describe('changes', () => {
+  it.each(CHANGES)('$method $path is refused without a token and for another team', async (change) => {
+    const before = site.platform.stream('fleet').end;
+    expect(await call({ ...change, team: '' })).toMatchObject({ status: 401 });
+    expect(await call({ ...change, team: OTHER })).toMatchObject({
+      body: { reason: 'other-team' },
+      status: 403,
+    });
+    expect(site.platform.stream('fleet').end).toBe(before);
+  });
+
+  it.each([
+    ['PUT', '/settings/voyages', 422, 'bad-settings', '{'],
+    ['PUT', '/settings/voyages', 422, 'bad-settings', '{"pools":{"__proto__":{}}}'],
+    ['PUT', '/settings/voyages', 422, 'bad-settings', '{"pools":{},"colour":"red"}'],
+    [
+      'PUT',
+      '/settings/voyages',
+      413,
+      'request-too-large',
+      `{"pools":{},"weight":"${'9'.repeat(1_100_000)}"}`,
+    ],
+    ['POST', '/vms/target-0/drain', 422, 'bad-request', '{"purpose":"sleep"}'],
+    ['POST', '/vms/target-0/drain', 422, 'bad-request', '[]'],
+    ['POST', '/vms/target-0/undrain', 422, 'bad-request', '{"drain":"x"}'],
+    ['POST', '/vms/target-0/move', 422, 'bad-request', '{}'],
+    ['POST', '/vms/target-0/move', 404, 'unknown-pool', '{"to":"nowhere"}'],
+    ['POST', '/vms/target-0/move', 409, 'wrong-pool', '{"from":"fares","to":"unassigned"}'],
+    ['POST', '/vms/target-0/drain', 409, 'budget', '{}'],
+    ['POST', '/vms/target-0/undrain', 409, 'wrong-state', '{}'],
+    ['POST', '/vms/none/drain', 404, 'unknown-vm', '{}'],
+    ['POST', '/vms/__proto__/drain', 404, 'unknown-vm', '{}'],
+  ])(
+    '%s %s is refused with %i %s and changes nothing, row %#',
+    async (method, path, status, reason, body) => {
+      const before = await version();
+      const headers = { 'if-match': String(before) };
+      expect(await call({ body, headers, method, path })).toMatchObject({ body: { reason }, status });
+      expect(await version()).toBe(before);
+      expect((await call({ method: 'GET', path: '/pools' })).body).toMatchObject([{ serving: 1, vms: 1 }]);
+    },
+  );
+
+  it.each([undefined, '', 'x', '-1', '1.5', '1e3', '9'.repeat(30)])(
+    'refuses the base %s of a change of settings',
+    async (base) => {
+      const headers = base === undefined ? undefined : { 'if-match': base };
+      const body = JSON.stringify(BRANCH);
+      expect(await call({ body, headers, method: 'PUT', path: `/settings/${TEAM}` })).toMatchObject({
+        body: { reason: 'no-base' },
+        status: 428,
+      });
+    },
+  );
+
+  it('answers a stale base with the difference and the changes since', async () => {
+    const base = await version();
+    expect(await put({ ...BRANCH, weight: 2 }, base)).toMatchObject({ status: 200 });
+    expect(await put({ ...BRANCH, weight: 3 }, base)).toMatchObject({
+      body: {
+        changedSince: [{ by: 'team:voyages', difference: [{ from: 1, path: 'weight', to: 2 }] }],
+        difference: [{ from: 2, path: 'weight', to: 3 }],
+        reason: 'stale-base',
+        version: await version(),
+      },
+      status: 409,
+    });
+  });
+
+  it('answers with the verdict when the answers of the log are lost, and changes once', async () => {
+    const base = await version();
+    site.platform.setFaults({ loseAppendAnswers: 1 });
+    const answer = await put({ ...BRANCH, weight: 4 }, base);
+    site.platform.setFaults({});
+    expect(answer).toMatchObject({ body: { accepted: true, version: await version() }, status: 200 });
+  });
+
+  it('answers a repeat of a record id through another control without changing again', async () => {
+    const id = randomUUID();
+    const headers = { 'sequoiaquay-record-id': id };
+    const first = await put({ ...BRANCH, weight: 5 }, await version(), { headers });
+    expect(first).toMatchObject({ body: { accepted: true, record: id }, status: 200 });
+    const body = JSON.stringify({ ...BRANCH, weight: 5 });
+    const repeat: Call = {
+      body,
+      headers: { ...headers, 'if-match': '0' },
+      method: 'PUT',
+      path: '/settings/voyages',
+    };
+    let second = await call(repeat, 1);
+    for (let left = 20; left > 0 && second.status !== 200; left -= 1) {
+      second = await call(repeat, 1);
+    }
+    expect(second.body).toEqual(first.body);
+    const drain = { body: '{}', headers, method: 'POST', path: '/vms/target-1/drain' };
+    expect(await call(drain)).toMatchObject({ body: { reason: 'duplicate-id' }, status: 409 });
+  });
+
+  it('refuses a record id that is not a UUID', async () => {
+    const headers = { 'sequoiaquay-record-id': '__proto__' };
+    expect(await put(BRANCH, await version(), { headers })).toMatchObject({ status: 422 });
+  });
+
+  it('answers 504 with the record id when the log is down', async () => {
+    const base = await version();
+    site.platform.setFaults({ down: true });
+    const answer = await put({ ...BRANCH, weight: 6 }, base);
+    site.platform.setFaults({});
+    expect(answer).toMatchObject({ body: { reason: 'no-verdict' }, status: 504 });
+    expect(answer.body.record).toMatch(/^[0-9a-f-]{36}$/);
+  });
+});
+
+describe('hostile input', () => {
+  const paths = fc.oneof(
+    fc.constantFrom('/settings/voyages', '/vms/target-0/drain', '/vms/target-0/move', '/vms/x/undrain'),
+    fc
+      .array(fc.string({ maxLength: 20 }), { maxLength: 4 })
+      .map((names) => `/${names.map(encodeURIComponent).join('/')}`),
+  );
+
+  it('never fails, and never lets another team change a branch', { timeout: 60_000 }, async () => {
+    const before = await version();
+    const bodies = fc.oneof(fc.json(), fc.string(), fc.constant('{"__proto__":{"pools":{}}}'));
+    const methods = fc.constantFrom('PUT', 'POST', 'DELETE');
+    await fc.assert(
+      fc.asyncProperty(paths, methods, bodies, fc.nat(), async (path, method, body, base) => {
+        const headers = { 'if-match': String(base) };
+        const res = await fetch(`http://${site.vms[0]?.control ?? ''}/v1${path}`, {
+          body,
+          headers: { ...headers, authorization: `Bearer ${tokenOf(OTHER)}` },
+          method,
+        });
+        await res.text();
+        expect(res.status).toBeGreaterThanOrEqual(400);
+        expect(res.status).toBeLessThan(500);
+      }),
+      { numRuns: 300, seed: SEED },
+    );
+    expect(await version()).toBe(before);
+    expect({}).not.toHaveProperty('pools');
+  });
+});
--- a/packages/runtime/src/settings-file.ts
+++ b/packages/runtime/src/settings-file.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'neverthrow';
 import type { ZodType } from 'zod';
-import { describeProblems } from '@sequoiaquay/core';
+import { checkValue } from '@sequoiaquay/core';
 import { err, ok } from 'neverthrow';
 import { readFileSync } from 'node:fs';
 
@@ -17,9 +17,9 @@
   overrides: Record<string, unknown> = {},
 ): Result<T, SettingsError> {
   return readJson(file).andThen((raw) => {
-    const merged = typeof raw === 'object' && raw !== null ? { ...raw, ...overrides } : raw;
-    const parsed = schema.safeParse(merged);
-    return parsed.success ? ok(parsed.data) : err({ file, problems: describeProblems(parsed.error) });
+    const merged =
+      typeof raw === 'object' && raw !== null && !Array.isArray(raw) ? { ...raw, ...overrides } : raw;
+    return checkValue(schema, merged).mapErr((problems) => ({ file, problems }));
   });
 }
 
