--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,3 +1,4 @@
+import type { TaskTable } from '@sequoiaquay/core';
 import type { EventRing } from '@sequoiaquay/runtime';
 import { timelineQuerySchema } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
@@ -7,6 +8,7 @@
 import type { LeavingVms } from './leaving-vms';
 import type { QueueService } from './queue-service';
 import { createQueueRouter } from './queue-router';
+import { toView } from './tasks/task-api';
 
 /** Parts of an entry that its peers' procedures use. */
 export interface PeerRouterParts {
@@ -16,8 +18,12 @@
   queues: QueueService;
   ring: EventRing;
   status: () => EntryStatus;
+  tasks: TaskTable;
 }
 
+/** Most tasks that one answer lists. */
+const MAX_LISTED_TASKS = 500;
+
 const t = initTRPC.create();
 
 /** Procedures that an entry serves to other entries; one sub-router per concern. */
@@ -34,6 +40,16 @@
     queue: createQueueRouter(parts.queues),
     ping: t.procedure.query(() => ({ name: parts.name })),
     status: t.procedure.query(() => parts.status()),
+    tasks: t.router({
+      find: t.procedure.input(z.object({ id: z.string().max(200) })).query(({ input }) => {
+        const task = parts.tasks.find(input.id);
+        return task === undefined ? null : toView(task);
+      }),
+      list: t.procedure.query(() => {
+        const live = parts.tasks.live();
+        return { live: live.length, tasks: live.slice(0, MAX_LISTED_TASKS).map(toView) };
+      }),
+    }),
     timeline: t.procedure.input(timelineQuerySchema).query(({ input }) => parts.ring.select(input)),
   });
 }
--- a/packages/entry/tests/support/members.ts
+++ b/packages/entry/tests/support/members.ts
@@ -1,7 +1,7 @@
 import type { FleetState } from '@sequoiaquay/core';
 import type { FleetReplica } from '@sequoiaquay/platform';
 import type { Server } from 'node:http';
-import { ClaimTable, emptyFleetState, rendezvousOwner } from '@sequoiaquay/core';
+import { ClaimTable, emptyFleetState, rendezvousOwner, TaskTable } from '@sequoiaquay/core';
 import { EventRing, listen, mountRpc, SystemTimerService } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
 import type { GrantRequest } from '../../src/grant-source';
@@ -86,10 +86,11 @@
     const claims = new ClaimLookup(table, new KeptResults(1), { entry: name, incarnation: 1 });
     const leaving = new LeavingVms();
     const ring = new EventRing(name, 10, timers);
+    const tasks = new TaskTable({ keepFinishedMs: 1000 });
     const { queues } = queueing;
     const holder = { entry: name, incarnation: 1 };
     const status = createEntryStatus({ holder, inFlight, queued: () => queues.queued(), replica });
-    mountRpc(app, createPeerRouter({ claims, leaving, name, queues, ring, status }), SECRET);
+    mountRpc(app, createPeerRouter({ claims, leaving, name, queues, ring, status, tasks }), SECRET);
     const server = await listen(app, '127.0.0.1:0');
     const address = server.address();
     const port = typeof address === 'object' && address !== null ? address.port : 0;
