--- a/packages/bench/src/capacity/capacity-main.ts
+++ b/packages/bench/src/capacity/capacity-main.ts
@@ -4,6 +4,7 @@
 import { findMismatches, readPage, TOLERANCE } from './page';
 import { processSlopes } from './process-slopes';
 import { stateSlopes } from './state-slopes';
+import { workSlopes } from './work-slopes';
 
 const cli = cac('capacity');
 cli.option('--page <file>', 'page that the slopes are held against', { default: 'docs/CAPACITY.md' });
@@ -14,6 +15,7 @@
 if (options.help !== true) {
   const slopes = [
     ...stateSlopes(),
+    ...workSlopes(),
     ...costSlopes(),
     ...(options.processes === true ? await processSlopes() : []),
   ];
