--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -179,7 +179,7 @@
   ).start(background.signal);
   const running = [replica.run(background.signal), work.run(background.signal)];
   await stopped(signal);
-  const stop = new GracefulStop(dispatcher, [workAppender, fleetAppender], timers, () => {
+  const stop = new GracefulStop(dispatcher, work, [workAppender, fleetAppender], timers, () => {
     membership.leave(background.signal);
   });
   await stop.drain(server, cfg.stopGraceMs);
--- a/packages/entry/src/graceful-stop.ts
+++ b/packages/entry/src/graceful-stop.ts
@@ -3,8 +3,9 @@
 import type { Server } from 'node:http';
 import { closeServer } from '@sequoiaquay/runtime';
 import type { RequestDispatcher } from './dispatcher';
+import type { WorkReplica } from './work-replica';
 
-/** Longest time that records wait for the log at the end, in ms; the log may be down for hours. */
+/** Longest wait for the log at the end, in ms; the log may be down for hours. */
 const FLUSH_LIMIT_MS = 10_000;
 
 /** Period at which the end of the last request and record is looked for, in ms. */
@@ -17,6 +18,7 @@
 
   constructor(
     private readonly dispatcher: RequestDispatcher,
+    private readonly work: WorkReplica,
     private readonly appenders: readonly BatchAppender[],
     private readonly timers: TimerService,
     private readonly leave: () => void,
@@ -32,11 +34,15 @@
     while (this.dispatcher.active > 0) {
       await this.timers.sleep(CHECK_MS, this.#never);
     }
-    await this.#flush();
+    const limit = AbortSignal.timeout(FLUSH_LIMIT_MS);
+    await this.#flush(limit);
+    // Claims whose requests were refused while their append was under way are closed when the fold shows them.
+    await this.work.whenReadToEnd(limit);
+    await this.#flush(limit);
     // Only after the outcomes: repeats take the claims of a member that is gone to be lost.
     if (this.#pending() === 0) {
       this.leave();
-      await this.#flush();
+      await this.#flush(limit);
     }
   }
 
@@ -44,10 +50,9 @@
     return this.appenders.reduce((sum, appender) => sum + appender.pending, 0);
   }
 
-  async #flush(): Promise<void> {
-    const until = this.timers.mono() + FLUSH_LIMIT_MS;
-    while (this.#pending() > 0 && this.timers.mono() < until) {
-      await this.timers.sleep(CHECK_MS, this.#never);
+  async #flush(limit: AbortSignal): Promise<void> {
+    while (this.#pending() > 0 && !limit.aborted) {
+      await this.timers.sleep(CHECK_MS, limit);
     }
   }
 }
--- a/packages/entry/src/work-replica.ts
+++ b/packages/entry/src/work-replica.ts
@@ -31,7 +31,10 @@
   /** Wall time from which no claim among trimmed records can still hold its key, in ms. */
   #gapUntil = 0;
   #gapOpen = false;
+  /** Number of the last read that reached the end of the stream, counted from 1. */
+  #lastWholeRead = 0;
   #next = 0;
+  #readsStarted = 0;
   readonly #outcomeWaiters = new Map<string, Set<() => void>>();
   #unawaited: (claim: Claim) => void = () => undefined;
   readonly #taskListeners = new Set<TaskListener>();
@@ -73,6 +76,7 @@
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.#readsStarted += 1;
       const page = await this.log.read({
         from: this.#next,
         limit: READ_LIMIT,
@@ -119,6 +123,14 @@
     }
   }
 
+  /** Waits until a read that begins from now on has reached the end of the stream, or the signal aborts. */
+  async whenReadToEnd(signal: AbortSignal): Promise<void> {
+    const before = this.#readsStarted;
+    while (this.#lastWholeRead <= before && !signal.aborted) {
+      await this.timers.sleep(COMPLETE_CHECK_MS, signal);
+    }
+  }
+
   /** Waits until a claim has an outcome or the signal aborts. */
   outcomeOf(claim: Claim, signal: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
@@ -151,6 +163,7 @@
     if (this.#next >= page.end) {
       this.#next = page.end;
       this.#caughtUp = true;
+      this.#lastWholeRead = this.#readsStarted;
       this.#closeGap(this.timers.now());
     }
   }
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -30,6 +30,8 @@
 /** One entry VM: an entry process and the control process beside it. */
 export interface EntryVm {
   control: BinaryProcess;
+  /** Settings file of the control process. */
+  controlFile: string;
   controlUrl: string;
   entry: BinaryProcess;
   /** Settings file of the entry process. */
@@ -127,6 +129,20 @@
     }
   }
 
+  /** Starts the control process of a VM again, with the same settings; it must have ended. */
+  restartControl(index: number): void {
+    const vm = this.entries[index];
+    if (vm !== undefined) {
+      vm.control = this.#spawn('sequoiaquay-control', ['--config', vm.controlFile]);
+    }
+  }
+
+  /** Target VMs as one of the controls that answer sees them. */
+  async vmsOf(team: string): Promise<{ id: string; pool: string; state: string }[]> {
+    const { body } = await this.operate(team, 'GET', '/vms');
+    return body as unknown as { id: string; pool: string; state: string }[];
+  }
+
   /** Starts another executor and puts it on the platform's list. */
   async addExecutor(index: number): Promise<void> {
     const [port] = await freePorts(1);
@@ -148,6 +164,16 @@
     return callJson<T>(`${this.platformUrl}/admin${path}`, method, {}, body);
   }
 
+  /** Entry of a VM on the platform's list. */
+  async listed(vm: string): Promise<Record<string, unknown>> {
+    const list = await callJson<{ vms: ({ id: string } & Record<string, unknown>)[] }>(
+      `${this.platformUrl}/v1/vms`,
+      'GET',
+      { authorization: `Bearer ${SECRET}` },
+    );
+    return list.vms.find(({ id }) => id === vm) ?? {};
+  }
+
   /** Calls the operators' interface of one control as a team. */
   async operate(
     team: string,
@@ -276,6 +302,7 @@
     });
     return {
       control: this.#spawn('sequoiaquay-control', ['--config', controlFile]),
+      controlFile,
       controlUrl: `http://${controls[0] ?? ''}`,
       entry: this.#spawn('sequoiaquay-entry', ['--config', entryFile]),
       entryFile,
