--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export * from './membership/list-duty';
 export * from './queue/admission';
 export * from './queue/class-learner';
+export * from './queue/kept-short-slots';
 export * from './queue/pool-queue';
 export * from './queue/queue-request';
 export * from './queue/queue-settings';
--- a/packages/entry/src/target-client.ts
+++ b/packages/entry/src/target-client.ts
@@ -45,14 +45,30 @@
  * after an answer can't be taken for the answer to another request.
  */
 export class TargetClient {
-  readonly #agent: Agent;
+  #agent: Agent;
   readonly #bufferLimit: number;
 
-  constructor(settings: TargetClientSettings) {
+  #connections: number;
+
+  constructor(private readonly settings: TargetClientSettings) {
     this.#bufferLimit = settings.bufferLimitBytes;
-    this.#agent = new Agent({
-      connect: { timeout: settings.connectTimeoutMs },
-      connections: settings.connections,
+    this.#connections = settings.connections;
+    this.#agent = this.#createAgent();
+  }
+
+  /** Changes the number of connections to one target; requests that run keep theirs until they end. */
+  resize(connections: number): void {
+    if (connections !== this.#connections) {
+      this.#connections = connections;
+      void this.#agent.close();
+      this.#agent = this.#createAgent();
+    }
+  }
+
+  #createAgent(): Agent {
+    return new Agent({
+      connect: { timeout: this.settings.connectTimeoutMs },
+      connections: this.#connections,
       // Run times are bounded by the request's deadline.
       bodyTimeout: 0,
       headersTimeout: 0,
--- a/tests/support/bookings.ts
+++ b/tests/support/bookings.ts
@@ -21,7 +21,7 @@
     TEAM,
     'PUT',
     `/settings/${TEAM}`,
-    { pools: { bookings: { jobs, minServing: 0 } } },
+    { pools: { bookings: { jobs, keptShortSlots: 0, minServing: 0 } } },
     { 'if-match': '0' },
   );
   expect(applied).toMatchObject({ body: { accepted: true }, status: 200 });
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -143,6 +143,22 @@
     return { address: `127.0.0.1:${await route.listenAnywhere()}`, route };
   }
 
+  /** Starts the entry process of a VM again and waits until it is ready. */
+  async restartReadyEntry(index: number): Promise<void> {
+    this.restartEntry(index);
+    await waitReady(this.#vm(index).url);
+  }
+
+  /** Starts the control process of a VM again, after it has ended. */
+  async restartControl(index: number): Promise<void> {
+    const vm = this.#vm(index);
+    vm.control = this.#spawn('sequoiaquay-control', [
+      '--config',
+      join(this.directory, `control-${index}.json`),
+    ]);
+    await waitReady(vm.controlUrl);
+  }
+
   /** Calls the admin interface of the platform stand-in. */
   async admin<T>(method: string, path: string, body?: unknown): Promise<T> {
     return callJson<T>(`${this.platformUrl}/admin${path}`, method, {}, body);
@@ -176,6 +192,14 @@
     });
   }
 
+  #vm(index: number): EntryVm {
+    const vm = this.entries[index];
+    if (vm === undefined) {
+      throw new Error(`the cluster has no entry VM ${index}`);
+    }
+    return vm;
+  }
+
   #teams(): string[] {
     return this.#shape.teams ?? ['voyages'];
   }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,10 +1,17 @@
 import { defineConfig } from 'vitest/config';
 
+const limits = { hookTimeout: 60_000, testTimeout: 60_000 };
+
 export default defineConfig({
   test: {
-    hookTimeout: 60_000,
-    include: ['packages/*/tests/**/*.test.ts', 'tests/**/*.test.ts'],
-    maxWorkers: 4,
-    testTimeout: 60_000,
+    projects: [
+      {
+        test: { ...limits, include: ['packages/*/tests/**/*.test.ts'], maxWorkers: 4, name: 'unit' },
+      },
+      {
+        // Each file starts its own processes; more than two at a time disturb each other's timing.
+        test: { ...limits, include: ['tests/**/*.test.ts'], maxWorkers: 2, name: 'integration' },
+      },
+    ],
   },
 });
