--- a/packages/entry/src/claim-service.ts
+++ b/packages/entry/src/claim-service.ts
@@ -11,8 +11,8 @@
 
 /** Who claims: an entry process in one of its lives. */
 export interface ClaimHolder {
-  entry: string;
-  incarnation: number;
+  readonly entry: string;
+  readonly incarnation: number;
 }
 
 /** What came of the wish to claim a key. */
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -11,6 +11,7 @@
 import type { LeavingVms } from './leaving-vms';
 import type { PauseGuard } from './pause-guard';
 import type { CallerRefusal, CallerRefusalReason } from './refusal';
+import type { RequestMeter } from './request-meter';
 import type { RequestPlan } from './request-plan';
 import type { TargetAnswer } from './target-answer';
 import type { TargetClient, TargetError } from './target-client';
@@ -25,6 +26,7 @@
   health: TargetHealth;
   /** VMs that a notice reports as leaving. */
   leaving: LeavingVms;
+  meter: RequestMeter;
   replica: FleetReplica;
   /** Aborts when the entry stops: work that has not been sent is refused. */
   stopping: AbortSignal;
@@ -107,8 +109,9 @@
   async #tryTargets(plan: RequestPlan, limits: Limits): Promise<Sent> {
     const excluded = new Set<string>();
     let last: Sent = refuse('no-target', 'no target was tried', 'not-run');
+    let tried = '';
     for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
-      if (attempt > 0 && !(await this.#mayRetry(plan, attempt, limits))) {
+      if (last.isErr() && attempt > 0 && !(await this.#mayRetry(plan, attempt, limits, last.error, tried))) {
         return last;
       }
       const grant = await this.#grant(plan, excluded, limits);
@@ -119,7 +122,8 @@
       if (last.isOk() || limits.start.aborted || (limits.sent && !plan.repeatable)) {
         return last;
       }
-      excluded.add(grant.value.vm);
+      tried = grant.value.vm;
+      excluded.add(tried);
     }
     return last;
   }
@@ -130,6 +134,7 @@
     const work = AbortSignal.timeout(plan.jobSettings.timeoutMs);
     const limits = this.#limits(plan, deadline, work);
     const claim = await this.parts.claims.claim(plan, limits.start);
+    this.parts.meter.claimed(plan, claim.kind);
     if (claim.kind !== 'held') {
       return this.#fromClaim(claim);
     }
@@ -182,6 +187,7 @@
 
   async #send(plan: RequestPlan, grant: Grant, limits: Limits): Promise<Sent> {
     const startedAt = this.parts.timers.mono();
+    this.parts.meter.granted(plan, grant.vm);
     const sent = await this.parts.targets.send({
       address: grant.address,
       beforeSend: () => {
@@ -195,6 +201,7 @@
       job: plan.job,
       onSent: () => {
         limits.sent = true;
+        this.parts.meter.sent(plan, grant.vm);
       },
       signal: limits.work,
       startSignal: limits.start,
@@ -222,12 +229,23 @@
   }
 
   // A request that this entry stopped before it was sent needs no retry budget.
-  async #mayRetry(plan: RequestPlan, attempt: number, limits: Limits): Promise<boolean> {
-    const { health, timers } = this.parts;
-    if (limits.stoppedHere) {
-      limits.stoppedHere = false;
-      return true;
+  async #mayRetry(
+    plan: RequestPlan,
+    attempt: number,
+    limits: Limits,
+    last: CallerRefusal,
+    vm: string,
+  ): Promise<boolean> {
+    const allowed = limits.stoppedHere || (await this.#takeRetry(plan, attempt, limits));
+    limits.stoppedHere = false;
+    if (allowed) {
+      this.parts.meter.retried(plan, vm, last.reason);
     }
+    return allowed;
+  }
+
+  async #takeRetry(plan: RequestPlan, attempt: number, limits: Limits): Promise<boolean> {
+    const { health, timers } = this.parts;
     const pauseMs = backoffMs(attempt, plan.id);
     if (timers.mono() + pauseMs >= limits.monoDeadline || !health.takeRetry(plan.pool)) {
       return false;
--- a/packages/entry/src/owned-queue.ts
+++ b/packages/entry/src/owned-queue.ts
@@ -20,6 +20,8 @@
   /** Time before which a new owner grants nothing, unless all other members have reported. */
   holdUntil: number;
   leaseMs: number;
+  /** This entry, which counts the requests that use its own grants itself. */
+  owner: string;
 }
 
 /** Queue of a pool that this entry owns, with the members that wait in it. Times in ms. */
@@ -48,7 +50,7 @@
   /** Takes back what has expired, then grants free slots. */
   tick(now: number, others: () => readonly string[]): void {
     for (const grant of this.queue.tick(now)) {
-      this.inFlight.end(grant.vm);
+      this.#end(grant);
     }
     for (const [id, place] of this.#places) {
       if (place.wake === undefined && now - place.polledAt > POLL_GAP_MS) {
@@ -114,7 +116,7 @@
     }
     const grant = this.queue.release(msg.id, msg.ok === true ? msg.runMs : undefined);
     if (grant !== undefined) {
-      this.inFlight.end(grant.vm);
+      this.#end(grant);
     }
     return grant;
   }
@@ -128,7 +130,7 @@
   report(msg: ReportMessage, now: number): void {
     this.#reported.add(msg.member);
     for (const grant of this.queue.adopt(msg.member, msg.grants, now)) {
-      this.inFlight.begin(grant.vm);
+      this.#begin(grant);
     }
   }
 
@@ -145,7 +147,7 @@
 
   #apply(effects: QueueEffects): void {
     for (const grant of effects.granted) {
-      this.inFlight.begin(grant.vm);
+      this.#begin(grant);
       const address = this.#addresses.get(grant.vm) ?? '';
       this.#answer(grant.id, { address, kind: 'granted', leaseMs: this.settings.leaseMs, vm: grant.vm });
     }
@@ -163,6 +165,19 @@
     }
   }
 
+  // Grants of other entries count as in flight here, so that a VM is not released under them.
+  #begin(grant: PoolGrant): void {
+    if (grant.member !== this.settings.owner) {
+      this.inFlight.begin(grant.vm);
+    }
+  }
+
+  #end(grant: PoolGrant): void {
+    if (grant.member !== this.settings.owner) {
+      this.inFlight.end(grant.vm);
+    }
+  }
+
   #drop(id: string, now: number): void {
     this.release({ id, pool: '' }, now);
   }
--- a/packages/entry/src/owner-grants.ts
+++ b/packages/entry/src/owner-grants.ts
@@ -50,6 +50,7 @@
 export class OwnerGrants implements GrantSource {
   readonly counters: OwnerGrantsCounters = { fromOwner: 0, fromOwnShare: 0, ownerUnanswered: 0 };
   #ownersVersion = '';
+  readonly #queued = new Map<string, number>();
   readonly #reportedTo = new Map<string, string>();
 
   constructor(private readonly parts: OwnerGrantsParts) {}
@@ -78,6 +79,7 @@
 
   async acquire(req: GrantRequest, caller: AbortSignal): Promise<Answer> {
     const wait = new AbortController();
+    this.#countQueued(req.pool, 1);
     const end = (): void => {
       wait.abort();
     };
@@ -86,11 +88,26 @@
     try {
       return await this.#acquire(req, caller, wait.signal);
     } finally {
+      this.#countQueued(req.pool, -1);
       caller.removeEventListener('abort', end);
       this.parts.stopping.removeEventListener('abort', end);
     }
   }
 
+  /** Requests of this entry that wait for a slot, by pool. */
+  queued(): Map<string, number> {
+    return new Map(this.#queued);
+  }
+
+  #countQueued(pool: string, by: number): void {
+    const count = (this.#queued.get(pool) ?? 0) + by;
+    if (count === 0) {
+      this.#queued.delete(pool);
+      return;
+    }
+    this.#queued.set(pool, count);
+  }
+
   async #acquire(req: GrantRequest, caller: AbortSignal, signal: AbortSignal): Promise<Answer> {
     const id = randomUUID();
     while (!signal.aborted && !caller.aborted && !this.parts.stopping.aborted) {
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,7 +1,9 @@
 import type { EventRing } from '@sequoiaquay/runtime';
+import { timelineQuerySchema } from '@sequoiaquay/runtime';
 import { initTRPC } from '@trpc/server';
 import * as z from 'zod';
 import type { ClaimLookup } from './claim-lookup';
+import type { EntryStatus } from './entry-status';
 import type { LeavingVms } from './leaving-vms';
 import type { QueueService } from './queue-service';
 import { createQueueRouter } from './queue-router';
@@ -13,6 +15,7 @@
   name: string;
   queues: QueueService;
   ring: EventRing;
+  status: () => EntryStatus;
 }
 
 const t = initTRPC.create();
@@ -30,7 +33,8 @@
     leaving: t.procedure.query(() => parts.leaving.list()),
     queue: createQueueRouter(parts.queues),
     ping: t.procedure.query(() => ({ name: parts.name })),
-    timeline: t.procedure.query(() => parts.ring.list()),
+    status: t.procedure.query(() => parts.status()),
+    timeline: t.procedure.input(timelineQuerySchema).query(({ input }) => parts.ring.select(input)),
   });
 }
 
--- a/packages/entry/src/queue-service.ts
+++ b/packages/entry/src/queue-service.ts
@@ -152,6 +152,7 @@
     const created = new OwnedQueue(queue, this.parts.inFlight, {
       holdUntil: this.#now() + REBUILD_MS,
       leaseMs: DEFAULT_QUEUE_SETTINGS.leaseMs,
+      owner: this.parts.entry,
     });
     this.#queues.set(pool, created);
     this.#refresh(pool, created);
--- a/packages/entry/tests/dispatcher.test.ts
+++ b/packages/entry/tests/dispatcher.test.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http';
-import { SystemTimerService } from '@sequoiaquay/runtime';
+import { EventRing, Metrics, SystemTimerService } from '@sequoiaquay/runtime';
 import { err, ok } from 'neverthrow';
 import { createServer } from 'node:http';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -8,8 +8,10 @@
 import type { RequestPlan } from '../src/request-plan';
 import { ByteBudget } from '../src/byte-budget';
 import { RequestDispatcher } from '../src/dispatcher';
+import { LatencyHistograms } from '../src/latency-histograms';
 import { LeavingVms } from '../src/leaving-vms';
 import { PauseGuard } from '../src/pause-guard';
+import { RequestMeter } from '../src/request-meter';
 import { TargetClient } from '../src/target-client';
 import { TargetHealth } from '../src/target-health';
 import { fixedReplica, POOL, poolState } from './support/members';
@@ -78,6 +80,7 @@
     guard: new PauseGuard(() => Promise.resolve(true), { maxGapMs: 60_000 }, timers),
     health,
     leaving: new LeavingVms(),
+    meter: new RequestMeter(new EventRing('entry', 100, timers), new LatencyHistograms(), new Metrics()),
     replica,
     stopping: NEVER,
     targets: new TargetClient({ bufferLimitBytes: 1000, connections: 4, connectTimeoutMs: 500 }),
