--- a/packages/control/src/explain.ts
+++ b/packages/control/src/explain.ts
@@ -110,8 +110,12 @@
     return `${waits}: it has applied records up to offset ${status.next - 1} and the drain is at ${offset}`;
   }
   const count = status.inFlight[vm.id] ?? 0;
-  return count > 0
-    ? `${waits}: it has ${count} ${count === 1 ? 'request' : 'requests'} in flight on the VM`
+  if (count > 0) {
+    return `${waits}: it has ${count} ${count === 1 ? 'request' : 'requests'} in flight on the VM`;
+  }
+  const granted = status.granted[vm.id] ?? 0;
+  return granted > 0
+    ? `${waits}: its queue has given out ${granted} ${granted === 1 ? 'grant' : 'grants'} on the VM`
     : `${waits}: it has nothing in flight on the VM; its record has not reached the log`;
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,6 +41,7 @@
 import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
 import { TargetHealth } from './target-health';
+import { publishTasks } from './tasks/task-metrics';
 import { startTasks } from './tasks/task-runtime';
 import { WorkReplica } from './work-replica';
 
@@ -150,8 +151,10 @@
     appender: workAppender,
     entry: cfg.name,
     inFlight,
+    leaving,
     members,
     replica,
+    ring,
     secret,
     settings: cfg.tasks,
     signal: background.signal,
@@ -169,23 +172,18 @@
     tasks: tasks.service,
     timers,
   });
-  const queued = (): Map<string, number> => queueing.grants.queued();
+  const queued = (): Map<string, number> => queueing.queues.queued();
   const appenders = { fleet: fleetAppender, work: workAppender };
   publishEntryMetrics(metrics, { appenders, inFlight, queued, replica, work });
+  publishTasks(metrics, work, tasks);
   metrics.mount(app);
   recordFleetEvents(replica, ring, background.signal);
   logFleetChanges({ log, logClient, replica, timers }, background.signal);
   const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
   const status = createEntryStatus({ holder, inFlight, queued, replica });
-  const router = createPeerRouter({
-    claims: lookup,
-    leaving,
-    name: cfg.name,
-    queues: queueing.queues,
-    ring,
-    status,
-  });
+  const { queues } = queueing;
+  const router = createPeerRouter({ claims: lookup, leaving, name: cfg.name, queues, ring, status });
   mountRpc(peerApp, router, secret, ring);
   const peerServer = await listen(peerApp, cfg.peerListen);
   log.info({ listen: cfg.listen, peerListen: cfg.peerListen }, 'entry process started');
--- a/packages/entry/src/owned-queue.ts
+++ b/packages/entry/src/owned-queue.ts
@@ -20,8 +20,6 @@
   /** Time before which a new owner grants nothing, unless all other members have reported. */
   holdUntil: number;
   leaseMs: number;
-  /** This entry, which counts the requests that use its own grants itself. */
-  owner: string;
 }
 
 /** Queue of a pool that this entry owns, with the members that wait in it. Times in ms. */
@@ -50,7 +48,7 @@
   /** Takes back what has expired, then grants free slots. */
   tick(now: number, others: () => readonly string[]): void {
     for (const grant of this.queue.tick(now)) {
-      this.#end(grant);
+      this.inFlight.endGrant(grant.vm);
     }
     for (const [id, place] of this.#places) {
       if (place.wake === undefined && now - place.polledAt > POLL_GAP_MS) {
@@ -116,7 +114,7 @@
     }
     const grant = this.queue.release(msg.id, msg.ok === true ? msg.runMs : undefined);
     if (grant !== undefined) {
-      this.#end(grant);
+      this.inFlight.endGrant(grant.vm);
     }
     return grant;
   }
@@ -130,7 +128,7 @@
   report(msg: ReportMessage, now: number): void {
     this.#reported.add(msg.member);
     for (const grant of this.queue.adopt(msg.member, msg.grants, now)) {
-      this.#begin(grant);
+      this.inFlight.beginGrant(grant.vm);
     }
   }
 
@@ -147,7 +145,7 @@
 
   #apply(effects: QueueEffects): void {
     for (const grant of effects.granted) {
-      this.#begin(grant);
+      this.inFlight.beginGrant(grant.vm);
       const address = this.#addresses.get(grant.vm) ?? '';
       this.#answer(grant.id, { address, kind: 'granted', leaseMs: this.settings.leaseMs, vm: grant.vm });
     }
@@ -165,19 +163,6 @@
     }
   }
 
-  // Grants of other entries count as in flight here, so that a VM is not released under them.
-  #begin(grant: PoolGrant): void {
-    if (grant.member !== this.settings.owner) {
-      this.inFlight.begin(grant.vm);
-    }
-  }
-
-  #end(grant: PoolGrant): void {
-    if (grant.member !== this.settings.owner) {
-      this.inFlight.end(grant.vm);
-    }
-  }
-
   #drop(id: string, now: number): void {
     this.release({ id, pool: '' }, now);
   }
--- a/packages/entry/src/queue-service.ts
+++ b/packages/entry/src/queue-service.ts
@@ -99,6 +99,11 @@
     this.#pump(msg.pool, queue);
   }
 
+  /** Requests that wait for a slot in the queues of this owner, by pool. */
+  queued(): Map<string, number> {
+    return new Map([...this.#queues].map(([pool, queue]) => [pool, queue.queued]));
+  }
+
   /** Extends grants; the unknown ones are to be reported. */
   renew(msg: RenewMessage): { leaseMs: number; unknown: string[] } {
     const unknown = this.#queueOf(msg.pool).renew(msg.ids, this.#now());
@@ -152,7 +157,6 @@
     const created = new OwnedQueue(queue, this.parts.inFlight, {
       holdUntil: this.#now() + REBUILD_MS,
       leaseMs: DEFAULT_QUEUE_SETTINGS.leaseMs,
-      owner: this.parts.entry,
     });
     this.#queues.set(pool, created);
     this.#refresh(pool, created);
--- a/packages/entry/tests/dispatcher.test.ts
+++ b/packages/entry/tests/dispatcher.test.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http';
-import { EventRing, Metrics, SystemTimerService } from '@sequoiaquay/runtime';
+import { SystemTimerService } from '@sequoiaquay/runtime';
+import { EventRing, Metrics } from '@sequoiaquay/runtime';
 import { err, ok } from 'neverthrow';
 import { createServer } from 'node:http';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -80,7 +81,7 @@
     guard: new PauseGuard(() => Promise.resolve(true), { maxGapMs: 60_000 }, timers),
     health,
     leaving: new LeavingVms(),
-    meter: new RequestMeter(new EventRing('entry', 100, timers), new LatencyHistograms(), new Metrics()),
+    meter: new RequestMeter(new EventRing('entry', 10, timers), new LatencyHistograms(), new Metrics()),
     replica,
     stopping: NEVER,
     targets: new TargetClient({ bufferLimitBytes: 1000, connections: 4, connectTimeoutMs: 500 }),
--- a/packages/entry/tests/owned-queue.test.ts
+++ b/packages/entry/tests/owned-queue.test.ts
@@ -14,7 +14,7 @@
       teamOf: () => ({ quota: undefined, weight: 1 }),
     }),
     inFlight,
-    { holdUntil, leaseMs: 1000, owner: 'entry-0' },
+    { holdUntil, leaseMs: 1000 },
   );
   queue.refresh([{ address: '127.0.0.1:1', slots: 1, vm: 'a' }], 0);
   return { inFlight, queue };
@@ -37,9 +37,9 @@
     queue.answered('one');
     queue.renew(['one'], 900);
     queue.tick(1800, nobody);
-    expect(inFlight.count('a')).toBe(1);
+    expect(inFlight.granted('a')).toBe(1);
     queue.tick(1900, nobody);
-    expect(inFlight.count('a')).toBe(0);
+    expect(inFlight.granted('a')).toBe(0);
     expect(queue.renew(['one'], 1900)).toEqual(['one']);
   });
 
@@ -54,7 +54,7 @@
     queue.tick(2500, nobody);
     expect(queue.poll(message('waiting'), 2500)).toMatchObject({ kind: 'granted' });
     queue.answered('waiting');
-    expect(inFlight.count('a')).toBe(1);
+    expect(inFlight.granted('a')).toBe(1);
   });
 
   // Guards against a new owner that grants slots before it knows what is in use.
--- a/packages/entry/tests/owner-grants.test.ts
+++ b/packages/entry/tests/owner-grants.test.ts
@@ -40,10 +40,10 @@
     const [all, owner, other] = await start({ a: 2 });
     all.own('entry-0');
     const grant = await acquire(other, 2000);
-    expect([owner.inFlight.count('a'), other.inFlight.count('a')]).toEqual([1, 1]);
+    expect([owner.inFlight.granted('a'), other.inFlight.count('a')]).toEqual([1, 1]);
     grant?.release({ ok: true, runMs: 5 });
     await delay(100);
-    expect([owner.inFlight.count('a'), other.inFlight.count('a')]).toEqual([0, 0]);
+    expect([owner.inFlight.granted('a'), other.inFlight.count('a')]).toEqual([0, 0]);
   });
 
   // Guards against places of callers that have gone, which would take slots from those that wait.
@@ -60,7 +60,7 @@
     await delay(50);
     held?.release({ ok: true, runMs: 5 });
     expect((await next)?.vm).toBe('a');
-    expect(owner.inFlight.count('a')).toBe(1);
+    expect([owner.inFlight.granted('a'), owner.inFlight.count('a')]).toEqual([1, 1]);
   });
 
   // Guards against a new owner that grants slots that are still in use.
--- a/packages/entry/tests/support/members.ts
+++ b/packages/entry/tests/support/members.ts
@@ -86,11 +86,10 @@
     const claims = new ClaimLookup(table, new KeptResults(1), { entry: name, incarnation: 1 });
     const leaving = new LeavingVms();
     const ring = new EventRing(name, 10, timers);
+    const { queues } = queueing;
     const holder = { entry: name, incarnation: 1 };
-    const queued = (): Map<string, number> => queueing.grants.queued();
-    const status = createEntryStatus({ holder, inFlight, queued, replica });
-    const router = createPeerRouter({ claims, leaving, name, queues: queueing.queues, ring, status });
-    mountRpc(app, router, SECRET, ring);
+    const status = createEntryStatus({ holder, inFlight, queued: () => queues.queued(), replica });
+    mountRpc(app, createPeerRouter({ claims, leaving, name, queues, ring, status }), SECRET);
     const server = await listen(app, '127.0.0.1:0');
     const address = server.address();
     const port = typeof address === 'object' && address !== null ? address.port : 0;
--- a/tests/support/bookings.ts
+++ b/tests/support/bookings.ts
@@ -21,7 +21,6 @@
     TEAM,
     'PUT',
     `/settings/${TEAM}`,
-    // Tests fill every slot with one job, which the queue would otherwise keep from an eighth of them.
     { pools: { bookings: { jobs, keptShortSlots: 0, minServing: 0 } } },
     { 'if-match': '0' },
   );
--- a/tests/support/process.ts
+++ b/tests/support/process.ts
@@ -1,10 +1,11 @@
 import type { ChildProcess } from 'node:child_process';
 import { spawn } from 'node:child_process';
 import { closeSync, openSync } from 'node:fs';
-import { fileURLToPath } from 'node:url';
+import { resolve } from 'node:path';
 
-// The variable lets a proof run against the entry and control binaries of another version.
-const DIST = process.env.SEQUOIAQUAY_DIST ?? fileURLToPath(new URL('../../dist/', import.meta.url));
+// Tests and the bench tool run in the root of the workspace. The variable lets a proof run against the entry
+// and control binaries of another version.
+const DIST = process.env.SEQUOIAQUAY_DIST ?? `${resolve('dist')}/`;
 
 /** A bundled binary that runs as a separate process. */
 export class BinaryProcess {
