fix: run unit and integration tests as groups of their own

Cause: the two test projects have different numbers of workers but the same group, which vitest refuses, so that `npm test` ran no test and failed.

Change: unit tests form the first group, integration tests the second.

The whole suite was not run after this change.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,11 +6,23 @@
   test: {
     projects: [
       {
-        test: { ...limits, include: ['packages/*/tests/**/*.test.ts'], maxWorkers: 4, name: 'unit' },
+        test: {
+          ...limits,
+          include: ['packages/*/tests/**/*.test.ts'],
+          maxWorkers: 4,
+          name: 'unit',
+          sequence: { groupOrder: 0 },
+        },
       },
       {
         // Each file starts its own processes; more than two at a time disturb each other's timing.
-        test: { ...limits, include: ['tests/**/*.test.ts'], maxWorkers: 2, name: 'integration' },
+        test: {
+          ...limits,
+          include: ['tests/**/*.test.ts'],
+          maxWorkers: 2,
+          name: 'integration',
+          sequence: { groupOrder: 1 },
+        },
       },
     ],
   },
