--- a/packages/core/src/records/settings-schema.ts
+++ b/packages/core/src/records/settings-schema.ts
@@ -16,6 +16,8 @@
   jobs: z.record(nameSchema, jobSettingsSchema),
   keptShortSlots: z.int().min(0).optional(),
   minServing: z.int().min(0),
+  /** What the pool's capacity is to be used for first: short waits of short work, or quick roll-outs. */
+  objective: z.enum(['head-of-line', 'roll-out']).optional(),
 });
 
 /** Branch of the settings tree that belongs to one team. */
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -109,8 +109,9 @@
   async #tryTargets(plan: RequestPlan, limits: Limits): Promise<Sent> {
     const excluded = new Set<string>();
     let last: Sent = refuse('no-target', 'no target was tried', 'not-run');
+    let tried = '';
     for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
-      if (attempt > 0 && !(await this.#mayRetry(plan, attempt, limits))) {
+      if (last.isErr() && attempt > 0 && !(await this.#mayRetry(plan, attempt, limits, last.error, tried))) {
         return last;
       }
       const grant = await this.#grant(plan, excluded, limits);
@@ -121,10 +122,8 @@
       if (last.isOk() || limits.start.aborted || (limits.sent && !plan.repeatable)) {
         return last;
       }
-      excluded.add(grant.value.vm);
-      if (attempt + 1 < MAX_TRIES) {
-        this.parts.meter.retried(plan, grant.value.vm, last.error.reason);
-      }
+      tried = grant.value.vm;
+      excluded.add(tried);
     }
     return last;
   }
@@ -230,12 +229,23 @@
   }
 
   // A request that this entry stopped before it was sent needs no retry budget.
-  async #mayRetry(plan: RequestPlan, attempt: number, limits: Limits): Promise<boolean> {
-    const { health, timers } = this.parts;
-    if (limits.stoppedHere) {
-      limits.stoppedHere = false;
-      return true;
+  async #mayRetry(
+    plan: RequestPlan,
+    attempt: number,
+    limits: Limits,
+    last: CallerRefusal,
+    vm: string,
+  ): Promise<boolean> {
+    const allowed = limits.stoppedHere || (await this.#takeRetry(plan, attempt, limits));
+    limits.stoppedHere = false;
+    if (allowed) {
+      this.parts.meter.retried(plan, vm, last.reason);
     }
+    return allowed;
+  }
+
+  async #takeRetry(plan: RequestPlan, attempt: number, limits: Limits): Promise<boolean> {
+    const { health, timers } = this.parts;
     const pauseMs = backoffMs(attempt, plan.id);
     if (timers.mono() + pauseMs >= limits.monoDeadline || !health.takeRetry(plan.pool)) {
       return false;
