--- a/packages/entry/src/clear-reporter.ts
+++ b/packages/entry/src/clear-reporter.ts
@@ -48,7 +48,7 @@
       vm.state === 'draining' &&
       vm.drain?.waitingFor.get(this.holder.entry) === this.holder.incarnation &&
       !this.#reported.has(vm.drain.id) &&
-      this.inFlight.count(vm.id) === 0
+      this.inFlight.isClear(vm.id)
     );
   }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -16,10 +16,12 @@
 import { Hono } from 'hono';
 import { setMaxListeners } from 'node:events';
 import type { EntrySettings } from './entry-settings';
+import { ByteBudget } from './byte-budget';
 import { createCallerApi } from './caller-api';
 import { ClaimLookup } from './claim-lookup';
 import { ClaimService } from './claim-service';
 import { ClearReporter } from './clear-reporter';
+import { connectionsPerMember } from './connection-share';
 import { RequestDispatcher } from './dispatcher';
 import { EarlierClaims } from './earlier-claims';
 import { publishEntryMetrics } from './entry-metrics';
@@ -32,12 +34,14 @@
 import { LeavingVms } from './leaving-vms';
 import { LeavingWatch } from './leaving-watch';
 import { JoinedMembers } from './live-members';
-import { OwnShareGrants } from './own-share-grants';
 import { PauseGuard } from './pause-guard';
 import { PeerClients } from './peer-clients';
 import { createPeerRouter } from './peer-router';
+import { createQueueing } from './queueing';
 import { RequestMeter } from './request-meter';
 import { TargetClient } from './target-client';
+import { TargetHealth } from './target-health';
+import { publishTasks } from './tasks/task-metrics';
 import { startTasks } from './tasks/task-runtime';
 import { WorkReplica } from './work-replica';
 
@@ -118,11 +122,24 @@
     timers,
     work,
   });
-  const grants = new OwnShareGrants(replica, inFlight);
+  const health = new TargetHealth(replica, timers);
+  const members = new JoinedMembers(replica);
+  const queueing = createQueueing({
+    health,
+    holder,
+    inFlight,
+    members,
+    peers,
+    replica,
+    stopping: signal,
+    timers,
+  });
   const dispatcher = new RequestDispatcher({
+    bytes: new ByteBudget(cfg.maxHeldBytes),
     claims,
-    grants,
+    grants: queueing.grants,
     guard,
+    health,
     leaving,
     meter,
     replica,
@@ -134,8 +151,10 @@
     appender: workAppender,
     entry: cfg.name,
     inFlight,
-    members: new JoinedMembers(replica),
+    leaving,
+    members,
     replica,
+    ring,
     secret,
     settings: cfg.tasks,
     signal: background.signal,
@@ -153,19 +172,22 @@
     tasks: tasks.service,
     timers,
   });
-  const queued = (): Map<string, number> => grants.queued();
+  const queued = (): Map<string, number> => queueing.queues.queued();
   const appenders = { fleet: fleetAppender, work: workAppender };
   publishEntryMetrics(metrics, { appenders, inFlight, queued, replica, work });
+  publishTasks(metrics, work, tasks);
   metrics.mount(app);
   recordFleetEvents(replica, ring, background.signal);
   logFleetChanges({ log, logClient, replica, timers }, background.signal);
   const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
   const status = createEntryStatus({ holder, inFlight, queued, replica });
+  const { queues } = queueing;
   const router = createPeerRouter({
     claims: lookup,
     leaving,
     name: cfg.name,
+    queues,
     ring,
     status,
     tasks: work.tasks,
@@ -176,10 +198,14 @@
   membership.start(background.signal);
   clear.start(background.signal);
   guard.start(background.signal);
+  queueing.start(background.signal);
+  replica.subscribe(() => {
+    targets.resize(connectionsPerMember(replica.state));
+  }, background.signal);
   new LeavingWatch(
     leaving,
     new VmListClient(http),
-    new JoinedMembers(replica),
+    members,
     peers,
     { name: cfg.name, pollMs: cfg.vmListPollMs },
     timers,
--- a/packages/entry/src/in-flight.ts
+++ b/packages/entry/src/in-flight.ts
@@ -1,39 +1,66 @@
-/** Counts the grants and requests of this entry on each VM. */
+/** Counts the requests of this entry on each VM, and the grants that its pool queues have given out. */
 export class InFlight {
-  readonly #counts = new Map<string, number>();
-  readonly #onZero: (vm: string) => void;
+  readonly #grants = new Map<string, number>();
+  readonly #onClear: (vm: string) => void;
+  readonly #requests = new Map<string, number>();
 
-  constructor(onZero: (vm: string) => void) {
-    this.#onZero = onZero;
+  constructor(onClear: (vm: string) => void) {
+    this.#onClear = onClear;
   }
 
-  /** Number in flight on a VM. */
+  /** Requests of this entry in flight on all VMs. */
+  get total(): number {
+    let total = 0;
+    for (const count of this.#requests.values()) {
+      total += count;
+    }
+    return total;
+  }
+
+  /** Requests of this entry in flight on a VM. */
   count(vm: string): number {
-    return this.#counts.get(vm) ?? 0;
+    return this.#requests.get(vm) ?? 0;
+  }
+
+  /** Grants on a VM that this entry's queues have given out and that are not returned or expired. */
+  granted(vm: string): number {
+    return this.#grants.get(vm) ?? 0;
   }
 
-  /** Counts one more on a VM. */
+  /** Whether nothing that this entry answers for is on a VM. */
+  isClear(vm: string): boolean {
+    return this.count(vm) === 0 && this.granted(vm) === 0;
+  }
+
+  /** Counts one request more on a VM. */
   begin(vm: string): void {
-    this.#counts.set(vm, this.count(vm) + 1);
+    this.#requests.set(vm, this.count(vm) + 1);
   }
 
-  /** Counts one less on a VM. */
+  /** Counts one request less on a VM. */
   end(vm: string): void {
-    const left = this.count(vm) - 1;
-    if (left > 0) {
-      this.#counts.set(vm, left);
-      return;
-    }
-    this.#counts.delete(vm);
-    this.#onZero(vm);
+    this.#decrease(this.#requests, vm);
   }
 
-  /** Number in flight on all VMs. */
-  get total(): number {
-    let total = 0;
-    for (const count of this.#counts.values()) {
-      total += count;
+  /** Counts one grant more on a VM. */
+  beginGrant(vm: string): void {
+    this.#grants.set(vm, this.granted(vm) + 1);
+  }
+
+  /** Counts one grant less on a VM. */
+  endGrant(vm: string): void {
+    this.#decrease(this.#grants, vm);
+  }
+
+  #decrease(counts: Map<string, number>, vm: string): void {
+    const left = (counts.get(vm) ?? 0) - 1;
+    if (left > 0) {
+      counts.set(vm, left);
+    } else {
+      counts.delete(vm);
+    }
+    if (this.isClear(vm)) {
+      this.#onClear(vm);
     }
-    return total;
   }
 }
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -6,6 +6,8 @@
 import type { ClaimLookup } from './claim-lookup';
 import type { EntryStatus } from './entry-status';
 import type { LeavingVms } from './leaving-vms';
+import type { QueueService } from './queue-service';
+import { createQueueRouter } from './queue-router';
 import { toView } from './tasks/task-api';
 
 /** Parts of an entry that its peers' procedures use. */
@@ -13,6 +15,7 @@
   claims: ClaimLookup;
   leaving: LeavingVms;
   name: string;
+  queues: QueueService;
   ring: EventRing;
   status: () => EntryStatus;
   tasks: TaskTable;
@@ -34,6 +37,7 @@
         .query(({ input }) => parts.claims.state(input)),
     }),
     leaving: t.procedure.query(() => parts.leaving.list()),
+    queue: createQueueRouter(parts.queues),
     ping: t.procedure.query(() => ({ name: parts.name })),
     status: t.procedure.query(() => parts.status()),
     tasks: t.router({
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -3,6 +3,7 @@
 
 const binaries = {
   quickstart: 'packages/stand-ins/src/quickstart-main.ts',
+  bench: 'packages/bench/src/main.ts',
   capacity: 'packages/bench/src/capacity/capacity-main.ts',
   sequoiaquay: 'packages/cli/src/main.ts',
   'sequoiaquay-control': 'packages/control/src/main.ts',
