--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -182,11 +182,12 @@
   const server = await listen(app, cfg.listen);
   const peerApp = new Hono();
   const status = createEntryStatus({ holder, inFlight, queued, replica });
+  const { queues } = queueing;
   const router = createPeerRouter({
     claims: lookup,
     leaving,
     name: cfg.name,
-    queues: queueing.queues,
+    queues,
     ring,
     status,
     tasks: work.tasks,
--- a/tests/graceful-stop.test.ts
+++ b/tests/graceful-stop.test.ts
@@ -148,7 +148,7 @@
       for (const vm of cluster.entries) {
         expect(await vm.control.stop('SIGTERM')).toBe(0);
         await delay(700);
-        cluster.restartControl(cluster.entries.indexOf(vm));
+        await cluster.restartControl(cluster.entries.indexOf(vm));
         await delay(700);
       }
     });
--- a/tests/leaving-target.test.ts
+++ b/tests/leaving-target.test.ts
@@ -150,7 +150,7 @@
     const noticeAt = await listAsLeaving(vm);
     await delay(BOUND_MS + 1500);
     entry(1).platformRoute?.setFaults({});
-    cluster.restartControl(1);
+    await cluster.restartControl(1);
     expect(await startsSince(vm, noticeAt + BOUND_MS)).toEqual([]);
   });
 
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -129,14 +129,6 @@
     }
   }
 
-  /** Starts the control process of a VM again, with the same settings; it must have ended. */
-  restartControl(index: number): void {
-    const vm = this.entries[index];
-    if (vm !== undefined) {
-      vm.control = this.#spawn('sequoiaquay-control', ['--config', vm.controlFile]);
-    }
-  }
-
   /** Target VMs as one of the controls that answer sees them. */
   async vmsOf(team: string): Promise<{ id: string; pool: string; state: string }[]> {
     const { body } = await this.operate(team, 'GET', '/vms');
