fix(entry): limit calls by timers that can't be collected

Conclusion: no call of the entry is limited by such a pair any more; the deadline of a request is held by the request itself.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,7 +12,7 @@
   STREAM,
   VmListClient,
 } from '@sequoiaquay/platform';
-import { closeServer, EventRing, listen, Metrics, mountRpc } from '@sequoiaquay/runtime';
+import { closeServer, EventRing, listen, Metrics, mountRpc, timeoutSignal } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
 import { setMaxListeners } from 'node:events';
 import type { EntrySettings } from './entry-settings';
@@ -104,7 +104,7 @@
   const membership = new MemberJoiner(self, replica, fleetAppender, timers);
   const targets = new TargetClient({ ...TARGETS, bufferLimitBytes: cfg.bufferLimitBytes });
   const guard = new PauseGuard(
-    () => replica.refresh(AbortSignal.any([background.signal, AbortSignal.timeout(REFRESH_TIMEOUT_MS)])),
+    () => replica.refresh(timeoutSignal(background.signal, REFRESH_TIMEOUT_MS)),
     GUARD,
     timers,
   );
--- a/packages/entry/src/holder-inquiry.ts
+++ b/packages/entry/src/holder-inquiry.ts
@@ -1,6 +1,6 @@
 import type { Claim } from '@sequoiaquay/core';
 import type { FleetReplica } from '@sequoiaquay/platform';
-import { rpcResult } from '@sequoiaquay/runtime';
+import { rpcResult, timeoutSignal } from '@sequoiaquay/runtime';
 import type { ClaimLookup, ClaimStatement } from './claim-lookup';
 import type { ClaimHolder } from './claim-service';
 import type { PeerClients } from './peer-clients';
@@ -31,7 +31,7 @@
     if (member?.incarnation !== claim.incarnation) {
       return { state: 'gone' };
     }
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(ASK_TIMEOUT_MS)]);
+    const limit = timeoutSignal(signal, ASK_TIMEOUT_MS);
     const stated = await rpcResult(
       this.peers.at(member.address).claims.outcome.query(question, { signal: limit }),
     );
--- a/packages/entry/src/leaving-watch.ts
+++ b/packages/entry/src/leaving-watch.ts
@@ -1,6 +1,6 @@
 import type { VmService } from '@sequoiaquay/platform';
 import type { TimerService } from '@sequoiaquay/runtime';
-import { rpcResult } from '@sequoiaquay/runtime';
+import { rpcResult, timeoutSignal } from '@sequoiaquay/runtime';
 import type { LeavingVms } from './leaving-vms';
 import type { LiveMembers } from './live-members';
 import type { PeerClients } from './peer-clients';
@@ -50,7 +50,7 @@
       return;
     }
     this.#listing = true;
-    const list = await this.vms.list(AbortSignal.any([signal, AbortSignal.timeout(ASK_TIMEOUT_MS)]));
+    const list = await this.vms.list(timeoutSignal(signal, ASK_TIMEOUT_MS));
     if (list.isOk()) {
       this.leaving.observeList(list.value);
     }
@@ -64,7 +64,7 @@
     if (peer === undefined) {
       return;
     }
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(ASK_TIMEOUT_MS)]);
+    const limit = timeoutSignal(signal, ASK_TIMEOUT_MS);
     const notices = await rpcResult(this.peers.at(peer.address).leaving.query(undefined, { signal: limit }));
     for (const notice of notices.unwrapOr([])) {
       this.leaving.observe(notice);
--- a/packages/entry/src/owner-grants.ts
+++ b/packages/entry/src/owner-grants.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
+import { timeoutSignal } from '@sequoiaquay/runtime';
 import { err, ok } from 'neverthrow';
 import { randomUUID } from 'node:crypto';
 import type { Grant, GrantRefusal, GrantRequest, GrantResult, GrantSource } from './grant-source';
@@ -153,7 +154,7 @@
   }
 
   async #useOwnShare(id: string, req: GrantRequest, signal: AbortSignal): Promise<Answer | undefined> {
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(OWN_SHARE_MS)]);
+    const limit = timeoutSignal(signal, OWN_SHARE_MS);
     const chosen = await this.parts.ownShare.choose(req, limit);
     if (chosen.isErr()) {
       return chosen.error.reason === 'deadline-unreachable' ? undefined : err(chosen.error);
--- a/packages/entry/src/owner-link.ts
+++ b/packages/entry/src/owner-link.ts
@@ -1,6 +1,6 @@
 import type { RpcError, TimerService } from '@sequoiaquay/runtime';
 import type { ResultAsync } from 'neverthrow';
-import { rpcResult } from '@sequoiaquay/runtime';
+import { rpcResult, timeoutSignal } from '@sequoiaquay/runtime';
 import { okAsync } from 'neverthrow';
 import type { LiveEntry } from './live-members';
 import type { PeerClients } from './peer-clients';
@@ -45,7 +45,7 @@
     if (owner.name === this.self) {
       return rpcResult(this.local.acquire(msg, signal));
     }
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(msg.waitMs + ANSWER_MS)]);
+    const limit = timeoutSignal(signal, msg.waitMs + ANSWER_MS);
     return rpcResult(this.peers.at(owner.address).queue.acquire.mutate(msg, { signal: limit }));
   }
 
--- a/tests/budget.test.ts
+++ b/tests/budget.test.ts
@@ -96,10 +96,8 @@
     case 9:
       // The rack of these VMs is lost as a whole.
       return Promise.all(['target-6', 'target-7'].map((vm) => cluster.admin('DELETE', `/vms/${vm}`)));
-    case 11: {
-      cluster.restartControl(0);
-      return;
-    }
+    case 11:
+      return cluster.restartControl(0);
     default:
       return Promise.resolve();
   }
