--- a/packages/control/src/control-settings.ts
+++ b/packages/control/src/control-settings.ts
@@ -17,6 +17,8 @@
     addresses: z.array(z.url()).min(1),
     timeoutMs: z.int().min(100).default(6000),
   }),
+  /** Time for which the log keeps records. */
+  retentionMs: z.int().min(1000).default(86_400_000),
   /** Records that the log keeps in the `fleet` stream. */
   retentionRecords: z.int().min(8).default(100_000),
   secretFile: z.string().min(1),
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -69,7 +69,12 @@
   const snapshots = new SnapshotWriter(
     replica,
     proposer,
-    { checkMs: SNAPSHOT_CHECK_MS, member: cfg.name, retentionRecords: cfg.retentionRecords },
+    {
+      checkMs: SNAPSHOT_CHECK_MS,
+      member: cfg.name,
+      retentionMs: cfg.retentionMs,
+      retentionRecords: cfg.retentionRecords,
+    },
     timers,
   );
   const self: MemberIdentity = {
--- a/packages/control/src/snapshot-writer.ts
+++ b/packages/control/src/snapshot-writer.ts
@@ -10,6 +10,8 @@
   checkMs: number;
   /** Name of this control. */
   member: string;
+  /** Time for which the log keeps records, in ms. */
+  retentionMs: number;
   /** Records that the log keeps in the `fleet` stream. */
   retentionRecords: number;
 }
@@ -17,6 +19,12 @@
 /** Longest time that a snapshot waits for its verdict, in ms. */
 const PROPOSAL_TIMEOUT_MS = 10_000;
 
+/** Share of retention after which the planner writes a snapshot. */
+const BASE_SHARE = 1 / 4;
+
+/** Share of retention that a control takes to have passed since a snapshot that it hasn't seen itself. */
+const UNSEEN_SHARE = 3 / 16;
+
 /** Controls that are not the planner wait this share of retention longer for each control before them. */
 const RANK_SHARE = 1 / 32;
 
@@ -27,6 +35,7 @@
 export class SnapshotWriter {
   #busy = false;
   #newest = 0;
+  #newestAt = 0;
 
   constructor(
     private readonly replica: FleetReplica,
@@ -37,16 +46,18 @@
 
   /** Writes snapshots until the signal aborts. */
   start(signal: AbortSignal): void {
+    this.#newestAt = this.timers.now() - UNSEEN_SHARE * this.settings.retentionMs;
     this.replica.subscribe((entry, verdict) => {
       if (verdict.isOk() && verdict.value.kind === 'snapshot') {
         this.#newest = entry.offset;
+        this.#newestAt = verdict.value.at;
       }
     }, signal);
     this.timers.every(this.settings.checkMs, () => void this.#check(signal), signal);
   }
 
   async #check(signal: AbortSignal): Promise<void> {
-    if (this.#busy || !this.replica.caughtUp || this.replica.state.next - this.#newest < this.#due()) {
+    if (this.#busy || !this.replica.caughtUp || !this.#isDue()) {
       return;
     }
     this.#busy = true;
@@ -55,9 +66,15 @@
     this.#busy = false;
   }
 
-  // Records after which this control writes a snapshot.
-  #due(): number {
-    return Math.max(2, this.settings.retentionRecords * (1 / 4 + this.#rank() * RANK_SHARE));
+  // A quiet fleet must write snapshots too: time alone trims the newest one.
+  #isDue(): boolean {
+    const share = BASE_SHARE + this.#rank() * RANK_SHARE;
+    const records = this.replica.state.next - this.#newest;
+    const age = this.timers.now() - this.#newestAt;
+    return (
+      records >= Math.max(2, share * this.settings.retentionRecords) ||
+      (records > 0 && age >= share * this.settings.retentionMs)
+    );
   }
 
   #rank(): number {
