--- a/packages/control/src/operator-api.ts
+++ b/packages/control/src/operator-api.ts
@@ -7,6 +7,7 @@
 import { routeStatus } from './status-routes';
 import { teamOfToken } from './team-auth';
 import { routeVms } from './vm-routes';
+import { routeWaves } from './wave-routes';
 
 /** Largest body of an operator's request, in bytes; the log takes a branch as one record. */
 const MAX_BODY_BYTES = 1_048_576;
@@ -39,6 +40,7 @@
   routeVms(app, parts);
   routeStatus(app, parts);
   routeExplain(app, parts);
+  routeWaves(app);
   return app;
 }
 
--- a/packages/control/tests/operator-api.test.ts
+++ b/packages/control/tests/operator-api.test.ts
@@ -104,6 +104,7 @@
     ['/explain/request/none', 404, 'unknown-request'],
     ['/explain/task/none', 404, 'unknown-task'],
     ['/explain/team/voyages', 422, 'bad-request'],
+    ['/waves/current', 404, 'not-available'],
     ['/timeline?limit=0', 422, 'bad-request'],
     ['/timeline?limit=many', 422, 'bad-request'],
     ['/timeline?colour=red', 422, 'bad-request'],
@@ -150,6 +151,7 @@
     ['POST', '/vms/target-0/drain', 409, 'budget', '{}'],
     ['POST', '/vms/target-0/undrain', 409, 'wrong-state', '{}'],
     ['POST', '/vms/none/drain', 404, 'unknown-vm', '{}'],
+    ['POST', '/waves', 404, 'not-available', '{"vms":["target-0"]}'],
     ['POST', '/vms/__proto__/drain', 404, 'unknown-vm', '{}'],
   ])(
     '%s %s is refused with %i %s and changes nothing, row %#',
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,40 +1,11 @@
 import '@sequoiaquay/runtime/install-fetch';
-import {
-  loadSettings,
-  openLogger,
-  readSecret,
-  shutdownSignal,
-  SystemTimerService,
-} from '@sequoiaquay/runtime';
-import { cac } from 'cac';
+import { runBinary } from '@sequoiaquay/runtime';
 import { runEntry } from './entry';
 import { entrySettingsSchema } from './entry-settings';
 
-const EXIT_USAGE = 2;
-
-const cli = cac('sequoiaquay-entry');
-cli.option('--config <file>', 'settings file, JSON');
-cli.option('--check-config <file>', 'check a settings file and exit');
-cli.option('--listen <address>', 'overrides "listen" of the settings file');
-cli.help();
-const { options } = cli.parse();
-
-const file = String(options.checkConfig ?? options.config ?? 'entry.json');
-const overrides = options.listen === undefined ? {} : { listen: String(options.listen) };
-const loaded = loadSettings(file, entrySettingsSchema, overrides);
-if (loaded.isErr()) {
-  process.stderr.write(`${loaded.error.problems.map((problem) => `${file}: ${problem}`).join('\n')}\n`);
-  process.exit(EXIT_USAGE);
-}
-const secret = readSecret(loaded.value.secretFile);
-if (secret.isErr()) {
-  process.stderr.write(
-    `${secret.error.problems.map((problem) => `${secret.error.file}: ${problem}`).join('\n')}\n`,
-  );
-  process.exit(EXIT_USAGE);
-}
-if (options.checkConfig === undefined && options.help !== true) {
-  const log = openLogger('sequoiaquay-entry', loaded.value.logLevel).child({ process: loaded.value.name });
-  await runEntry(loaded.value, secret.value, log, new SystemTimerService(), shutdownSignal());
-  process.exit(0);
-}
+await runBinary({
+  defaultFile: 'entry.json',
+  name: 'sequoiaquay-entry',
+  run: runEntry,
+  schema: entrySettingsSchema,
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -9,4 +9,5 @@
 export * from './timer-service';
 export * from './listen';
 export * from './rpc';
+export * from './run-binary';
 export * from './timeout-signal';
--- /dev/null
+++ b/packages/runtime/src/run-binary.ts
@@ -0,0 +1,66 @@
+import type { ZodType } from 'zod';
+import { cac } from 'cac';
+import type { Logger } from './logger';
+import type { SettingsError } from './settings-file';
+import type { TimerService } from './timer-service';
+import { openLogger } from './logger';
+import { loadSettings, readSecret } from './settings-file';
+import { shutdownSignal } from './shutdown';
+import { SystemTimerService } from './timer-service';
+
+/** Settings that every binary has. */
+export interface BinarySettings {
+  logLevel: 'debug' | 'error' | 'info' | 'warn';
+  name: string;
+  secretFile: string;
+}
+
+/** A long-running binary of the product. */
+export interface Binary<S extends BinarySettings> {
+  /** Settings file that is read when none is named. */
+  defaultFile: string;
+  name: string;
+  /** Runs the process until the signal aborts. */
+  run: (cfg: S, secret: string, log: Logger, timers: TimerService, signal: AbortSignal) => Promise<void>;
+  schema: ZodType<S>;
+}
+
+const EXIT_USAGE = 2;
+
+/** Parses the command line, checks the settings and runs a binary, then ends the process. */
+export async function runBinary<S extends BinarySettings>(binary: Binary<S>): Promise<void> {
+  const options = parseArguments(binary.name);
+  if (options.help === true) {
+    return;
+  }
+  const file = String(options.checkConfig ?? options.config ?? binary.defaultFile);
+  const overrides = options.listen === undefined ? {} : { listen: String(options.listen) };
+  const loaded = loadSettings(file, binary.schema, overrides).andThen((cfg) =>
+    readSecret(cfg.secretFile).map((secret) => ({ cfg, secret })),
+  );
+  if (loaded.isErr()) {
+    return endWithUsage(loaded.error);
+  }
+  if (options.checkConfig !== undefined) {
+    return;
+  }
+  const { cfg, secret } = loaded.value;
+  const log = openLogger(binary.name, cfg.logLevel).child({ process: cfg.name });
+  await binary.run(cfg, secret, log, new SystemTimerService(), shutdownSignal());
+  process.exit(0);
+}
+
+function parseArguments(name: string): Record<string, boolean | string | undefined> {
+  const cli = cac(name);
+  cli.option('--config <file>', 'settings file, JSON');
+  cli.option('--check-config <file>', 'check a settings file and exit');
+  cli.option('--listen <address>', 'overrides "listen" of the settings file');
+  cli.help();
+  return cli.parse().options;
+}
+
+function endWithUsage(error: SettingsError): never {
+  const lines = error.problems.map((problem) => `${error.file}: ${problem}`);
+  process.stderr.write(`${lines.join('\n')}\n`);
+  process.exit(EXIT_USAGE);
+}
