--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,7 +28,7 @@
 export * from './routing/own-share';
 export * from './routing/rendezvous';
 export * from './routing/retry-budget';
-export * from './routing/target-choice';
+export * from './routing/eligible-targets';
 export * from './charts/task.chart';
 export * from './records/record-base';
 export * from './records/task-record';
--- a/packages/core/src/routing/target-choice.ts
+++ /dev/null
@@ -1,9 +0,0 @@
-import type { FleetState, Vm } from '../fleet/fleet-state';
-import { isServing } from '../fleet/budget';
-
-/** Target VMs of a pool that may receive new work. */
-export function eligibleTargets(state: FleetState, pool: string, excluded: ReadonlySet<string>): Vm[] {
-  return [...state.vms.values()].filter(
-    (vm) => vm.pool === pool && vm.role === 'target' && isServing(vm) && !excluded.has(vm.id),
-  );
-}
--- a/packages/entry/src/clear-reporter.ts
+++ b/packages/entry/src/clear-reporter.ts
@@ -22,10 +22,7 @@
 
   /** Watches draining VMs until the signal aborts. */
   start(signal: AbortSignal): void {
-    this.replica.subscribe(() => {
-      this.check(signal);
-    }, signal);
-    this.timers.every(
+    this.replica.watch(
       CHECK_PERIOD_MS,
       () => {
         this.check(signal);
--- a/packages/entry/src/target-health.ts
+++ b/packages/entry/src/target-health.ts
@@ -16,8 +16,6 @@
   targets: UsableTarget[];
 }
 
-const NONE: ReadonlySet<string> = new Set();
-
 /** Circuit breakers and retry budgets of the targets that this entry has seen results of. */
 export class TargetHealth {
   readonly #breakers = new CircuitBreakers();
@@ -76,7 +74,7 @@
     if (known?.state === state && known.next === state.next) {
       return known.targets;
     }
-    const targets = eligibleTargets(state, pool, NONE).map((vm) => ({
+    const targets = eligibleTargets(state, pool).map((vm) => ({
       address: vm.address,
       slots: vm.slots,
       vm: vm.id,
--- a/packages/platform/src/fleet-replica.ts
+++ b/packages/platform/src/fleet-replica.ts
@@ -87,6 +87,12 @@
     signal.addEventListener('abort', () => this.#listeners.delete(listener), { once: true });
   }
 
+  /** Runs a check after each applied record and in every period of `periodMs`, until the signal aborts. */
+  watch(periodMs: number, check: () => void, signal: AbortSignal): void {
+    this.subscribe(check, signal);
+    this.timers.every(periodMs, check, signal);
+  }
+
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const watching = this.#watchPreferred(signal);
--- a/packages/platform/src/member-joiner.ts
+++ b/packages/platform/src/member-joiner.ts
@@ -47,10 +47,7 @@
 
   /** Keeps this process a member until the signal aborts. */
   start(signal: AbortSignal): void {
-    this.replica.subscribe(() => {
-      this.check(signal);
-    }, signal);
-    this.timers.every(
+    this.replica.watch(
       CHECK_PERIOD_MS,
       () => {
         this.check(signal);
