--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,7 @@
 const zodSpecifier = "ImportDeclaration[source.value='zod'][importKind!='type'] > ImportSpecifier";
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/target/**', '**/dist/**', '**/node_modules/**'] },
   js.configs.recommended,
   {
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
--- /dev/null
+++ b/packages/core/src/jobs/job-record.ts
@@ -0,0 +1,145 @@
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import * as z from 'zod';
+import type { Job } from './job-spec';
+
+/** Kinds of record in the stream of jobs. */
+export const JOB_RECORD = {
+  cancel: 'cancel',
+  forget: 'forget',
+  leader: 'leader',
+  state: 'state',
+  submit: 'submit',
+} as const;
+
+/** A job was accepted. A repeat of the record changes nothing. */
+export interface SubmitRecord {
+  job: Job;
+  kind: typeof JOB_RECORD.submit;
+}
+
+/** A caller cancelled a job. */
+export interface CancelRecord {
+  id: string;
+  kind: typeof JOB_RECORD.cancel;
+}
+
+/** The state of an ended job is kept no longer. */
+export interface ForgetRecord {
+  id: string;
+  kind: typeof JOB_RECORD.forget;
+}
+
+/** The leader tells how far a job is. */
+export interface StateRecord {
+  id: string;
+  kind: typeof JOB_RECORD.state;
+  state: 'completed' | 'failed' | 'running';
+}
+
+/** The leader shows that it is alive, or that it gives up the lead. */
+export interface LeaderRecord {
+  /** Fencing token of the leader's term. */
+  epoch: number;
+  kind: typeof JOB_RECORD.leader;
+  node: string;
+  /** The leader gives up its term. */
+  released: boolean;
+}
+
+/** A record in the stream of jobs. */
+export type JobRecord = CancelRecord | ForgetRecord | LeaderRecord | StateRecord | SubmitRecord;
+
+/** A record as a key and a value; the store keeps the newest value of each key. */
+export interface KeyedRecord {
+  key: string;
+  /** Undefined drops the key. */
+  value: string | undefined;
+}
+
+const stepSchema = z.object({
+  after: z.array(z.int()),
+  checkpointable: z.boolean(),
+  count: z.int(),
+  demand: z.object({ cpuMilli: z.number(), gpus: z.number(), memoryMb: z.number() }),
+  estimatedMs: z.number(),
+  fillsIdle: z.boolean(),
+  gang: z.boolean(),
+  image: z.string(),
+  longRunning: z.boolean(),
+  maxPerWorker: z.int(),
+  mayMiss: z.int(),
+  preferredRack: z.string(),
+  rackSensitive: z.boolean(),
+  requiredLabel: z.string(),
+  speculative: z.boolean(),
+  tailTargetMs: z.number(),
+});
+
+const jobSchema = z.object({
+  acceptedAt: z.number(),
+  pool: z.string(),
+  queue: z.string(),
+  spec: z.object({
+    body: z.string(),
+    schedule: z.object({ count: z.int(), firstAt: z.number(), intervalMs: z.number() }).optional(),
+    steps: z.array(stepSchema),
+  }),
+});
+
+const stateSchema = z.enum(['completed', 'failed', 'running']);
+
+const leaderSchema = z.object({ epoch: z.int(), node: z.string(), released: z.boolean() });
+
+const LEADER_KEY = 'leader';
+
+/** Encodes a record; some take several keys. */
+export function encodeJobRecord(record: JobRecord): KeyedRecord[] {
+  switch (record.kind) {
+    case JOB_RECORD.cancel:
+      return [{ key: `c.${record.id}`, value: '1' }];
+    case JOB_RECORD.forget:
+      return ['j', 'c', 's'].map((prefix) => ({ key: `${prefix}.${record.id}`, value: undefined }));
+    case JOB_RECORD.leader:
+      return [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
+    case JOB_RECORD.state:
+      return [{ key: `s.${record.id}`, value: record.state }];
+    case JOB_RECORD.submit: {
+      const { id, ...job } = record.job;
+      return [{ key: `j.${id}`, value: JSON.stringify(job) }];
+    }
+  }
+}
+
+/** Decodes a record; without a value it drops its key. The error says what is wrong with it. */
+export function decodeJobRecord(key: string, value: string | undefined): Result<JobRecord, string> {
+  const id = key.slice(2);
+  if (value === undefined) {
+    return ok({ id, kind: JOB_RECORD.forget });
+  }
+  if (key === LEADER_KEY) {
+    return parse(leaderSchema, value).map((leader) => ({ kind: JOB_RECORD.leader, ...leader }));
+  }
+  if (key.startsWith('c.')) {
+    return ok({ id, kind: JOB_RECORD.cancel });
+  }
+  if (key.startsWith('s.')) {
+    const state = stateSchema.safeParse(value);
+    return state.success
+      ? ok({ id, kind: JOB_RECORD.state, state: state.data })
+      : err(`record ${key} has the unknown state ${value}`);
+  }
+  if (key.startsWith('j.')) {
+    return parse(jobSchema, value).map((job) => ({ job: { id, ...job }, kind: JOB_RECORD.submit }));
+  }
+  return err(`record ${key} is of no known kind`);
+}
+
+function parse<T>(schema: z.ZodType<T>, value: string): Result<T, string> {
+  try {
+    const parsed = schema.safeParse(JSON.parse(value));
+    return parsed.success ? ok(parsed.data) : err(parsed.error.message);
+  } catch (error) {
+    return err(String(error));
+  }
+}
--- /dev/null
+++ b/packages/core/tests/jobs/job-table.test.ts
@@ -0,0 +1,60 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { JobRecord } from '../../src/jobs';
+import { decodeJobRecord, encodeJobRecord, JobTable } from '../../src/jobs';
+import { job, step } from './support/jobs';
+
+const ID = '00000bb87a21d94b';
+
+const RECORDS: JobRecord[] = [
+  { job: job(ID, [step()]), kind: 'submit' },
+  { id: ID, kind: 'cancel' },
+  { id: ID, kind: 'state', state: 'running' },
+  { id: ID, kind: 'state', state: 'completed' },
+];
+
+function stateAfter(records: readonly JobRecord[]): string | undefined {
+  const table = new JobTable();
+  for (const record of records) {
+    table.apply(record);
+  }
+  return table.stateOf(ID);
+}
+
+describe('JobTable', () => {
+  it('reaches the same state in whatever order a late reader sees the records', () => {
+    const orders = fc.shuffledSubarray(RECORDS, { minLength: RECORDS.length });
+    fc.assert(
+      fc.property(orders, (records) => {
+        expect(stateAfter(records)).toBe('completed');
+      }),
+    );
+  });
+
+  it('shows no job of which only later records are known', () => {
+    expect(stateAfter([{ id: ID, kind: 'cancel' }])).toBeUndefined();
+  });
+
+  it('counts a job as waiting until one of its tasks has started', () => {
+    const table = new JobTable();
+    table.apply({ job: job(ID, [step()]), kind: 'submit' });
+    expect(table.waiting('quick')).toBe(1);
+    table.apply({ id: ID, kind: 'state', state: 'running' });
+    expect(table.waiting('quick')).toBe(0);
+  });
+
+  it('reads back every record that it writes', () => {
+    const kinds: JobRecord[] = [...RECORDS, { epoch: 4, kind: 'leader', node: 'n', released: true }];
+    for (const record of kinds) {
+      const [keyed] = encodeJobRecord(record);
+      const decoded = decodeJobRecord(keyed?.key ?? '', keyed?.value);
+      expect(decoded._unsafeUnwrap()).toEqual(record);
+    }
+  });
+
+  it('refuses a record that is not readable instead of failing', () => {
+    expect(decodeJobRecord('j.x', '{').isErr()).toBe(true);
+    expect(decodeJobRecord('s.x', 'lost').isErr()).toBe(true);
+    expect(decodeJobRecord('zzz', '1').isErr()).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/node/src/leadership.ts
@@ -0,0 +1,227 @@
+import type { LeaderRecord, TaskRecord } from '@sequoiaquay/core/jobs';
+import type { Logger, TimerService } from '@sequoiaquay/runtime';
+import { decodeTaskRecord, encodeTermRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
+import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
+import type { JobWriter } from './job-writer';
+import type { KeyedStream } from './ports/keyed-stream';
+import type { StreamTail } from './stream-tail';
+import { WRITE_OUTCOME } from './job-writer';
+import { STORE_FAILURE } from './ports/keyed-stream';
+
+/** Settings of the leadership. */
+export interface LeadershipSettings {
+  /** Period at which the leader shows that it is alive, in ms. */
+  heartbeatMs: number;
+  /** Limit for a call to the store, in ms. */
+  limitMs: number;
+  node: string;
+  /** Silence of the leader after which another node takes over, in ms. */
+  silenceMs: number;
+  /** Longest random delay before a node takes over, in ms. */
+  spreadMs: number;
+}
+
+/** What a term as leader begins with. */
+export interface TermStart {
+  /** Fencing token of the term; rises from term to term. */
+  epoch: number;
+  /** End of the stream of runs. */
+  runsEnd: number;
+  tasks: TaskRecord[];
+}
+
+/** Runs a term as leader until the signal aborts; `onLost` ends it. */
+export type TermRunner = (
+  start: TermStart,
+  onLost: (reason: string) => void,
+  signal: AbortSignal,
+) => Promise<void>;
+
+const CHECK_MS = 50;
+
+/** Pause after a failed attempt to take over, in ms. */
+const BACKOFF_MS = 300;
+
+/**
+ * Decides when this node takes the lead. A term begins with a conditional append to the stream of runs,
+ * so that of several candidates one succeeds, and the offset of that record is the fencing token.
+ */
+export class Leadership {
+  #epochSeen = 0;
+  #leaderSeen: string | undefined;
+  #releasedAt: number | undefined;
+  #signAt: number;
+  #term: AbortController | undefined;
+  #waitUntil = 0;
+
+  constructor(
+    private readonly settings: LeadershipSettings,
+    private readonly runs: KeyedStream,
+    private readonly jobsTail: StreamTail,
+    private readonly writer: JobWriter,
+    private readonly runTerm: TermRunner,
+    private readonly timers: TimerService,
+    private readonly log: Logger,
+  ) {
+    this.#signAt = timers.mono();
+  }
+
+  /** Fencing token of the term that this node leads; undefined while it does not lead. */
+  ownEpoch: number | undefined;
+
+  /** Takes a sign of life, or the end of a term, from the stream of jobs. */
+  onRecord(record: LeaderRecord): void {
+    if (record.epoch < this.#epochSeen) {
+      return;
+    }
+    if (record.epoch > this.#epochSeen) {
+      this.log.info({ epoch: record.epoch, leader: record.node }, 'leader changed');
+    }
+    this.#epochSeen = record.epoch;
+    this.#leaderSeen = record.node;
+    this.#signAt = this.timers.mono();
+    this.#releasedAt = record.released ? this.#signAt : undefined;
+    if (this.ownEpoch !== undefined && record.epoch > this.ownEpoch) {
+      this.#lose(`node ${record.node} leads term ${record.epoch}`);
+    }
+  }
+
+  /** Stands for the lead until the signal aborts, then gives it up. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.#isVacant()) {
+        await this.#takeOver(signal);
+      }
+      await this.timers.sleep(CHECK_MS, signal);
+    }
+  }
+
+  // Silence counts only while this node would have heard the leader.
+  #isVacant(): boolean {
+    const now = this.timers.mono();
+    const { okSince } = this.jobsTail;
+    if (okSince === undefined || !this.jobsTail.loaded || now < this.#waitUntil) {
+      return false;
+    }
+    if (this.#leaderSeen === undefined || this.#releasedAt !== undefined) {
+      return this.#delayOnce(now, 0);
+    }
+    const silentFor = now - Math.max(this.#signAt, okSince);
+    return silentFor > this.settings.silenceMs && this.#delayOnce(now, 0);
+  }
+
+  // Candidates wait different times, so that one of them is usually alone.
+  #candidateSince: number | undefined;
+
+  #delayOnce(now: number, extraMs: number): boolean {
+    this.#candidateSince ??= now + extraMs + Math.random() * this.settings.spreadMs;
+    if (now < this.#candidateSince) {
+      return false;
+    }
+    this.#candidateSince = undefined;
+    return true;
+  }
+
+  async #takeOver(signal: AbortSignal): Promise<void> {
+    const start = await this.#beginTerm(signal);
+    if (start === undefined || signal.aborted) {
+      this.#waitUntil = this.timers.mono() + BACKOFF_MS;
+      return;
+    }
+    this.ownEpoch = start.epoch;
+    const term = new AbortController();
+    setMaxListeners(0, term.signal);
+    this.#term = term;
+    this.log.info({ epoch: start.epoch, tasks: start.tasks.length }, 'term begins');
+    const announced = await this.#announce(start.epoch, false);
+    if (announced) {
+      await this.#lead(start, term, signal);
+    }
+    this.ownEpoch = undefined;
+    this.#waitUntil = this.timers.mono() + BACKOFF_MS;
+    this.#signAt = this.timers.mono();
+    this.log.info({ epoch: start.epoch }, 'term ended');
+  }
+
+  async #lead(start: TermStart, term: AbortController, signal: AbortSignal): Promise<void> {
+    const release = (): void => {
+      void this.#announce(start.epoch, true);
+      this.#lose('the node stops');
+    };
+    signal.addEventListener('abort', release, { once: true });
+    this.timers.every(this.settings.heartbeatMs, () => void this.#announce(start.epoch, false), term.signal);
+    await this.runTerm(
+      start,
+      (reason) => {
+        this.#lose(reason);
+      },
+      term.signal,
+    );
+    signal.removeEventListener('abort', release);
+  }
+
+  #lose(reason: string): void {
+    if (this.#term !== undefined && !this.#term.signal.aborted) {
+      this.log.warn({ epoch: this.ownEpoch, reason }, 'term lost');
+      this.#term.abort();
+    }
+  }
+
+  async #announce(epoch: number, released: boolean): Promise<boolean> {
+    const record: LeaderRecord = { epoch, kind: JOB_RECORD.leader, node: this.settings.node, released };
+    const outcome = await this.writer.write(record, this.timers.mono() + this.settings.silenceMs);
+    return outcome === WRITE_OUTCOME.stored;
+  }
+
+  async #beginTerm(signal: AbortSignal): Promise<TermStart | undefined> {
+    const loaded = await this.#loadRuns(signal);
+    if (loaded === undefined) {
+      return undefined;
+    }
+    const record = encodeTermRecord(this.settings.node, randomUUID());
+    const call = { expectedEnd: loaded.end, limitMs: this.settings.limitMs, records: [record], signal };
+    const appended = await this.runs.append(call);
+    if (appended.isErr()) {
+      const isOurs =
+        appended.error.kind === STORE_FAILURE.lost &&
+        (await this.#holdsOurs(loaded.end, record.value, signal));
+      if (!isOurs) {
+        this.log.info({ end: loaded.end, error: appended.error.message }, 'take-over failed');
+        return undefined;
+      }
+    }
+    return { epoch: loaded.end + 1, runsEnd: loaded.end + 1, tasks: loaded.tasks };
+  }
+
+  async #holdsOurs(offset: number, value: string | undefined, signal: AbortSignal): Promise<boolean> {
+    const page = await this.runs.read({ from: offset, limitMs: this.settings.limitMs, signal, waitMs: 0 });
+    return page.isOk() && page.value.end === offset + 1 && page.value.records[0]?.value === value;
+  }
+
+  async #loadRuns(signal: AbortSignal): Promise<{ end: number; tasks: TaskRecord[] } | undefined> {
+    const tasks: TaskRecord[] = [];
+    let end: number | undefined;
+    let after: string | undefined;
+    let hasMore = true;
+    while (hasMore) {
+      const page = await this.runs.newest(after, this.settings.limitMs, signal);
+      // A change between two pages shows in the end, and would make the append fail.
+      if (page.isErr() || (end !== undefined && page.value.end !== end)) {
+        return undefined;
+      }
+      end = page.value.end;
+      for (const record of page.value.records) {
+        const decoded = decodeTaskRecord(record.key, record.value ?? '');
+        if (decoded.isErr()) {
+          this.log.error({ error: decoded.error }, 'record skipped');
+        } else if (decoded.value !== undefined) {
+          tasks.push(decoded.value);
+        }
+      }
+      after = page.value.records.at(-1)?.key;
+      hasMore = page.value.hasMore && after !== undefined;
+    }
+    return { end: end ?? 0, tasks };
+  }
+}
--- /dev/null
+++ b/packages/node/src/term.ts
@@ -0,0 +1,365 @@
+import type {
+  FleetConfig,
+  JobEntry,
+  JobTable,
+  Plan,
+  StartOrder,
+  StopOrder,
+  TaskRecord,
+  Worker,
+} from '@sequoiaquay/core/jobs';
+import type { Logger, TimerService } from '@sequoiaquay/runtime';
+import { forgetTaskRecord, isEnded, parseTaskName, Scheduler, START_ANSWER } from '@sequoiaquay/core/jobs';
+import { ChangeLog } from '@sequoiaquay/runtime';
+import type { JobWriter } from './job-writer';
+import type { TermStart } from './leadership';
+import type { AdviceService } from './ports/advice-service';
+import type { FleetDecoder } from './ports/fleet-feed';
+import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
+import type { WorkerLink } from './ports/worker-link';
+import { AdviceBook } from './advice-book';
+import { StreamTail } from './stream-tail';
+import { TermLog } from './term-log';
+import { WorkerLoop } from './worker-loop';
+
+/** What a term works with. */
+export interface TermContext {
+  advice: AdviceService | undefined;
+  cfg: () => FleetConfig | undefined;
+  decoder: FleetDecoder;
+  jobs: JobTable;
+  jobsTail: StreamTail;
+  link: WorkerLink;
+  log: Logger;
+  /** Longest lease that workers give, in ms. */
+  maxLeaseMs: number;
+  registry: KeyedStream;
+  runs: KeyedStream;
+  timers: TimerService;
+  writer: JobWriter;
+}
+
+/** Lease of runs on workers, in ms: longer than it takes another node to take over. */
+const LEASE_MS = 4500;
+
+/** Time without proof of the lead after which a leader keeps no run alive, in ms. */
+const FRESH_MS = 8000;
+
+/** Period of the scheduler's clock, in ms. */
+const TICK_MS = 100;
+
+/** Time for which events are collected before tasks are assigned, in ms. */
+const COLLECT_MS = 2;
+
+/** Limit for an order to a worker, in ms. */
+const ORDER_LIMIT_MS = 800;
+
+/** Time that an append may take before no more tasks are assigned, in ms. */
+const SLOW_STORE_MS = 300;
+
+/** Time for which the state of a job is written, in ms. */
+const STATE_WRITE_MS = 60_000;
+
+/** Period of reading the registry, in ms. */
+const REGISTRY_GAP_MS = 250;
+
+const REGISTRY_WAIT_MS = 1000;
+const REGISTRY_RETRY_MS = 150;
+
+const SCHEDULER_SETTINGS = { refusedPauseMs: 1000, roomPauseMs: 150, setAsideAfter: 3, setAsideMs: 4000 };
+
+/** One term as leader: feeds the scheduler and carries out its plans. */
+export class Term {
+  readonly #advice: AdviceBook;
+  readonly #changes: ChangeLog;
+  readonly #log: Logger;
+  readonly #loops = new Map<Worker, WorkerLoop>();
+  #planned = false;
+  #ready = false;
+  readonly #scheduler: Scheduler;
+  readonly #termLog: TermLog;
+
+  constructor(
+    private readonly ctx: TermContext,
+    private readonly start: TermStart,
+    private readonly onLost: (reason: string) => void,
+    private readonly signal: AbortSignal,
+  ) {
+    const { timers } = ctx;
+    this.#log = ctx.log.child({ epoch: start.epoch });
+    this.#changes = new ChangeLog(this.#log);
+    this.#termLog = new TermLog(ctx.runs, start.runsEnd, onLost, timers, signal);
+    const onAdvice = (): void => {
+      this.#scheduler.reconsider();
+      this.#planSoon();
+    };
+    this.#advice = new AdviceBook(ctx.advice, onAdvice, timers, this.#log, signal);
+    this.#scheduler = new Scheduler(
+      { ...SCHEDULER_SETTINGS, termLeaseMs: FRESH_MS + this.#leaseMs },
+      (decision, data) => {
+        this.#log.info(data, decision);
+      },
+      timers.mono(),
+      (queue, step, workers) => this.#advice.allowed(queue, step, workers),
+    );
+  }
+
+  /** Takes a configuration. */
+  onConfig(cfg: FleetConfig): void {
+    this.#scheduler.onConfig(cfg);
+    this.#planSoon();
+  }
+
+  /** Takes a change of a job. */
+  onJob(id: string, entry: JobEntry): void {
+    if (!this.#ready || entry.job === undefined) {
+      return;
+    }
+    const { timers } = this.ctx;
+    if (entry.cancelled) {
+      this.#scheduler.onCancel(id, timers.mono());
+    } else if (!isEnded(entry)) {
+      this.#scheduler.onJob(entry.job, [], timers.mono(), timers.now());
+    }
+    this.#planSoon();
+  }
+
+  /** Leads until the signal aborts. */
+  async run(): Promise<void> {
+    await this.ctx.jobsTail.catchUp(this.signal);
+    const registry = this.#openRegistry();
+    await this.#untilLoaded(registry);
+    if (this.signal.aborted) {
+      return;
+    }
+    this.#restore();
+    this.ctx.timers.every(
+      TICK_MS,
+      () => {
+        this.#tick();
+      },
+      this.signal,
+    );
+    this.#planSoon();
+    await new Promise<void>((resolve) => {
+      this.signal.addEventListener('abort', () => {
+        resolve();
+      });
+    });
+  }
+
+  get #leaseMs(): number {
+    return Math.min(LEASE_MS, this.ctx.maxLeaseMs);
+  }
+
+  #openRegistry(): StreamTail {
+    const settings = {
+      gapMs: () => REGISTRY_GAP_MS,
+      name: 'registry',
+      retryMs: REGISTRY_RETRY_MS,
+      waitMs: REGISTRY_WAIT_MS,
+    };
+    const { registry, timers } = this.ctx;
+    const tail = new StreamTail(
+      registry,
+      settings,
+      (record) => {
+        this.#onEntry(record);
+      },
+      timers,
+      this.#log,
+    );
+    void tail.run(this.signal);
+    return tail;
+  }
+
+  async #untilLoaded(tail: StreamTail): Promise<void> {
+    while (!tail.loaded && !this.signal.aborted) {
+      await this.ctx.timers.sleep(COLLECT_MS, this.signal);
+    }
+  }
+
+  #onEntry(record: StoredRecord): void {
+    const { decoder, timers } = this.ctx;
+    const id = decoder.workerId(record.key);
+    if (record.value === undefined) {
+      this.#scheduler.onWorkerGone(id);
+      return;
+    }
+    const info = decoder.worker(record.key, record.value);
+    if (info.isErr()) {
+      this.#changes.report(`registry entry ${id}`, 'unusable', { error: info.error.slice(0, 200) });
+      this.#scheduler.onWorkerGone(id);
+      return;
+    }
+    this.#scheduler.onWorker(info.value, timers.mono());
+    this.#startLoops();
+    this.#planSoon();
+  }
+
+  #startLoops(): void {
+    for (const worker of this.#scheduler.workers.values()) {
+      if (this.#loops.has(worker) || this.#isSpare(worker.info.pool)) {
+        continue;
+      }
+      const { link, timers } = this.ctx;
+      const loop = new WorkerLoop(
+        worker,
+        {
+          epoch: this.start.epoch,
+          isFresh: () => this.ctx.jobsTail.age() < FRESH_MS,
+          leaseMs: this.#leaseMs,
+          link,
+          log: this.#log,
+          onChange: () => {
+            this.#planSoon();
+          },
+          onFenced: this.onLost,
+          scheduler: this.#scheduler,
+          timers,
+        },
+        this.signal,
+      );
+      this.#loops.set(worker, loop);
+      void loop.run().then(() => this.#loops.delete(worker));
+    }
+  }
+
+  #isSpare(pool: string): boolean {
+    return this.ctx.cfg()?.pools.find((item) => item.name === pool)?.spare ?? false;
+  }
+
+  #restore(): void {
+    const { jobs, timers } = this.ctx;
+    const cfg = this.ctx.cfg();
+    if (cfg !== undefined) {
+      this.#scheduler.onConfig(cfg);
+    }
+    const byJob = groupByJob(this.start.tasks);
+    for (const job of [...jobs.active()]) {
+      this.#scheduler.onJob(job, byJob.get(job.id) ?? [], timers.mono(), timers.now());
+      byJob.delete(job.id);
+    }
+    const left = [...byJob.values()].flat();
+    void this.#termLog.append(left.map((record) => forgetTaskRecord(record.task)));
+    this.#ready = true;
+    this.#startLoops();
+    this.#log.info({ forgotten: left.length, jobs: this.#scheduler.jobs.size }, 'jobs taken over');
+  }
+
+  #tick(): void {
+    const { timers } = this.ctx;
+    this.#scheduler.tick(timers.mono(), timers.now());
+    this.#scheduler.reconsider();
+    this.#plan();
+  }
+
+  #planSoon(): void {
+    if (this.#planned || !this.#ready) {
+      return;
+    }
+    this.#planned = true;
+    this.ctx.timers.after(
+      COLLECT_MS,
+      () => {
+        this.#plan();
+      },
+      this.signal,
+    );
+  }
+
+  #plan(): void {
+    this.#planned = false;
+    const { timers } = this.ctx;
+    const canAssign = this.#termLog.delayMs < SLOW_STORE_MS;
+    const plan = this.#scheduler.plan(timers.mono(), timers.now(), canAssign);
+    for (const stop of plan.stops) {
+      void this.#sendStop(stop);
+    }
+    void this.#carryOut(plan);
+  }
+
+  async #carryOut(plan: Plan): Promise<void> {
+    const { timers, writer } = this.ctx;
+    if (!(await this.#termLog.append(plan.records))) {
+      return;
+    }
+    for (const { bornAt, number, worker } of plan.ends) {
+      if (worker.info.bornAt === bornAt) {
+        worker.endsStored = Math.max(worker.endsStored, number);
+        this.#loops.get(worker)?.wake();
+      }
+    }
+    for (const state of plan.states) {
+      void writer.write(state, timers.mono() + STATE_WRITE_MS);
+    }
+    for (const order of plan.starts) {
+      void this.#sendStart(order);
+    }
+  }
+
+  async #sendStart(order: StartOrder): Promise<void> {
+    const { link, timers } = this.ctx;
+    const { run, task, worker } = order;
+    if (!this.#scheduler.isCurrent(order)) {
+      return;
+    }
+    const deadline = worker.extendLease(timers.mono(), this.#leaseMs);
+    if (deadline === undefined) {
+      this.#scheduler.onStartAnswer(order, START_ANSWER.refused, timers.mono());
+      return;
+    }
+    const answer = await link.start({
+      body: task.job.job.spec.body,
+      checkpoint: task.checkpoint,
+      deadline,
+      epoch: this.start.epoch,
+      limitMs: ORDER_LIMIT_MS,
+      run,
+      signal: this.signal,
+      task: task.name,
+      ticket: this.#advice.permit(task.name, worker.info.id),
+      worker: worker.info,
+    });
+    if (this.signal.aborted) {
+      return;
+    }
+    if (answer === START_ANSWER.fenced) {
+      this.onLost(`worker ${worker.info.id} has taken orders of a later term`);
+      return;
+    }
+    this.#scheduler.onStartAnswer(order, answer, timers.mono());
+    this.#loops.get(worker)?.wake();
+    this.#planSoon();
+  }
+
+  async #sendStop(order: StopOrder): Promise<void> {
+    const { link, timers } = this.ctx;
+    if (order.worker.info.address === '') {
+      return;
+    }
+    const res = await link.stop({
+      epoch: this.start.epoch,
+      limitMs: ORDER_LIMIT_MS,
+      run: order.run,
+      signal: this.signal,
+      task: order.task,
+      worker: order.worker.info,
+    });
+    if (res.isOk()) {
+      this.#scheduler.onStopAnswer(order, timers.mono());
+      this.#loops.get(order.worker)?.wake();
+    }
+  }
+}
+
+function groupByJob(records: readonly TaskRecord[]): Map<string, TaskRecord[]> {
+  const byJob = new Map<string, TaskRecord[]>();
+  for (const record of records) {
+    const id = parseTaskName(record.task)?.jobId ?? record.task;
+    const known = byJob.get(id) ?? [];
+    known.push(record);
+    byJob.set(id, known);
+  }
+  return byJob;
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,3 +11,4 @@
 export * from './rpc';
 export * from './run-binary';
 export * from './timeout-signal';
+export * from './line-buffer';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,5 +1,6 @@
 import { build } from 'esbuild';
 import { chmod } from 'node:fs/promises';
+import { parseArgs } from 'node:util';
 
 const binaries = {
   quickstart: 'packages/stand-ins/src/quickstart-main.ts',
@@ -8,6 +9,7 @@
   sequoiaquay: 'packages/cli/src/main.ts',
   'sequoiaquay-control': 'packages/control/src/main.ts',
   'sequoiaquay-entry': 'packages/entry/src/main.ts',
+  'sequoiaquay-node': 'platform/src/main.ts',
   'stand-in-executor': 'packages/stand-ins/src/executor-main.ts',
   'stand-in-fault-proxy': 'packages/stand-ins/src/fault-proxy-main.ts',
   'stand-in-platform': 'packages/stand-ins/src/platform-main.ts',
@@ -21,7 +23,14 @@
 const requireShim =
   "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);";
 
-await Promise.all(Object.entries(binaries).map(([name, source]) => buildBinary(name, source)));
+// `--outdir DIR NAME...` builds some of the binaries into another directory.
+const { positionals, values } = parseArgs({
+  allowPositionals: true,
+  options: { outdir: { default: 'dist', type: 'string' } },
+});
+const chosen = positionals.length === 0 ? Object.keys(binaries) : positionals;
+
+await Promise.all(chosen.map((name) => buildBinary(name, binaries[name])));
 
 async function buildBinary(name, source) {
   await build({
@@ -34,10 +43,10 @@
     // The source text of a bundle stays in memory.
     minifySyntax: true,
     minifyWhitespace: true,
-    outdir: 'dist',
+    outdir: values.outdir,
     outExtension: { '.js': '.mjs' },
     platform: 'node',
     target: 'node20',
   });
-  await chmod(`dist/${name}.mjs`, 0o755);
+  await chmod(`${values.outdir}/${name}.mjs`, 0o755);
 }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,7 +8,7 @@
       {
         test: {
           ...limits,
-          include: ['packages/*/tests/**/*.test.ts'],
+          include: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
           maxWorkers: 4,
           name: 'unit',
           sequence: { groupOrder: 0 },
