feat(core): carry out maintenance waves

Change: the leader empties VMs in turn, within what lasting steps can miss, orders them down with its fencing token, and reports the wave.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -1,4 +1,5 @@
 export * from '../maintenance/wave';
+export * from '../maintenance/wave-planner';
 export * from './fleet-config';
 export * from './job-record';
 export * from './job-run';
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -129,6 +129,16 @@
     this.#dropIfIdle(worker);
   }
 
+  /** Takes the end of a worker's life: nothing runs on it any more. */
+  onWorkerEnded(worker: Worker, now: number): void {
+    worker.evacuating = true;
+    worker.gone = true;
+    for (const task of [...worker.runs.values()]) {
+      this.#release(task, 'worker-ended', now);
+    }
+    this.#dropIfIdle(worker);
+  }
+
   /** Takes a worker's answer about its runs, which was asked for at a monotonic time. */
   onReport(worker: Worker, report: WorkerReport, askedAt: number, now: number): void {
     if (report.bornAt !== worker.info.bornAt) {
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -103,6 +103,7 @@
     this.endsRead = 0;
     this.endsStored = 0;
     this.failuresInRow = 0;
+    this.evacuating = false;
   }
 
   /**
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -26,11 +26,21 @@
 export interface TermStart {
   /** Fencing token of the term; rises from term to term. */
   epoch: number;
+  /** No node has led before. */
+  isFirst: boolean;
+  /** Keys of records that are not about tasks. */
+  otherKeys: string[];
   /** End of the stream of runs. */
   runsEnd: number;
   tasks: TaskRecord[];
 }
 
+interface LoadedRuns {
+  end: number;
+  otherKeys: string[];
+  tasks: TaskRecord[];
+}
+
 /** Runs a term as leader until the signal aborts; `onLost` ends it. */
 export type TermRunner = (
   start: TermStart,
@@ -191,7 +201,7 @@
         return undefined;
       }
     }
-    return { epoch: loaded.end + 1, runsEnd: loaded.end + 1, tasks: loaded.tasks };
+    return { ...loaded, epoch: loaded.end + 1, isFirst: loaded.end === 0, runsEnd: loaded.end + 1 };
   }
 
   async #holdsOurs(offset: number, value: string | undefined, signal: AbortSignal): Promise<boolean> {
@@ -199,7 +209,8 @@
     return page.isOk() && page.value.end === offset + 1 && page.value.records[0]?.value === value;
   }
 
-  async #loadRuns(signal: AbortSignal): Promise<{ end: number; tasks: TaskRecord[] } | undefined> {
+  async #loadRuns(signal: AbortSignal): Promise<LoadedRuns | undefined> {
+    const otherKeys: string[] = [];
     const tasks: TaskRecord[] = [];
     let end: number | undefined;
     let after: string | undefined;
@@ -215,13 +226,15 @@
         const decoded = decodeTaskRecord(record.key, record.value ?? '');
         if (decoded.isErr()) {
           this.log.error({ error: decoded.error }, 'record skipped');
-        } else if (decoded.value !== undefined) {
+        } else if (decoded.value === undefined) {
+          otherKeys.push(record.key);
+        } else {
           tasks.push(decoded.value);
         }
       }
       after = page.value.records.at(-1)?.key;
       hasMore = page.value.hasMore && after !== undefined;
     }
-    return { end: end ?? 0, tasks };
+    return { end: end ?? 0, otherKeys, tasks };
   }
 }
--- /dev/null
+++ b/packages/node/src/maintenance-loop.ts
@@ -0,0 +1,134 @@
+import type { MaintenanceAnswer, MaintenanceOrder, WavePlanner, WaveReport } from '@sequoiaquay/core/jobs';
+import type { Logger, TimerService } from '@sequoiaquay/runtime';
+import type { KeyedStream } from './ports/keyed-stream';
+import type { VmAnswer, VmService } from './ports/vm-service';
+import type { TermLog } from './term-log';
+import { VM_ANSWER } from './ports/vm-service';
+
+/** What the loop needs of the term it belongs to. */
+export interface MaintenanceContext {
+  /** Encodes what the operators are told about a wave. */
+  encodeReport: (report: WaveReport) => { key: string; value: string };
+  epoch: number;
+  /** Whether this node surely still leads. */
+  isFresh: () => boolean;
+  log: Logger;
+  node: string;
+  onChange: () => void;
+  planner: WavePlanner;
+  status: KeyedStream;
+  termLog: TermLog;
+  timers: TimerService;
+  vms: VmService;
+}
+
+/** Period of looking for something to do, in ms. */
+const PERIOD_MS = 100;
+
+/** Period of reading the list of VMs while a wave is carried out, in ms. */
+const LIST_PERIOD_MS = 600;
+
+/** Limit for a call to the VM service, in ms. */
+const LIMIT_MS = 1500;
+
+/** Time for which a report to the operators is tried, in ms. */
+const REPORT_RETRY_MS = 200;
+
+const ANSWERS: Readonly<Record<VmAnswer, MaintenanceAnswer>> = {
+  [VM_ANSWER.busy]: 'refused',
+  [VM_ANSWER.done]: 'begun',
+  [VM_ANSWER.fenced]: 'unknown',
+  [VM_ANSWER.refused]: 'refused',
+  [VM_ANSWER.unknown]: 'unknown',
+};
+
+/** Carries out the plans for the maintenance waves. */
+export class MaintenanceLoop {
+  #listedAt = -Infinity;
+  #listing = false;
+  readonly #ordering = new Set<string>();
+  #stored = Promise.resolve(true);
+
+  constructor(
+    private readonly ctx: MaintenanceContext,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  /** Runs until the signal aborts; gives no order before a monotonic time, in ms. */
+  run(notBefore: number): void {
+    this.ctx.timers.every(
+      PERIOD_MS,
+      () => {
+        if (this.ctx.timers.mono() >= notBefore) {
+          this.#step();
+        }
+      },
+      this.signal,
+    );
+  }
+
+  #step(): void {
+    const { planner, timers } = this.ctx;
+    if (!planner.active || !this.ctx.isFresh()) {
+      return;
+    }
+    const now = timers.mono();
+    if (now - this.#listedAt >= LIST_PERIOD_MS && !this.#listing) {
+      void this.#list(now);
+    }
+    if (this.#listedAt === -Infinity) {
+      return;
+    }
+    const plan = planner.plan(now);
+    this.#stored = this.ctx.termLog.append(plan.records);
+    for (const order of plan.orders) {
+      void this.#order(order);
+    }
+    for (const report of plan.reports) {
+      void this.#tell(report);
+    }
+    this.ctx.onChange();
+  }
+
+  async #list(askedAt: number): Promise<void> {
+    this.#listing = true;
+    const listed = await this.ctx.vms.list(LIMIT_MS, this.signal);
+    this.#listing = false;
+    this.#listedAt = Math.max(this.#listedAt, listed.isOk() ? askedAt : this.#listedAt);
+    if (listed.isOk()) {
+      this.ctx.planner.onVms(listed.value, askedAt);
+    } else {
+      this.ctx.log.warn({ error: listed.error }, 'VM list unavailable');
+    }
+  }
+
+  async #order(order: MaintenanceOrder): Promise<void> {
+    if (this.#ordering.has(order.vm)) {
+      return;
+    }
+    this.#ordering.add(order.vm);
+    const { epoch, node, planner, timers, vms } = this.ctx;
+    const call = { epoch, holder: node, limitMs: LIMIT_MS, signal: this.signal, vm: order.vm };
+    const answer = await vms.maintain(call, order.wave);
+    this.#ordering.delete(order.vm);
+    if (!this.signal.aborted) {
+      planner.onAnswer(order, ANSWERS[answer], timers.mono());
+      this.ctx.onChange();
+    }
+  }
+
+  // The end of a wave is told once what it rests on is stored.
+  async #tell(report: WaveReport): Promise<void> {
+    if (!(await this.#stored)) {
+      return;
+    }
+    const records = [this.ctx.encodeReport(report)];
+    while (!this.signal.aborted) {
+      const told = await this.ctx.status.append({ limitMs: LIMIT_MS, records, signal: this.signal });
+      if (told.isOk()) {
+        return;
+      }
+      await this.ctx.timers.sleep(REPORT_RETRY_MS, this.signal);
+    }
+  }
+}
--- a/packages/node/src/node-settings.ts
+++ b/packages/node/src/node-settings.ts
@@ -8,6 +8,8 @@
 const boundsSchema = z.object({
   /** Time that a process has between the request to stop and its end, in seconds. */
   gracePeriodS: positive,
+  /** Time for which two leaders must not give orders for the same VM, in ms. */
+  leaseDurationMs: positive,
   /** Longest lease of what runs on a worker, in ms. */
   maxLeaseMs: positive,
   /** Time for which the state of an ended job is kept, in seconds. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,13 +1,14 @@
-import type { FleetConfig, JobRecord } from '@sequoiaquay/core/jobs';
+import type { FleetConfig, JobRecord, Wave } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { decodeJobRecord, JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
 import { setMaxListeners } from 'node:events';
 import type { NodeSettings } from './node-settings';
 import type { AdviceService } from './ports/advice-service';
-import type { FleetDecoder } from './ports/fleet-feed';
+import type { FleetCodec } from './ports/fleet-feed';
 import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
 import type { VmService } from './ports/vm-service';
 import type { WorkerLink } from './ports/worker-link';
+import type { AskedWave } from './term';
 import { CallerService } from './caller-service';
 import { JobWriter } from './job-writer';
 import { Leadership } from './leadership';
@@ -17,12 +18,13 @@
 /** Services of the platform that a node uses. */
 export interface NodePorts {
   advice: AdviceService | undefined;
-  decoder: FleetDecoder;
+  codec: FleetCodec;
   jobs: KeyedStream;
   link: WorkerLink;
   operators: KeyedStream;
   registry: KeyedStream;
   runs: KeyedStream;
+  status: KeyedStream;
   vms: VmService | undefined;
 }
 
@@ -50,6 +52,7 @@
   readonly #operatorsTail: StreamTail;
   #stopping = false;
   #term: Term | undefined;
+  readonly #waves = new Map<number, AskedWave>();
   readonly #writer: JobWriter;
 
   constructor(
@@ -138,15 +141,20 @@
     return {
       advice: ports.advice,
       cfg: () => this.callers.cfg,
-      decoder: ports.decoder,
+      codec: ports.codec,
       jobs: this.#jobs,
       jobsTail: this.#jobsTail,
       link: ports.link,
       log: this.log,
+      leaseDurationMs: this.cfg.bounds.leaseDurationMs,
       maxLeaseMs: this.cfg.bounds.maxLeaseMs,
+      node: this.cfg.name,
       registry: ports.registry,
       runs: ports.runs,
+      status: ports.status,
       timers: this.timers,
+      vms: ports.vms,
+      waves: this.#waves,
       writer: this.#writer,
     };
   }
@@ -178,13 +186,23 @@
     if (stored.value === undefined) {
       return;
     }
-    const decoded = this.ports.decoder.operator(stored.key, stored.value);
+    const decoded = this.ports.codec.operator(stored.key, stored.value);
     if (decoded.isErr()) {
       this.log.error({ error: decoded.error, key: stored.key }, 'operator record skipped');
       return;
     }
     if (decoded.value?.kind === 'config') {
       this.#onConfig(decoded.value.cfg);
+    } else if (decoded.value?.kind === 'wave') {
+      this.#onWave(decoded.value.wave);
+    }
+  }
+
+  #onWave(wave: Wave): void {
+    if (!this.#waves.has(wave.id)) {
+      const asked = { at: this.timers.mono(), wave };
+      this.#waves.set(wave.id, asked);
+      this.#term?.onWave(asked);
     }
   }
 
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -6,36 +6,60 @@
   StartOrder,
   StopOrder,
   TaskRecord,
+  Wave,
   Worker,
 } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { forgetTaskRecord, isEnded, parseTaskName, Scheduler, START_ANSWER } from '@sequoiaquay/core/jobs';
+import {
+  forgetTaskRecord,
+  isEnded,
+  parseTaskName,
+  Scheduler,
+  START_ANSWER,
+  WavePlanner,
+} from '@sequoiaquay/core/jobs';
 import { ChangeLog } from '@sequoiaquay/runtime';
 import type { JobWriter } from './job-writer';
 import type { TermStart } from './leadership';
 import type { AdviceService } from './ports/advice-service';
-import type { FleetDecoder } from './ports/fleet-feed';
+import type { FleetCodec } from './ports/fleet-feed';
 import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
+import type { VmService } from './ports/vm-service';
 import type { WorkerLink } from './ports/worker-link';
 import { AdviceBook } from './advice-book';
+import { MaintenanceLoop } from './maintenance-loop';
 import { StreamTail } from './stream-tail';
 import { TermLog } from './term-log';
 import { WorkerLoop } from './worker-loop';
 
+/** A wave and the monotonic time at which this node heard of it, in ms. */
+export interface AskedWave {
+  at: number;
+  wave: Wave;
+}
+
 /** What a term works with. */
 export interface TermContext {
   advice: AdviceService | undefined;
   cfg: () => FleetConfig | undefined;
-  decoder: FleetDecoder;
+  codec: FleetCodec;
   jobs: JobTable;
   jobsTail: StreamTail;
+  /** Time for which two leaders must not give orders for the same VM, in ms. */
+  leaseDurationMs: number;
   link: WorkerLink;
   log: Logger;
   /** Longest lease that workers give, in ms. */
   maxLeaseMs: number;
+  /** Name of this node. */
+  node: string;
   registry: KeyedStream;
   runs: KeyedStream;
+  status: KeyedStream;
   timers: TimerService;
+  vms: VmService | undefined;
+  /** Waves that were asked for. */
+  waves: ReadonlyMap<number, AskedWave>;
   writer: JobWriter;
 }
 
@@ -78,6 +102,7 @@
   #ready = false;
   readonly #scheduler: Scheduler;
   readonly #termLog: TermLog;
+  readonly #waves: WavePlanner;
 
   constructor(
     private readonly ctx: TermContext,
@@ -102,6 +127,9 @@
       timers.mono(),
       (queue, step, workers) => this.#advice.allowed(queue, step, workers),
     );
+    this.#waves = new WavePlanner(this.#scheduler, (decision, data) => {
+      this.#log.info(data, decision);
+    });
   }
 
   /** Takes a configuration. */
@@ -110,6 +138,11 @@
     this.#planSoon();
   }
 
+  /** Takes a wave that the operators ask for. */
+  onWave(asked: AskedWave): void {
+    this.#waves.onWave(asked.wave, asked.at);
+  }
+
   /** Takes a change of a job. */
   onJob(id: string, entry: JobEntry): void {
     if (!this.#ready || entry.job === undefined) {
@@ -180,13 +213,13 @@
   }
 
   #onEntry(record: StoredRecord): void {
-    const { decoder, timers } = this.ctx;
-    const id = decoder.workerId(record.key);
+    const { codec, timers } = this.ctx;
+    const id = codec.workerId(record.key);
     if (record.value === undefined) {
       this.#scheduler.onWorkerGone(id);
       return;
     }
-    const info = decoder.worker(record.key, record.value);
+    const info = codec.worker(record.key, record.value);
     if (info.isErr()) {
       this.#changes.report(`registry entry ${id}`, 'unusable', { error: info.error.slice(0, 200) });
       this.#scheduler.onWorkerGone(id);
@@ -244,9 +277,42 @@
     void this.#termLog.append(left.map((record) => forgetTaskRecord(record.task)));
     this.#ready = true;
     this.#startLoops();
+    this.#startMaintenance();
     this.#log.info({ forgotten: left.length, jobs: this.#scheduler.jobs.size }, 'jobs taken over');
   }
 
+  #startMaintenance(): void {
+    const { codec, jobsTail, leaseDurationMs, node, status, timers, vms, waves } = this.ctx;
+    if (vms === undefined) {
+      return;
+    }
+    for (const key of this.start.otherKeys) {
+      this.#waves.restore(key);
+    }
+    for (const asked of waves.values()) {
+      this.onWave(asked);
+    }
+    const loop = new MaintenanceLoop(
+      {
+        encodeReport: (report) => codec.encodeReport(report),
+        epoch: this.start.epoch,
+        isFresh: () => jobsTail.age() < leaseDurationMs,
+        log: this.#log,
+        node,
+        onChange: () => {
+          this.#planSoon();
+        },
+        planner: this.#waves,
+        status,
+        termLog: this.#termLog,
+        timers,
+        vms,
+      },
+      this.signal,
+    );
+    loop.run(this.start.isFirst ? 0 : timers.mono() + leaseDurationMs);
+  }
+
   #tick(): void {
     const { timers } = this.ctx;
     this.#scheduler.tick(timers.mono(), timers.now());
