fix(core): forget the tasks of a job only once its end is stored

Change: records go after the state is stored; a silent or stale worker's tasks count as away; retries to a silent worker carry no deadline; a candidate backs off when the runs show a term that has not been announced.

--- a/packages/core/src/jobs/job-run.ts
+++ b/packages/core/src/jobs/job-run.ts
@@ -59,6 +59,8 @@
 export class JobRun {
   /** No task of the job may start any more. */
   ended = false;
+  /** The end of the job is stored. */
+  endStored = false;
   readonly job: Job;
   /** Occurrences that are due. */
   readonly occurrences: OccurrenceRun[] = [];
--- a/packages/core/src/jobs/run-record.ts
+++ b/packages/core/src/jobs/run-record.ts
@@ -17,7 +17,8 @@
   workerId: string;
 }
 
-const LEADER_KEY = 'leader';
+/** Key of the record with which a term begins. */
+export const TERM_KEY = 'leader';
 
 const recordSchema = z.tuple([z.enum(['a', 'd', 'w']), z.int(), z.string(), z.int(), z.string()]);
 
@@ -38,7 +39,7 @@
 
 /** Record with which a node begins a term as leader. */
 export function encodeTermRecord(node: string, attempt: string): KeyedRecord {
-  return { key: LEADER_KEY, value: JSON.stringify({ attempt, node }) };
+  return { key: TERM_KEY, value: JSON.stringify({ attempt, node }) };
 }
 
 /** Decodes a record about a task; undefined for other kinds of record. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,5 +1,5 @@
 import type { FleetConfig, QueueConfig } from './fleet-config';
-import type { KeyedRecord, StateRecord } from './job-record';
+import type { StateRecord } from './job-record';
 import type { StepRun } from './job-run';
 import type { Job } from './job-spec';
 import type { AllowedWorkers } from './placement';
@@ -210,6 +210,15 @@
     }
   }
 
+  /** Takes the storage of a state in which a job ended: what is known of its tasks may go. */
+  onEndStored(id: string): void {
+    const run = this.#jobs.get(id);
+    if (run?.ended === true) {
+      run.endStored = true;
+      this.#forgetIfIdle(run);
+    }
+  }
+
   /** Stops a run so that its task goes on elsewhere. */
   moveAway(task: Task, reason: string, now: number): void {
     if (task.phase === 'running') {
@@ -388,6 +397,8 @@
 
   #endJob(run: JobRun, state: 'cancelled' | 'completed' | 'failed', now: number): void {
     run.ended = true;
+    // The cancelling itself is stored already.
+    run.endStored = state === 'cancelled';
     this.log(DECISION.jobEnded, { job: run.job.id, queue: run.job.queue, state });
     if (state !== 'cancelled') {
       this.#tell({ id: run.job.id, kind: JOB_RECORD.state, state });
@@ -399,10 +410,11 @@
     this.#forgetIfIdle(run);
   }
 
-  // The records of a job's tasks go when none of them is assigned any more.
+  // The records of a job's tasks go when its end is stored and none of them is assigned any more:
+  // a leader that finds neither would run the job again.
   #forgetIfIdle(run: JobRun): void {
     const tasks = [...run.tasks()];
-    if (!run.ended || tasks.some((task) => task.worker !== undefined)) {
+    if (!run.endStored || tasks.some((task) => task.worker !== undefined)) {
       return;
     }
     this.#jobs.delete(run.job.id);
@@ -515,6 +527,13 @@
       tasks.get(record.task)?.restore(record, this.#workerOfRecord(record), now);
       run.toldRunning = true;
     }
+    const limit = this.#queueOf(run)?.maxAttempts ?? Infinity;
+    const hasFailed = [...run.tasks()].some(
+      (task) => !task.step.spec.longRunning && task.phase !== 'done' && task.failures >= limit,
+    );
+    if (hasFailed) {
+      this.#endJob(run, 'failed', now);
+    }
   }
 
   // A worker that the registry doesn't list may still run what it was assigned.
@@ -575,9 +594,7 @@
   }
 
   #store(task: Task): void {
-    if (!task.job.ended || task.worker !== undefined) {
-      this.#out.records.push(encodeTaskRecord(task.toRecord()) satisfies KeyedRecord);
-    }
+    this.#out.records.push(encodeTaskRecord(task.toRecord()));
     this.#forgetIfIdle(task.job);
   }
 
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -5,6 +5,9 @@
 import { transition } from '../charts/chart';
 import { taskRunChart } from '../charts/task-run.chart';
 
+/** Age above which a worker's report proves nothing, in ms. */
+const STALE_REPORT_MS = 2500;
+
 /** A task of a job. */
 export class Task {
   /** Newest checkpoint; empty when there is none. */
@@ -85,9 +88,16 @@
     }
   }
 
-  /** Whether the task runs and is at work. */
-  get atWork(): boolean {
-    return this.phase === 'running' && this.percent === 100;
+  /** Whether the worker has reported lately that the task is at work. */
+  isAtWork(now: number): boolean {
+    const { worker } = this;
+    return (
+      this.phase === 'running' &&
+      this.percent === 100 &&
+      worker !== undefined &&
+      !worker.silent &&
+      now - worker.heardAt < STALE_REPORT_MS
+    );
   }
 
   /** What is stored about the task. */
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -43,6 +43,8 @@
   fenced = false;
   /** The registry no longer lists the worker. */
   gone = false;
+  /** Monotonic time of the newest answer, in ms. */
+  heardAt = -Infinity;
   info: WorkerInfo;
   /** Monotonic time after which nothing assigned to the worker can still run, in ms. */
   leaseEndsAt: number;
@@ -94,6 +96,7 @@
   /** Takes a clock reading from an answer that arrived at a monotonic time. */
   readClock(value: number, at: number): void {
     this.#clock = { at, value };
+    this.heardAt = at;
   }
 
   /** Forgets what belonged to an earlier life of the worker. */
--- a/packages/core/src/maintenance/evacuation.ts
+++ b/packages/core/src/maintenance/evacuation.ts
@@ -6,11 +6,11 @@
 const PATIENCE_MS = 3000;
 
 /** Runs of a worker that is being emptied which are to go on elsewhere now. */
-export function tasksToMove(worker: Worker, emptyingForMs: number): Task[] {
+export function tasksToMove(worker: Worker, emptyingForMs: number, now: number): Task[] {
   const chosen: Task[] = [];
   const stepsMoved = new Set<unknown>();
   for (const task of worker.runs.values()) {
-    if (task.phase !== 'running' || !shouldMove(task, emptyingForMs)) {
+    if (task.phase !== 'running' || !shouldMove(task, emptyingForMs, now)) {
       continue;
     }
     // The next task of a step goes once this one is at work again.
@@ -22,10 +22,10 @@
   return chosen;
 }
 
-function shouldMove(task: Task, emptyingForMs: number): boolean {
+function shouldMove(task: Task, emptyingForMs: number, now: number): boolean {
   const { checkpointable, longRunning } = task.step.spec;
   if (longRunning) {
-    return canBeMissed(task);
+    return canBeMissed(task, now);
   }
   return checkpointable || emptyingForMs > PATIENCE_MS;
 }
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -177,7 +177,7 @@
       const worker = this.#workerOf(vm);
       if (vm.stage === 'emptying' && worker !== undefined) {
         worker.evacuating = true;
-        for (const task of tasksToMove(worker, now - vm.since)) {
+        for (const task of tasksToMove(worker, now - vm.since, now)) {
           this.fleet.moveAway(task, `wave-${run.wave.id}`, now);
         }
       }
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { Plan, StartOrder, TaskRecord, Worker } from '../../src/jobs';
 import { Scheduler, START_ANSWER } from '../../src/jobs';
+import { canBeMissed } from '../../src/maintenance/availability';
 import { config, job, report, step, worker } from './support/jobs';
 
 const SETTINGS = {
@@ -202,6 +203,43 @@
     expect(harness.start()).toHaveLength(5);
   });
 
+  it('keeps the records of a job until its end is stored, so that no later leader runs it again', () => {
+    const harness = new Harness('a');
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    harness.start();
+    harness.report('a', report([], [[1, 'j.0.0.0', 1, 'done']]));
+    expect(harness.plan().records.map((record) => record.value)).not.toContain(undefined);
+    harness.scheduler.onEndStored('j');
+    expect(harness.plan().records).toEqual([{ key: 't.j.0.0.0', value: undefined }]);
+  });
+
+  it('ends a job that had failed before the term began instead of trying it again', () => {
+    const harness = new Harness('a');
+    const record = { checkpoint: '', failures: 2, run: 2, task: 'j.0.0.0', workerId: '' };
+    harness.scheduler.onJob(job('j', [step()]), [{ ...record, state: 'waiting' }], harness.now, 0);
+    const plan = harness.plan();
+    expect(plan.starts).toEqual([]);
+    expect(plan.states).toMatchObject([{ id: 'j', state: 'failed' }]);
+  });
+
+  it('does not take a task away while another of its step is on a silent worker', () => {
+    const harness = new Harness('a', 'b');
+    const lasting = step({ count: 2, longRunning: true, maxPerWorker: 1, mayMiss: 1 });
+    harness.scheduler.onJob(job('j', [lasting]), [], harness.now, 0);
+    const [first, second] = harness.start();
+    for (const order of [first, second]) {
+      const rows = report([[order?.task.name ?? '', 1]]);
+      rows.running[0] = { checkpoint: '', load: 0, percent: 100, run: 1, task: order?.task.name ?? '' };
+      harness.report(order?.worker.info.id ?? '', rows);
+    }
+    if (first === undefined || second === undefined) {
+      throw new Error('not all tasks were started');
+    }
+    expect(canBeMissed(first.task, harness.now)).toBe(true);
+    harness.scheduler.onSilence(second.worker);
+    expect(canBeMissed(first.task, harness.now)).toBe(false);
+  });
+
   it('assigns nothing to a worker that drains', () => {
     const harness = new Harness('a');
     harness.scheduler.onWorker(worker('a', { draining: true }), harness.now);
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -1,6 +1,6 @@
 import type { LeaderRecord, TaskRecord } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { decodeTaskRecord, encodeTermRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
+import { decodeTaskRecord, encodeTermRecord, JOB_RECORD, TERM_KEY } from '@sequoiaquay/core/jobs';
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { JobWriter } from './job-writer';
@@ -39,6 +39,8 @@
   end: number;
   otherKeys: string[];
   tasks: TaskRecord[];
+  /** Offset of the record with which the last term began; -1 when there is none. */
+  termOffset: number;
 }
 
 /** Runs a term as leader until the signal aborts; `onLost` ends it. */
@@ -186,7 +188,7 @@
 
   async #beginTerm(signal: AbortSignal): Promise<TermStart | undefined> {
     const loaded = await this.#loadRuns(signal);
-    if (loaded === undefined) {
+    if (loaded === undefined || this.#isNewTerm(loaded.termOffset + 1)) {
       return undefined;
     }
     const record = encodeTermRecord(this.settings.node, randomUUID());
@@ -204,6 +206,19 @@
     return { ...loaded, epoch: loaded.end + 1, isFirst: loaded.end === 0, runsEnd: loaded.end + 1 };
   }
 
+  // Another node has begun a term and not told yet: it counts as a sign of life, once.
+  #isNewTerm(epoch: number): boolean {
+    if (epoch <= this.#epochSeen) {
+      return false;
+    }
+    this.log.info({ epoch, seen: this.#epochSeen }, 'another node has just taken over');
+    this.#epochSeen = epoch;
+    this.#releasedAt = undefined;
+    this.#leaderSeen ??= '';
+    this.#signAt = this.timers.mono();
+    return true;
+  }
+
   async #holdsOurs(offset: number, value: string | undefined, signal: AbortSignal): Promise<boolean> {
     const page = await this.runs.read({ from: offset, limitMs: this.settings.limitMs, signal, waitMs: 0 });
     return page.isOk() && page.value.end === offset + 1 && page.value.records[0]?.value === value;
@@ -213,6 +228,7 @@
     const otherKeys: string[] = [];
     const tasks: TaskRecord[] = [];
     let end: number | undefined;
+    let termOffset = -1;
     let after: string | undefined;
     let hasMore = true;
     while (hasMore) {
@@ -223,6 +239,10 @@
       }
       end = page.value.end;
       for (const record of page.value.records) {
+        if (record.key === TERM_KEY) {
+          termOffset = record.offset;
+          continue;
+        }
         const decoded = decodeTaskRecord(record.key, record.value ?? '');
         if (decoded.isErr()) {
           this.log.error({ error: decoded.error }, 'record skipped');
@@ -235,6 +255,6 @@
       after = page.value.records.at(-1)?.key;
       hasMore = page.value.hasMore && after !== undefined;
     }
-    return { end: end ?? 0, otherKeys, tasks };
+    return { end: end ?? 0, otherKeys, tasks, termOffset };
   }
 }
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -4,6 +4,7 @@
   JobTable,
   Plan,
   StartOrder,
+  StateRecord,
   StopOrder,
   TaskRecord,
   Wave,
@@ -27,6 +28,7 @@
 import type { VmService } from './ports/vm-service';
 import type { WorkerLink } from './ports/worker-link';
 import { AdviceBook } from './advice-book';
+import { WRITE_OUTCOME } from './job-writer';
 import { MaintenanceLoop } from './maintenance-loop';
 import { StreamTail } from './stream-tail';
 import { TermLog } from './term-log';
@@ -346,7 +348,6 @@
   }
 
   async #carryOut(plan: Plan): Promise<void> {
-    const { timers, writer } = this.ctx;
     if (!(await this.#termLog.append(plan.records))) {
       return;
     }
@@ -357,13 +358,22 @@
       }
     }
     for (const state of plan.states) {
-      void writer.write(state, timers.mono() + STATE_WRITE_MS);
+      void this.#tell(state);
     }
     for (const order of plan.starts) {
       void this.#sendStart(order);
     }
   }
 
+  async #tell(record: StateRecord): Promise<void> {
+    const { timers, writer } = this.ctx;
+    const outcome = await writer.write(record, timers.mono() + STATE_WRITE_MS);
+    if (outcome === WRITE_OUTCOME.stored && record.state !== 'running' && !this.signal.aborted) {
+      this.#scheduler.onEndStored(record.id);
+      this.#planSoon();
+    }
+  }
+
   async #sendStart(order: StartOrder): Promise<void> {
     const { link, timers } = this.ctx;
     const { run, task, worker } = order;
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -77,7 +77,7 @@
     const { ctx, worker } = this;
     const askedAt = ctx.timers.mono();
     const res = await ctx.link.report({
-      deadline: worker.runs.size > 0 ? worker.extendLease(askedAt, ctx.leaseMs) : undefined,
+      deadline: this.#deadline(askedAt),
       endsStored: worker.endsStored,
       epoch: ctx.epoch,
       limitMs: LIMIT_MS,
@@ -108,6 +108,12 @@
     await this.#sleep(RETRY_MS);
   }
 
+  // A worker that does not answer might still extend its lease, and would keep its tasks from others.
+  #deadline(now: number): number | undefined {
+    const { worker } = this;
+    return worker.runs.size > 0 && !worker.silent ? worker.extendLease(now, this.ctx.leaseMs) : undefined;
+  }
+
   // A report lists the same ends again until they are stored, so the next one waits for that.
   async #settle(): Promise<void> {
     if (this.worker.endsStored < this.worker.endsRead) {
