fix(core): keep the end of a job under a key of its own

Change: ends have their own key; a configuration ranks jobs that have not ended. Both have a test that fails without the change.

--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -93,17 +93,20 @@
 
 const LEADER_KEY = 'leader';
 
-/** Encodes a record; some take several keys. */
+/**
+ * Encodes a record; some take several keys. The end of a job has a key of its own: a leader that was cut
+ * off may store late that the job is running, and only the newest record of a key is kept.
+ */
 export function encodeJobRecord(record: JobRecord): KeyedRecord[] {
   switch (record.kind) {
     case JOB_RECORD.cancel:
       return [{ key: `c.${record.id}`, value: '1' }];
     case JOB_RECORD.forget:
-      return ['j', 'c', 's'].map((prefix) => ({ key: `${prefix}.${record.id}`, value: undefined }));
+      return ['j', 'c', 'r', 'e'].map((prefix) => ({ key: `${prefix}.${record.id}`, value: undefined }));
     case JOB_RECORD.leader:
       return [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
     case JOB_RECORD.state:
-      return [{ key: `s.${record.id}`, value: record.state }];
+      return [{ key: `${record.state === 'running' ? 'r' : 'e'}.${record.id}`, value: record.state }];
     case JOB_RECORD.submit: {
       const { id, ...job } = record.job;
       return [{ key: `j.${id}`, value: JSON.stringify(job) }];
@@ -123,7 +126,7 @@
   if (key.startsWith('c.')) {
     return ok({ id, kind: JOB_RECORD.cancel });
   }
-  if (key.startsWith('s.')) {
+  if (key.startsWith('r.') || key.startsWith('e.')) {
     const state = stateSchema.safeParse(value);
     return state.success
       ? ok({ id, kind: JOB_RECORD.state, state: state.data })
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -75,7 +75,7 @@
   /** Takes a configuration. */
   onConfig(cfg: FleetConfig): void {
     this.#cfg = cfg;
-    for (const run of this.#jobs.values()) {
+    for (const run of [...this.#jobs.values()].filter((job) => !job.ended)) {
       const pool = this.#pool(run.job.pool);
       pool.jobs.set(run, rankJob(run, this.#queueOf(run)));
       pool.dirty = true;
--- a/packages/core/tests/jobs/job-table.test.ts
+++ b/packages/core/tests/jobs/job-table.test.ts
@@ -31,6 +31,15 @@
     );
   });
 
+  it('keeps the end of a job when an earlier leader stores late that it is running', () => {
+    const late: JobRecord = { id: ID, kind: 'state', state: 'running' };
+    const newest = new Map(
+      [...RECORDS, late].flatMap(encodeJobRecord).map((record) => [record.key, record.value]),
+    );
+    const kept = [...newest].map(([key, value]) => decodeJobRecord(key, value)._unsafeUnwrap());
+    expect(stateAfter(kept)).toBe('completed');
+  });
+
   it('shows no job of which only later records are known', () => {
     expect(stateAfter([{ id: ID, kind: 'cancel' }])).toBeUndefined();
   });
@@ -54,7 +63,7 @@
 
   it('refuses a record that is not readable instead of failing', () => {
     expect(decodeJobRecord('j.x', '{').isErr()).toBe(true);
-    expect(decodeJobRecord('s.x', 'lost').isErr()).toBe(true);
+    expect(decodeJobRecord('e.x', 'lost').isErr()).toBe(true);
     expect(decodeJobRecord('zzz', '1').isErr()).toBe(true);
   });
 });
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -156,6 +156,22 @@
     expect(plan.records).toContainEqual({ key: 't.j.0.0.0', value: undefined });
   });
 
+  it('does not run a cancelled job again when a configuration arrives while its runs are stopped', () => {
+    const harness = new Harness('a');
+    harness.scheduler.onJob(job('j', [step({ count: 6 })]), [], harness.now, 0);
+    harness.start();
+    harness.scheduler.onCancel('j', harness.now);
+    harness.scheduler.onConfig(config());
+    const ends = [0, 1, 2, 3].map((at): [number, string, number, 'stopped'] => [
+      at + 1,
+      `j.0.0.${at}`,
+      1,
+      'stopped',
+    ]);
+    harness.report('a', report([], ends));
+    expect(harness.plan().starts).toEqual([]);
+  });
+
   it('takes over runs of an earlier term and restarts only what their worker does not list', () => {
     const harness = new Harness();
     harness.scheduler.onWorker(worker('a'), harness.now);
