fix(node): bound the wait for an earlier leader's leases by its last stored sign

Change: a leader proves its lead by stored signs of life only, and keeps runs alive for 4.5 s after the last; the next leader waits from that sign on, or from the end of the term when it was given up.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -22,6 +22,8 @@
 
 /** Settings of the scheduler. */
 export interface SchedulerSettings {
+  /** Monotonic time after which nothing runs by the orders of earlier terms, in ms. */
+  earlierLeasesEndAt: number;
   /** Time for which a worker that refused an order gets none, in ms. */
   refusedPauseMs: number;
   /** Time for which a worker without room gets no order, in ms. */
@@ -30,8 +32,6 @@
   setAsideAfter: number;
   /** Time for which a worker is set aside, in ms. */
   setAsideMs: number;
-  /** Time after the start of a term in which orders of earlier terms may still be at work, in ms. */
-  termLeaseMs: number;
 }
 
 /** Birth of a worker that is known from stored assignments only. */
@@ -50,17 +50,13 @@
   readonly #jobs = new Map<string, JobRun>();
   #out = emptyPlan();
   readonly #pools = new Map<string, PoolState>();
-  readonly #termStartedAt: number;
   readonly #workers = new Map<string, Worker>();
 
   constructor(
     private readonly settings: SchedulerSettings,
     private readonly log: DecisionLog,
-    now: number,
     private readonly advice: AdviceLookup = () => new Set(),
-  ) {
-    this.#termStartedAt = now;
-  }
+  ) {}
 
   /** Workers that are known, with those that have left but may still run something. */
   get workers(): ReadonlyMap<string, Worker> {
@@ -543,7 +539,7 @@
     }
     const known = this.#workers.get(record.workerId);
     if (known !== undefined) {
-      known.leaseEndsAt = Math.max(known.leaseEndsAt, this.#termStartedAt + this.settings.termLeaseMs);
+      known.leaseEndsAt = Math.max(known.leaseEndsAt, this.settings.earlierLeasesEndAt);
       return known;
     }
     const info: WorkerInfo = {
@@ -557,7 +553,7 @@
       rack: '',
       zone: '',
     };
-    const worker = new Worker(info, this.#termStartedAt + this.settings.termLeaseMs);
+    const worker = new Worker(info, this.settings.earlierLeasesEndAt);
     worker.gone = true;
     this.#workers.set(info.id, worker);
     return worker;
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -21,6 +21,11 @@
 /** Added to the end of a lease, for the time between its end and the end of what ran under it, in ms. */
 const LEASE_MARGIN_MS = 100;
 
+/** Longest true time for which a lease lasts that a worker was given, in ms. */
+export function longestLeaseMs(leaseMs: number): number {
+  return leaseMs / SLOWEST_CLOCK + LEASE_MARGIN_MS;
+}
+
 interface ClockReading {
   /** Monotonic time at which the answer with the reading arrived, in ms. */
   at: number;
@@ -119,7 +124,7 @@
       return undefined;
     }
     const deadline = Math.floor(clock.value + (now - clock.at) + leaseMs);
-    const endsAt = clock.at + (deadline - clock.value) / SLOWEST_CLOCK + LEASE_MARGIN_MS;
+    const endsAt = clock.at + longestLeaseMs(deadline - clock.value);
     this.leaseEndsAt = Math.max(this.leaseEndsAt, endsAt);
     return deadline;
   }
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -5,16 +5,16 @@
 import { config, job, report, step, worker } from './support/jobs';
 
 const SETTINGS = {
+  earlierLeasesEndAt: 10_100,
   refusedPauseMs: 1000,
   roomPauseMs: 150,
   setAsideAfter: 3,
   setAsideMs: 4000,
-  termLeaseMs: 10_000,
 };
 
 class Harness {
   now = 100;
-  readonly scheduler = new Scheduler(SETTINGS, () => undefined, 100);
+  readonly scheduler = new Scheduler(SETTINGS, () => undefined);
 
   constructor(...ids: string[]) {
     this.scheduler.onConfig(config());
@@ -202,7 +202,7 @@
       workerId: 'gone',
     };
     harness.scheduler.onJob(job('j', [step()]), [record], harness.now, 0);
-    harness.now = 100 + SETTINGS.termLeaseMs - 50;
+    harness.now = SETTINGS.earlierLeasesEndAt - 50;
     harness.scheduler.tick(harness.now, 0);
     expect(harness.plan().starts).toEqual([]);
     harness.now += 100;
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -28,6 +28,8 @@
   epoch: number;
   /** No node has led before. */
   isFirst: boolean;
+  /** Monotonic time of the last sign of the leader before, in ms, and whether it gave up its term then. */
+  lastSign: { at: number; released: boolean };
   /** Keys of records that are not about tasks. */
   otherKeys: string[];
   /** End of the stream of runs. */
@@ -62,6 +64,8 @@
 export class Leadership {
   #epochSeen = 0;
   #leaderSeen: string | undefined;
+  #provenAt = -Infinity;
+  #provenWall = -Infinity;
   #releasedAt: number | undefined;
   #signAt: number;
   #term: AbortController | undefined;
@@ -82,6 +86,14 @@
   /** Fencing token of the term that this node leads; undefined while it does not lead. */
   ownEpoch: number | undefined;
 
+  /**
+   * Time since this node last proved that it leads, in ms, by the clock that shows the longer time. The
+   * proof is a stored sign of life: who takes over has seen it, and knows how long this node may act.
+   */
+  get proofAge(): number {
+    return Math.max(this.timers.mono() - this.#provenAt, this.timers.now() - this.#provenWall);
+  }
+
   /** Takes a sign of life, or the end of a term, from the stream of jobs. */
   onRecord(record: LeaderRecord): void {
     if (record.epoch < this.#epochSeen) {
@@ -182,8 +194,15 @@
 
   async #announce(epoch: number, released: boolean): Promise<boolean> {
     const record: LeaderRecord = { epoch, kind: JOB_RECORD.leader, node: this.settings.node, released };
-    const outcome = await this.writer.write(record, this.timers.mono() + this.settings.silenceMs);
-    return outcome === WRITE_OUTCOME.stored;
+    const askedAt = this.timers.mono();
+    const askedWall = this.timers.now();
+    const outcome = await this.writer.write(record, askedAt + this.settings.silenceMs);
+    if (outcome !== WRITE_OUTCOME.stored) {
+      return false;
+    }
+    this.#provenAt = askedAt;
+    this.#provenWall = askedWall;
+    return true;
   }
 
   async #beginTerm(signal: AbortSignal): Promise<TermStart | undefined> {
@@ -203,7 +222,17 @@
         return undefined;
       }
     }
-    return { ...loaded, epoch: loaded.end + 1, isFirst: loaded.end === 0, runsEnd: loaded.end + 1 };
+    return {
+      ...loaded,
+      lastSign: this.#lastSign(),
+      epoch: loaded.end + 1,
+      isFirst: loaded.end === 0,
+      runsEnd: loaded.end + 1,
+    };
+  }
+
+  #lastSign(): TermStart['lastSign'] {
+    return { at: this.#signAt, released: this.#releasedAt !== undefined };
   }
 
   // Another node has begun a term and not told yet: it counts as a sign of life, once.
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -149,6 +149,7 @@
       leaseDurationMs: this.cfg.bounds.leaseDurationMs,
       maxLeaseMs: this.cfg.bounds.maxLeaseMs,
       node: this.cfg.name,
+      proofAge: () => this.#leadership.proofAge,
       registry: ports.registry,
       runs: ports.runs,
       status: ports.status,
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -14,6 +14,7 @@
 import {
   forgetTaskRecord,
   isEnded,
+  longestLeaseMs,
   parseTaskName,
   Scheduler,
   START_ANSWER,
@@ -55,6 +56,8 @@
   maxLeaseMs: number;
   /** Name of this node. */
   node: string;
+  /** Time since this node last proved that it leads, in ms. */
+  proofAge: () => number;
   registry: KeyedStream;
   runs: KeyedStream;
   status: KeyedStream;
@@ -66,10 +69,13 @@
 }
 
 /** Lease of runs on workers, in ms: longer than it takes another node to take over. */
-const LEASE_MS = 4500;
+const LEASE_MS = 4200;
 
-/** Time without proof of the lead after which a leader keeps no run alive, in ms. */
-const FRESH_MS = 8000;
+/** Time without proof of the lead after which a leader keeps no run alive, in ms: most outages are shorter. */
+const FRESH_MS = 4500;
+
+/** Age of the proof above which a leader gives no orders for VMs, in ms: no other has taken over yet. */
+const VM_FRESH_MS = 1200;
 
 /** Period of the scheduler's clock, in ms. */
 const TICK_MS = 100;
@@ -122,11 +128,10 @@
     };
     this.#advice = new AdviceBook(ctx.advice, onAdvice, timers, this.#log, signal);
     this.#scheduler = new Scheduler(
-      { ...SCHEDULER_SETTINGS, termLeaseMs: FRESH_MS + this.#leaseMs },
+      { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: this.#earlierLeasesEndAt() },
       (decision, data) => {
         this.#log.info(data, decision);
       },
-      timers.mono(),
       (queue, step, workers) => this.#advice.allowed(queue, step, workers),
     );
     this.#waves = new WavePlanner(this.#scheduler, (decision, data) => {
@@ -187,6 +192,12 @@
     return Math.min(LEASE_MS, this.ctx.maxLeaseMs);
   }
 
+  // The leader before kept runs alive until its proof was too old; workers' clocks may be slow.
+  #earlierLeasesEndAt(): number {
+    const { at, released } = this.start.lastSign;
+    return at + (released ? 0 : FRESH_MS) + longestLeaseMs(this.#leaseMs);
+  }
+
   #openRegistry(): StreamTail {
     const settings = {
       gapMs: () => REGISTRY_GAP_MS,
@@ -242,7 +253,7 @@
         worker,
         {
           epoch: this.start.epoch,
-          isFresh: () => this.ctx.jobsTail.age() < FRESH_MS,
+          isFresh: () => this.ctx.proofAge() < FRESH_MS,
           leaseMs: this.#leaseMs,
           link,
           log: this.#log,
@@ -284,7 +295,7 @@
   }
 
   #startMaintenance(): void {
-    const { codec, jobsTail, leaseDurationMs, node, status, timers, vms, waves } = this.ctx;
+    const { codec, leaseDurationMs, node, proofAge, status, timers, vms, waves } = this.ctx;
     if (vms === undefined) {
       return;
     }
@@ -298,7 +309,7 @@
       {
         encodeReport: (report) => codec.encodeReport(report),
         epoch: this.start.epoch,
-        isFresh: () => jobsTail.age() < leaseDurationMs,
+        isFresh: () => proofAge() < VM_FRESH_MS,
         log: this.#log,
         node,
         onChange: () => {
