feat(core): move idle VMs between pools after their load

Change: the leader moves VMs whose worker has no task to pools whose jobs wait, parks those that no pool needs, and prefers workers that tasks that last keep in use anyway. Jobs are ordered by the latest start at which they can be in time, with run times learned by queue.

--- a/packages/core/src/jobs/job-order.ts
+++ b/packages/core/src/jobs/job-order.ts
@@ -1,47 +1,61 @@
 import type { QueueConfig } from './fleet-config';
 import type { JobRun } from './job-run';
-import type { JobSpec } from './job-spec';
+import type { RunTimes } from './run-times';
 
-/** What the order of jobs depends on. */
+/** Chances of a job to be in time. */
+const CHANCE = {
+  /** It can still be done in the time in which callers expect it. */
+  inTime: 0,
+  /** It can still be done in a few times that time. */
+  late: 1,
+  lost: 2,
+} as const;
+
+/** Times the expected time within which a late job is still of use. */
+const LATE_FACTOR = 3;
+
+/** Place of a job among those that wait for the same workers. */
 export interface JobRank {
-  /** Wall clock by which callers expect the job, in ms. */
-  expectedAt: number;
-  /** The job has tasks that run until it is cancelled. */
+  chance: (typeof CHANCE)[keyof typeof CHANCE];
+  /** Wall clock by which the next step must start for the job to keep its chance, in ms. */
+  latestStart: number;
   longRunning: boolean;
   /** 0 comes first. */
   priority: number;
 }
 
-/** Estimated length of the longest chain of steps, in ms. */
-export function estimatedChainMs(spec: JobSpec): number {
-  const endsAt: number[] = [];
-  for (const step of spec.steps) {
-    const startsAt = Math.max(0, ...step.after.map((before) => endsAt[before] ?? 0));
-    endsAt.push(startsAt + step.estimatedMs);
+/** Place of a job at a wall clock time. */
+export function rankJob(
+  run: JobRun,
+  queue: QueueConfig | undefined,
+  times: RunTimes,
+  wallNow: number,
+): JobRank {
+  const base = { longRunning: run.isLongRunning, priority: queue?.priority ?? 0 };
+  const { acceptedAt, spec } = run.job;
+  const startedAt =
+    spec.schedule === undefined
+      ? acceptedAt
+      : spec.schedule.firstAt + (run.occurrences.length - 1) * spec.schedule.intervalMs;
+  const expectedMs = (queue?.stretch ?? 1) * times.chain(run, () => true) + (queue?.targetMs ?? 0);
+  const leftMs = times.chain(run, (step) => step.open > 0);
+  const inTime = startedAt + expectedMs - leftMs;
+  if (wallNow <= inTime) {
+    return { ...base, chance: CHANCE.inTime, latestStart: inTime };
   }
-  return Math.max(0, ...endsAt);
-}
-
-/** Rank of a job of a queue. */
-export function rankJob(job: JobRun, queue: QueueConfig | undefined): JobRank {
-  const { acceptedAt, spec } = job.job;
-  const workMs = (queue?.stretch ?? 1) * estimatedChainMs(spec);
-  return {
-    expectedAt: acceptedAt + workMs + (queue?.targetMs ?? 0),
-    longRunning: job.isLongRunning,
-    priority: queue?.priority ?? 0,
-  };
+  const late = startedAt + LATE_FACTOR * expectedMs - leftMs;
+  return { ...base, chance: wallNow <= late ? CHANCE.late : CHANCE.lost, latestStart: late };
 }
 
 /**
  * Order of two jobs that wait for the same workers. Tasks that serve users come first, then urgent
- * queues, then jobs that can still be in time, by the time at which they are expected.
+ * queues. Under overload jobs that can't be in time any more stand back for those that can.
  */
-export function compareRanks(a: JobRank, b: JobRank, wallNow: number): number {
+export function compareRanks(a: JobRank, b: JobRank): number {
   return (
     Number(b.longRunning) - Number(a.longRunning) ||
-    Number(a.expectedAt < wallNow) - Number(b.expectedAt < wallNow) ||
     a.priority - b.priority ||
-    a.expectedAt - b.expectedAt
+    a.chance - b.chance ||
+    a.latestStart - b.latestStart
   );
 }
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -8,6 +8,8 @@
   failedThere: -1_000_000,
   /** A task that fills idle time and one that serves users would share the worker. */
   mixed: -200_000,
+  /** Tasks that last keep the worker in use anyway; the VMs of others may become free. */
+  keptInUse: 50_000,
   /** The worker is in the rack of the data, or of the rest of the step. */
   nearRack: 100_000,
   /** Another task of the same lasting step is in the rack. */
@@ -78,6 +80,9 @@
   if (preferredRack !== '' && worker.info.labels.includes(preferredRack)) {
     score += WEIGHT.nearRack;
   }
+  if (!longRunning && hasLastingTask(worker)) {
+    score += WEIGHT.keptInUse;
+  }
   if (rackSensitive || longRunning) {
     const inRack = siblingsInRack(task, worker);
     score += rackSensitive ? Math.min(inRack, 1) * WEIGHT.nearRack : inRack * WEIGHT.sharedRack;
@@ -88,6 +93,15 @@
   return score;
 }
 
+function hasLastingTask(worker: Worker): boolean {
+  for (const other of worker.runs.values()) {
+    if (other.step.spec.longRunning) {
+      return true;
+    }
+  }
+  return false;
+}
+
 function siblingsOn(task: Task, worker: Worker): number {
   let count = 0;
   for (const other of worker.runs.values()) {
--- a/packages/core/src/jobs/pool-state.ts
+++ b/packages/core/src/jobs/pool-state.ts
@@ -1,35 +1,26 @@
-import type { JobRank } from './job-order';
+import type { QueueConfig } from './fleet-config';
 import type { JobRun } from './job-run';
+import type { RunTimes } from './run-times';
 import type { Worker } from './worker';
-import { compareRanks } from './job-order';
+import { compareRanks, rankJob } from './job-order';
 
 /** Workers and jobs of one pool, as the leader sees them. */
 export class PoolState {
   /** Something changed since tasks were last assigned. */
   dirty = true;
-  readonly jobs = new Map<JobRun, JobRank>();
+  readonly jobs = new Set<JobRun>();
   readonly workers = new Set<Worker>();
 
   /** Workers that new tasks may be assigned to. */
   openWorkers(now: number): Worker[] {
-    return [...this.workers].filter((worker) => isOpen(worker, now));
+    return [...this.workers].filter((worker) => worker.isOpen(now));
   }
 
   /** Jobs that have tasks to assign, in order. */
-  waitingJobs(wallNow: number): JobRun[] {
-    const waiting = [...this.jobs].filter(([job]) => !job.readySteps().next().done);
-    waiting.sort(([, a], [, b]) => compareRanks(a, b, wallNow));
-    return waiting.map(([job]) => job);
+  waitingJobs(queueOf: (run: JobRun) => QueueConfig | undefined, times: RunTimes, wallNow: number): JobRun[] {
+    const waiting = [...this.jobs].filter((run) => !run.readySteps().next().done);
+    const ranked = waiting.map((run) => ({ rank: rankJob(run, queueOf(run), times, wallNow), run }));
+    ranked.sort((a, b) => compareRanks(a.rank, b.rank));
+    return ranked.map((item) => item.run);
   }
 }
-
-function isOpen(worker: Worker, now: number): boolean {
-  return (
-    worker.fenced &&
-    !worker.gone &&
-    !worker.silent &&
-    !worker.evacuating &&
-    !worker.info.draining &&
-    worker.pausedUntil <= now
-  );
-}
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -3,18 +3,20 @@
 import type { StepRun } from './job-run';
 import type { Job } from './job-spec';
 import type { AllowedWorkers } from './placement';
+import type { PoolLoad } from './pool-load';
 import type { TaskRecord } from './run-record';
 import type { DecisionLog, Plan, StartOrder, StopOrder } from './scheduler-output';
 import type { Task } from './task';
 import type { WorkerInfo } from './worker';
 import type { EndRow, RunningRow, StartAnswer, WorkerReport } from './worker-report';
-import { rankJob } from './job-order';
 import { JOB_RECORD } from './job-record';
 import { JobRun } from './job-run';
 import { chooseForGang, chooseWorker } from './placement';
+import { loadOf } from './pool-load';
 import { PoolState } from './pool-state';
 import { reconcile } from './reconcile';
 import { encodeTaskRecord, forgetTaskRecord } from './run-record';
+import { RunTimes } from './run-times';
 import { DECISION } from './scheduler-output';
 import { parseTaskName } from './task-name';
 import { Worker } from './worker';
@@ -50,6 +52,7 @@
   readonly #jobs = new Map<string, JobRun>();
   #out = emptyPlan();
   readonly #pools = new Map<string, PoolState>();
+  readonly #times = new RunTimes();
   readonly #workers = new Map<string, Worker>();
 
   constructor(
@@ -68,14 +71,15 @@
     return this.#jobs;
   }
 
+  /** Loads of all pools at a monotonic time, in ms. */
+  loads(now: number): PoolLoad[] {
+    return [...this.#pools].map(([name, pool]) => loadOf(name, pool, now));
+  }
+
   /** Takes a configuration. */
   onConfig(cfg: FleetConfig): void {
     this.#cfg = cfg;
-    for (const run of [...this.#jobs.values()].filter((job) => !job.ended)) {
-      const pool = this.#pool(run.job.pool);
-      pool.jobs.set(run, rankJob(run, this.#queueOf(run)));
-      pool.dirty = true;
-    }
+    this.reconsider();
   }
 
   /** Takes an accepted job; records of an earlier term tell how far its tasks are. */
@@ -87,7 +91,7 @@
     run.addDue(wallNow);
     this.#jobs.set(job.id, run);
     const pool = this.#pool(job.pool);
-    pool.jobs.set(run, rankJob(run, this.#queueOf(run)));
+    pool.jobs.add(run);
     pool.dirty = true;
     this.#restore(run, records, now);
     this.#endIfDone(run, now);
@@ -265,7 +269,8 @@
     if (workers.length === 0) {
       return;
     }
-    for (const run of pool.waitingJobs(wallNow)) {
+    const queueOf = (run: JobRun): QueueConfig | undefined => this.#queueOf(run);
+    for (const run of pool.waitingJobs(queueOf, this.#times, wallNow)) {
       for (const step of run.readySteps()) {
         this.#assignStep(run, step, workers, now);
       }
@@ -347,6 +352,9 @@
 
   #onDone(task: Task, worker: Worker, now: number): void {
     worker.failuresInRow = 0;
+    if (task.phase === 'running') {
+      this.#times.done(task.job.job.queue, now - task.phaseSince);
+    }
     if (task.step.spec.longRunning) {
       task.advance('release', now);
       return;
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -93,6 +93,18 @@
     );
   }
 
+  /** Whether new tasks may be assigned at a monotonic time, in ms. */
+  isOpen(now: number): boolean {
+    return (
+      this.fenced &&
+      !this.gone &&
+      !this.silent &&
+      !this.evacuating &&
+      !this.info.draining &&
+      this.pausedUntil <= now
+    );
+  }
+
   /** Processor time that is not reserved, in thousandths of a core. */
   get freeCpuMilli(): number {
     return this.info.capacity.cpuMilli - this.reserved.cpuMilli;
--- /dev/null
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -0,0 +1,226 @@
+import type { PoolLoad } from '../jobs/pool-load';
+import type { Worker } from '../jobs/worker';
+import type { VmInfo } from './wave';
+import type { WaveLog } from './wave-planner';
+import { VM_STATE } from './wave';
+
+/** What the balancer sees and may do. */
+export interface BalancerFleet {
+  loads: (now: number) => PoolLoad[];
+  onWorkerEnded: (worker: Worker, now: number) => void;
+  workers: ReadonlyMap<string, Worker>;
+}
+
+/** Order to move a VM to another pool. */
+export interface MoveOrder {
+  pool: string;
+  vm: string;
+}
+
+/** Answers to an order to move a VM. */
+export type MoveAnswer = 'moved' | 'refused' | 'unknown';
+
+interface Movement extends MoveOrder {
+  from: string;
+  /** Monotonic time of the order, in ms. */
+  since: number;
+  stage: 'moved' | 'ordered';
+}
+
+interface Need {
+  /** Workers beyond what the pool needs; negative when it lacks some. */
+  surplus: number;
+}
+
+/** Part of a worker's processor time that tasks of different sizes can fill. */
+const USABLE_SHARE = 0.85;
+
+/** Workers of a pool that are kept beyond its need. */
+const KEPT_WORKERS = 1;
+
+/** Time for which a worker must have been idle before its VM is parked, in ms. */
+const PARK_AFTER_MS = 1500;
+
+/** Time after which a VM that moved counts as arrived or lost, in ms. */
+const MOVE_LIMIT_MS = 6000;
+
+/** Time after which an order without a clear answer is repeated, in ms. */
+const REPEAT_MS = 500;
+
+/** Time for which a VM whose move was refused stays, in ms. */
+const REFUSED_PAUSE_MS = 10_000;
+
+/**
+ * Moves idle VMs to the pools whose jobs wait, and parks those that no pool needs in the spare pool. A VM
+ * moves only while nothing is assigned to its worker.
+ */
+export class PoolBalancer {
+  readonly #idleSince = new Map<string, number>();
+  readonly #moves = new Map<string, Movement>();
+  readonly #refusedUntil = new Map<string, number>();
+  #vms: readonly VmInfo[] = [];
+
+  constructor(
+    private readonly fleet: BalancerFleet,
+    private readonly log: WaveLog,
+  ) {}
+
+  /** Takes the list of VMs, asked for at a monotonic time. */
+  onVms(vms: readonly VmInfo[], askedAt: number): void {
+    this.#vms = vms;
+    for (const vm of vms) {
+      const move = this.#moves.get(vm.id);
+      const arrived = move?.stage === 'moved' && askedAt > move.since && vm.state === VM_STATE.up;
+      if (arrived && (vm.pool !== move.pool || this.fleet.workers.has(vm.workerId))) {
+        this.#moves.delete(vm.id);
+      }
+    }
+  }
+
+  /** Takes the answer to an order. */
+  onAnswer(order: MoveOrder, answer: MoveAnswer, now: number): void {
+    const move = this.#moves.get(order.vm);
+    if (move === undefined) {
+      return;
+    }
+    const worker = this.#workerOf(order.vm);
+    this.log('move-answered', { answer, from: move.from, pool: order.pool, vm: order.vm });
+    if (answer === 'moved') {
+      move.stage = 'moved';
+      move.since = now;
+      if (worker !== undefined) {
+        this.fleet.onWorkerEnded(worker, now);
+      }
+    } else if (answer === 'refused') {
+      this.#moves.delete(order.vm);
+      this.#refusedUntil.set(order.vm, now + REFUSED_PAUSE_MS);
+      if (worker !== undefined) {
+        worker.evacuating = false;
+      }
+    }
+  }
+
+  /** Moves that are to be ordered now; `spare` names the pools whose VMs are switched off. */
+  plan(now: number, spare: ReadonlySet<string>): MoveOrder[] {
+    this.#noteIdle(now);
+    const orders = this.#repeats(now);
+    const loads = this.fleet.loads(now).filter((load) => !spare.has(load.pool));
+    const needs = new Map(loads.map((load) => [load.pool, this.#needOf(load)]));
+    const lacking = loads.filter((load) => surplusOf(needs, load.pool) < 0);
+    lacking.sort((a, b) => surplusOf(needs, a.pool) - surplusOf(needs, b.pool));
+    for (const load of lacking) {
+      orders.push(...this.#fill(load, needs, spare, now));
+    }
+    orders.push(...this.#park(needs, spare, now));
+    return orders;
+  }
+
+  #fill(load: PoolLoad, needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
+    const orders: MoveOrder[] = [];
+    const need = needs.get(load.pool);
+    for (const vm of this.#donors(needs, spare, now)) {
+      if (need === undefined || need.surplus >= 0) {
+        break;
+      }
+      const donor = needs.get(vm.pool);
+      if (vm.pool !== load.pool && (donor === undefined || donor.surplus > 0)) {
+        orders.push(this.#move(vm, load.pool, now));
+        need.surplus += 1;
+        if (donor !== undefined) {
+          donor.surplus -= 1;
+        }
+      }
+    }
+    return orders;
+  }
+
+  // An idle VM that is on costs more than one that is switched off, so it goes first.
+  #donors(needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): VmInfo[] {
+    const free = this.#vms.filter((vm) => this.#isFree(vm, spare, now));
+    const fromPools = free.filter((vm) => (needs.get(vm.pool)?.surplus ?? 0) > 0);
+    return [...fromPools, ...free.filter((vm) => spare.has(vm.pool))];
+  }
+
+  #park(needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
+    const orders: MoveOrder[] = [];
+    const [target] = spare;
+    if (target === undefined) {
+      return orders;
+    }
+    for (const vm of this.#vms) {
+      const need = needs.get(vm.pool);
+      const idleSince = this.#idleSince.get(vm.workerId) ?? now;
+      if (need === undefined || need.surplus <= KEPT_WORKERS || now - idleSince < PARK_AFTER_MS) {
+        continue;
+      }
+      if (this.#isFree(vm, spare, now)) {
+        orders.push(this.#move(vm, target, now));
+        need.surplus -= 1;
+      }
+    }
+    return orders;
+  }
+
+  #move(vm: VmInfo, pool: string, now: number): MoveOrder {
+    const worker = this.fleet.workers.get(vm.workerId);
+    if (worker !== undefined) {
+      worker.evacuating = true;
+    }
+    this.#moves.set(vm.id, { from: vm.pool, pool, since: now, stage: 'ordered', vm: vm.id });
+    this.log('vm-moved', { from: vm.pool, pool, vm: vm.id });
+    return { pool, vm: vm.id };
+  }
+
+  #needOf(load: PoolLoad): Need {
+    const perWorker = Math.max(1, ...load.open.map((worker) => worker.info.capacity.cpuMilli));
+    const usable = load.open.length === 0 ? Infinity : USABLE_SHARE * perWorker;
+    const busy = Math.ceil((load.reservedCpuMilli + load.waitingCpuMilli) / usable);
+    const wanted = Math.max(busy, load.floor) + KEPT_WORKERS;
+    return { surplus: load.open.length + this.#arriving(load.pool) - wanted };
+  }
+
+  #arriving(pool: string): number {
+    return [...this.#moves.values()].filter((move) => move.pool === pool).length;
+  }
+
+  #repeats(now: number): MoveOrder[] {
+    const orders: MoveOrder[] = [];
+    for (const [vm, move] of this.#moves) {
+      if (move.stage === 'ordered' && now - move.since > REPEAT_MS) {
+        move.since = now;
+        orders.push({ pool: move.pool, vm });
+      } else if (move.stage === 'moved' && now - move.since > MOVE_LIMIT_MS) {
+        this.#moves.delete(vm);
+      }
+    }
+    return orders;
+  }
+
+  #isFree(vm: VmInfo, spare: ReadonlySet<string>, now: number): boolean {
+    if (vm.state !== VM_STATE.up || this.#moves.has(vm.id) || (this.#refusedUntil.get(vm.id) ?? 0) > now) {
+      return false;
+    }
+    return spare.has(vm.pool) || this.#idleSince.has(vm.workerId);
+  }
+
+  #noteIdle(now: number): void {
+    for (const [id, worker] of this.fleet.workers) {
+      if (worker.runs.size > 0 || !worker.isOpen(now)) {
+        this.#idleSince.delete(id);
+      } else if (!this.#idleSince.has(id)) {
+        this.#idleSince.set(id, now);
+      }
+    }
+    for (const id of [...this.#idleSince.keys()].filter((known) => !this.fleet.workers.has(known))) {
+      this.#idleSince.delete(id);
+    }
+  }
+
+  #workerOf(vm: string): Worker | undefined {
+    return this.fleet.workers.get(this.#vms.find((item) => item.id === vm)?.workerId ?? '');
+  }
+}
+
+function surplusOf(needs: ReadonlyMap<string, Need>, pool: string): number {
+  return needs.get(pool)?.surplus ?? 0;
+}
--- /dev/null
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -0,0 +1,98 @@
+import { describe, expect, it } from 'vitest';
+import type { PoolLoad, VmInfo } from '../../src/jobs';
+import { PoolBalancer, Worker } from '../../src/jobs';
+import { worker } from '../jobs/support/jobs';
+
+const SPARE = new Set(['spare']);
+
+class Fleet {
+  readonly ended: string[] = [];
+  readonly vms: VmInfo[] = [];
+  readonly workers = new Map<string, Worker>();
+  waiting = new Map<string, number>();
+
+  add(pool: string, id: string): Worker {
+    const added = new Worker(worker(id, { pool }), 0);
+    added.fenced = true;
+    this.workers.set(id, added);
+    this.vms.push({ id: `vm-${id}`, pool, rack: 'r', state: 'up', workerId: id, zone: 'z' });
+    return added;
+  }
+
+  loads(now: number): PoolLoad[] {
+    return ['busy', 'idle'].map((pool) => ({
+      floor: 0,
+      open: [...this.workers.values()].filter((item) => item.info.pool === pool && item.isOpen(now)),
+      pool,
+      reservedCpuMilli: 0,
+      waitingCpuMilli: this.waiting.get(pool) ?? 0,
+    }));
+  }
+
+  onWorkerEnded(ended: Worker): void {
+    this.ended.push(ended.info.id);
+  }
+}
+
+function fleet(): { balancer: PoolBalancer; fleet: Fleet } {
+  const made = new Fleet();
+  made.add('busy', 'b1');
+  made.add('idle', 'i1');
+  made.add('idle', 'i2');
+  made.add('idle', 'i3');
+  const balancer = new PoolBalancer(made, () => undefined);
+  balancer.onVms(made.vms, 0);
+  return { balancer, fleet: made };
+}
+
+describe('PoolBalancer', () => {
+  it('moves idle VMs to a pool whose jobs wait, and counts them as on their way', () => {
+    const { balancer, fleet: made } = fleet();
+    made.waiting.set('busy', 4000);
+    expect(balancer.plan(10, SPARE).map((order) => order.pool)).toEqual(['busy', 'busy']);
+    expect(balancer.plan(20, SPARE)).toEqual([]);
+  });
+
+  it('never moves a VM whose worker has tasks', () => {
+    const { balancer, fleet: made } = fleet();
+    made.waiting.set('busy', 40_000);
+    for (const id of ['i1', 'i2', 'i3']) {
+      made.workers.get(id)?.runs.set('t', {} as never);
+    }
+    expect(balancer.plan(10, SPARE)).toEqual([]);
+  });
+
+  it('assigns nothing to the worker of a VM that is about to move', () => {
+    const { balancer, fleet: made } = fleet();
+    made.waiting.set('busy', 4000);
+    const [order] = balancer.plan(10, SPARE);
+    const id = order?.vm.slice('vm-'.length) ?? '';
+    expect(made.workers.get(id)?.isOpen(20)).toBe(false);
+    balancer.onAnswer({ pool: 'busy', vm: `vm-${id}` }, 'moved', 30);
+    expect(made.ended).toEqual([id]);
+  });
+
+  it('lets the worker of a VM work on when its move was refused', () => {
+    const { balancer, fleet: made } = fleet();
+    made.waiting.set('busy', 4000);
+    const [order] = balancer.plan(10, SPARE);
+    const id = order?.vm.slice('vm-'.length) ?? '';
+    balancer.onAnswer({ pool: 'busy', vm: `vm-${id}` }, 'refused', 30);
+    expect(made.workers.get(id)?.isOpen(40)).toBe(true);
+  });
+
+  it('repeats an order that had no clear answer, since repeats are harmless', () => {
+    const { balancer, fleet: made } = fleet();
+    made.waiting.set('busy', 1000);
+    const [order] = balancer.plan(10, SPARE);
+    balancer.onAnswer(order ?? { pool: '', vm: '' }, 'unknown', 20);
+    expect(balancer.plan(1000, SPARE)).toContainEqual(order);
+  });
+
+  it('parks VMs that no pool needs after a while, and keeps one', () => {
+    const { balancer } = fleet();
+    expect(balancer.plan(10, SPARE)).toEqual([]);
+    const orders = balancer.plan(60_000, SPARE);
+    expect(orders.map((order) => order.pool)).toEqual(['spare']);
+  });
+});
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -1,4 +1,12 @@
-import type { MaintenanceAnswer, MaintenanceOrder, WavePlanner, WaveReport } from '@sequoiaquay/core/jobs';
+import type {
+  MaintenanceAnswer,
+  MaintenanceOrder,
+  MoveAnswer,
+  MoveOrder,
+  PoolBalancer,
+  WavePlanner,
+  WaveReport,
+} from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import type { KeyedStream } from './ports/keyed-stream';
 import type { VmAnswer, VmService } from './ports/vm-service';
@@ -7,6 +15,7 @@
 
 /** What the loop needs of the term it belongs to. */
 export interface MaintenanceContext {
+  balancer: PoolBalancer;
   /** Encodes what the operators are told about a wave. */
   encodeReport: (report: WaveReport) => { key: string; value: string };
   epoch: number;
@@ -16,6 +25,8 @@
   node: string;
   onChange: () => void;
   planner: WavePlanner;
+  /** Pools whose VMs are switched off. */
+  sparePools: () => ReadonlySet<string>;
   status: KeyedStream;
   termLog: TermLog;
   timers: TimerService;
@@ -25,7 +36,7 @@
 /** Period of looking for something to do, in ms. */
 const PERIOD_MS = 100;
 
-/** Period of reading the list of VMs while a wave is carried out, in ms. */
+/** Period of reading the list of VMs, in ms. */
 const LIST_PERIOD_MS = 600;
 
 /** Limit for a call to the VM service, in ms. */
@@ -42,7 +53,15 @@
   [VM_ANSWER.unknown]: 'unknown',
 };
 
-/** Carries out the plans for the maintenance waves. */
+const MOVE_ANSWERS: Readonly<Record<VmAnswer, MoveAnswer>> = {
+  [VM_ANSWER.busy]: 'refused',
+  [VM_ANSWER.done]: 'moved',
+  [VM_ANSWER.fenced]: 'unknown',
+  [VM_ANSWER.refused]: 'refused',
+  [VM_ANSWER.unknown]: 'unknown',
+};
+
+/** Carries out the plans for the maintenance waves and for moves between pools. */
 export class MaintenanceLoop {
   #listedAt = -Infinity;
   #listing = false;
@@ -69,7 +88,7 @@
 
   #step(): void {
     const { planner, timers } = this.ctx;
-    if (!planner.active || !this.ctx.isFresh()) {
+    if (!this.ctx.isFresh()) {
       return;
     }
     const now = timers.mono();
@@ -87,6 +106,9 @@
     for (const report of plan.reports) {
       void this.#tell(report);
     }
+    for (const move of this.ctx.balancer.plan(now, this.ctx.sparePools())) {
+      void this.#move(move);
+    }
     this.ctx.onChange();
   }
 
@@ -97,6 +119,7 @@
     this.#listedAt = Math.max(this.#listedAt, listed.isOk() ? askedAt : this.#listedAt);
     if (listed.isOk()) {
       this.ctx.planner.onVms(listed.value, askedAt);
+      this.ctx.balancer.onVms(listed.value, askedAt);
     } else {
       this.ctx.log.warn({ error: listed.error }, 'VM list unavailable');
     }
@@ -117,6 +140,21 @@
     }
   }
 
+  async #move(order: MoveOrder): Promise<void> {
+    if (this.#ordering.has(order.vm)) {
+      return;
+    }
+    this.#ordering.add(order.vm);
+    const { balancer, epoch, node, timers, vms } = this.ctx;
+    const call = { epoch, holder: node, limitMs: LIMIT_MS, signal: this.signal, vm: order.vm };
+    const answer = await vms.move(call, order.pool);
+    this.#ordering.delete(order.vm);
+    if (!this.signal.aborted) {
+      balancer.onAnswer(order, MOVE_ANSWERS[answer], timers.mono());
+      this.ctx.onChange();
+    }
+  }
+
   // The end of a wave is told once what it rests on is stored.
   async #tell(report: WaveReport): Promise<void> {
     if (!(await this.#stored)) {
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -16,6 +16,7 @@
   isEnded,
   longestLeaseMs,
   parseTaskName,
+  PoolBalancer,
   Scheduler,
   START_ANSWER,
   WavePlanner,
@@ -103,6 +104,7 @@
 /** One term as leader: feeds the scheduler and carries out its plans. */
 export class Term {
   readonly #advice: AdviceBook;
+  readonly #balancer: PoolBalancer;
   readonly #changes: ChangeLog;
   readonly #log: Logger;
   readonly #loops = new Map<Worker, WorkerLoop>();
@@ -134,9 +136,11 @@
       },
       (queue, step, workers) => this.#advice.allowed(queue, step, workers),
     );
-    this.#waves = new WavePlanner(this.#scheduler, (decision, data) => {
+    const logDecision = (decision: string, data: Record<string, unknown>): void => {
       this.#log.info(data, decision);
-    });
+    };
+    this.#balancer = new PoolBalancer(this.#scheduler, logDecision);
+    this.#waves = new WavePlanner(this.#scheduler, logDecision);
   }
 
   /** Takes a configuration. */
@@ -245,7 +249,7 @@
 
   #startLoops(): void {
     for (const worker of this.#scheduler.workers.values()) {
-      if (this.#loops.has(worker) || this.#isSpare(worker.info.pool)) {
+      if (this.#loops.has(worker) || this.#sparePools().has(worker.info.pool)) {
         continue;
       }
       const { link, timers } = this.ctx;
@@ -271,8 +275,9 @@
     }
   }
 
-  #isSpare(pool: string): boolean {
-    return this.ctx.cfg()?.pools.find((item) => item.name === pool)?.spare ?? false;
+  #sparePools(): Set<string> {
+    const pools = this.ctx.cfg()?.pools ?? [];
+    return new Set(pools.filter((pool) => pool.spare).map((pool) => pool.name));
   }
 
   #restore(): void {
@@ -307,6 +312,7 @@
     }
     const loop = new MaintenanceLoop(
       {
+        balancer: this.#balancer,
         encodeReport: (report) => codec.encodeReport(report),
         epoch: this.start.epoch,
         isFresh: () => proofAge() < VM_FRESH_MS,
@@ -316,6 +322,7 @@
           this.#planSoon();
         },
         planner: this.#waves,
+        sparePools: () => this.#sparePools(),
         status,
         termLog: this.#termLog,
         timers,
