feat(core): keep workers on for the next peak of a pool

Change: a part of the recent peak stays on, and the operators' size of the pool stands for the peak until half a minute has been seen.

--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -2,6 +2,7 @@
 import type { Worker } from '../jobs/worker';
 import type { VmInfo } from './wave';
 import type { WaveLog } from './wave-planner';
+import { RecentPeak } from './recent-peak';
 import { VM_STATE } from './wave';
 
 /** What the balancer sees and may do. */
@@ -28,8 +29,10 @@
 }
 
 interface Need {
-  /** Workers beyond what the pool needs; negative when it lacks some. */
+  /** Workers beyond what the pool needs now; negative when it lacks some. */
   surplus: number;
+  /** Workers beyond what the pool may need within the time that a VM takes to arrive. */
+  surplusToPark: number;
 }
 
 /** Part of a worker's processor time that tasks of different sizes can fill. */
@@ -38,8 +41,11 @@
 /** Workers of a pool that are kept beyond its need. */
 const KEPT_WORKERS = 1;
 
+/** Part of a pool's recent peak for which workers are kept on, since the next peak comes at once. */
+const KEPT_PEAK_SHARE = 0.8;
+
 /** Time for which a worker must have been idle before its VM is parked, in ms. */
-const PARK_AFTER_MS = 1500;
+const PARK_AFTER_MS = 3000;
 
 /** Time after which a VM that moved counts as arrived or lost, in ms. */
 const MOVE_LIMIT_MS = 6000;
@@ -57,6 +63,7 @@
 export class PoolBalancer {
   readonly #idleSince = new Map<string, number>();
   readonly #moves = new Map<string, Movement>();
+  readonly #peaks = new Map<string, RecentPeak>();
   readonly #refusedUntil = new Map<string, number>();
   #vms: readonly VmInfo[] = [];
 
@@ -105,7 +112,7 @@
     this.#noteIdle(now);
     const orders = this.#repeats(now);
     const loads = this.fleet.loads(now).filter((load) => !spare.has(load.pool));
-    const needs = new Map(loads.map((load) => [load.pool, this.#needOf(load)]));
+    const needs = new Map(loads.map((load) => [load.pool, this.#needOf(load, now)]));
     const lacking = loads.filter((load) => surplusOf(needs, load.pool) < 0);
     lacking.sort((a, b) => surplusOf(needs, a.pool) - surplusOf(needs, b.pool));
     for (const load of lacking) {
@@ -128,17 +135,21 @@
         need.surplus += 1;
         if (donor !== undefined) {
           donor.surplus -= 1;
+          donor.surplusToPark -= 1;
         }
       }
     }
     return orders;
   }
 
-  // An idle VM that is on costs more than one that is switched off, so it goes first.
+  // An idle VM that is on costs more than one that is switched off; what may be needed soon goes last.
   #donors(needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): VmInfo[] {
     const free = this.#vms.filter((vm) => this.#isFree(vm, spare, now));
-    const fromPools = free.filter((vm) => (needs.get(vm.pool)?.surplus ?? 0) > 0);
-    return [...fromPools, ...free.filter((vm) => spare.has(vm.pool))];
+    const rank = (vm: VmInfo): number => {
+      const need = needs.get(vm.pool);
+      return need === undefined ? 1 : need.surplusToPark > 0 ? 0 : 2;
+    };
+    return free.sort((a, b) => rank(a) - rank(b));
   }
 
   #park(needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
@@ -150,12 +161,13 @@
     for (const vm of this.#vms) {
       const need = needs.get(vm.pool);
       const idleSince = this.#idleSince.get(vm.workerId) ?? now;
-      if (need === undefined || need.surplus <= KEPT_WORKERS || now - idleSince < PARK_AFTER_MS) {
+      if (need === undefined || need.surplusToPark <= 0 || now - idleSince < PARK_AFTER_MS) {
         continue;
       }
       if (this.#isFree(vm, spare, now)) {
         orders.push(this.#move(vm, target, now));
         need.surplus -= 1;
+        need.surplusToPark -= 1;
       }
     }
     return orders;
@@ -171,12 +183,24 @@
     return { pool, vm: vm.id };
   }
 
-  #needOf(load: PoolLoad): Need {
+  #needOf(load: PoolLoad, now: number): Need {
     const perWorker = Math.max(1, ...load.open.map((worker) => worker.info.capacity.cpuMilli));
     const usable = load.open.length === 0 ? Infinity : USABLE_SHARE * perWorker;
     const busy = Math.ceil((load.reservedCpuMilli + load.waitingCpuMilli) / usable);
+    const has = load.open.length + this.#arriving(load.pool);
     const wanted = Math.max(busy, load.floor) + KEPT_WORKERS;
-    return { surplus: load.open.length + this.#arriving(load.pool) - wanted };
+    const kept = Math.ceil(KEPT_PEAK_SHARE * this.#peakOf(load, busy, now));
+    return { surplus: has - wanted, surplusToPark: has - Math.max(wanted, kept) };
+  }
+
+  // Until something has been learned, the size that the operators gave the pool stands for its peak.
+  #peakOf(load: PoolLoad, busy: number, now: number): number {
+    const known = this.#peaks.get(load.pool);
+    const sized = this.#vms.filter((vm) => vm.pool === load.pool).length;
+    const peak = known ?? new RecentPeak(sized, now);
+    this.#peaks.set(load.pool, peak);
+    peak.add(busy, now);
+    return peak.value;
   }
 
   #arriving(pool: string): number {
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -93,6 +93,12 @@
     const { balancer } = fleet();
     expect(balancer.plan(10, SPARE)).toEqual([]);
     const orders = balancer.plan(60_000, SPARE);
-    expect(orders.map((order) => order.pool)).toEqual(['spare']);
+    expect(orders.map((order) => order.pool)).toEqual(['spare', 'spare']);
+  });
+
+  it('keeps the size that the operators gave a pool on until its peaks have been seen', () => {
+    const { balancer } = fleet();
+    balancer.plan(10, SPARE);
+    expect(balancer.plan(8000, SPARE)).toEqual([]);
   });
 });
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -94,7 +94,7 @@
 const STATE_WRITE_MS = 60_000;
 
 /** Period of reading the registry, in ms. */
-const REGISTRY_GAP_MS = 250;
+const REGISTRY_GAP_MS = 120;
 
 const REGISTRY_WAIT_MS = 1000;
 const REGISTRY_RETRY_MS = 150;
