perf(core): share VMs among all pools that are short, also right after a take-over

Change: each VM goes to the pool with the smallest part of what it needs; the time of an order for a VM is stored before it is sent, so that the next leader holds back for that VM alone; a node takes over at once from a term of its own earlier process.

--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -21,6 +21,9 @@
 /** Answers to an order to move a VM. */
 export type MoveAnswer = 'moved' | 'refused' | 'unknown';
 
+/** Period of the log lines about pools that lack workers, in ms. */
+const LOG_PERIOD_MS = 500;
+
 interface Movement extends MoveOrder {
   from: string;
   /** Monotonic time of the order, in ms. */
@@ -33,6 +36,8 @@
   surplus: number;
   /** Workers beyond what the pool may need within the time that a VM takes to arrive. */
   surplusToPark: number;
+  /** Workers that the pool needs now. */
+  wanted: number;
 }
 
 /** Part of a worker's processor time that tasks of different sizes can fill. */
@@ -62,6 +67,7 @@
  */
 export class PoolBalancer {
   readonly #idleSince = new Map<string, number>();
+  #lackLoggedAt = -Infinity;
   readonly #moves = new Map<string, Movement>();
   readonly #peaks = new Map<string, RecentPeak>();
   readonly #refusedUntil = new Map<string, number>();
@@ -113,37 +119,55 @@
     const orders = this.#repeats(now);
     const loads = this.fleet.loads(now).filter((load) => !spare.has(load.pool));
     const needs = new Map(loads.map((load) => [load.pool, this.#needOf(load, now)]));
-    const lacking = loads.filter((load) => surplusOf(needs, load.pool) < 0);
-    lacking.sort((a, b) => surplusOf(needs, a.pool) - surplusOf(needs, b.pool));
-    for (const load of lacking) {
-      orders.push(...this.#fill(load, needs, spare, now));
-    }
+    this.#logLacking(
+      loads.filter((load) => surplusOf(needs, load.pool) < 0),
+      needs,
+      now,
+    );
+    orders.push(...this.#fill(needs, spare, now));
     orders.push(...this.#park(needs, spare, now));
     return orders;
   }
 
-  #fill(load: PoolLoad, needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
+  #logLacking(lacking: PoolLoad[], needs: ReadonlyMap<string, Need>, now: number): void {
+    if (lacking.length === 0 || now - this.#lackLoggedAt < LOG_PERIOD_MS) {
+      return;
+    }
+    this.#lackLoggedAt = now;
+    for (const load of lacking) {
+      const { pool, reservedCpuMilli, waitingCpuMilli } = load;
+      const arriving = this.#arriving(pool);
+      const lacks = -surplusOf(needs, pool);
+      const open = load.open.length;
+      this.log('pool-short', { arriving, lacks, open, pool, reservedCpuMilli, waitingCpuMilli });
+    }
+  }
+
+  // Each VM goes to the pool that then has the smallest part of what it needs.
+  #fill(needs: ReadonlyMap<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
     const orders: MoveOrder[] = [];
-    const need = needs.get(load.pool);
     for (const vm of this.#donors(needs, spare, now)) {
-      if (need === undefined || need.surplus >= 0) {
-        break;
-      }
       const donor = needs.get(vm.pool);
-      if (vm.pool !== load.pool && (donor === undefined || donor.surplus > 0)) {
-        orders.push(this.#move(vm, load.pool, now));
-        need.surplus += 1;
-        if (donor !== undefined) {
-          donor.surplus -= 1;
-          donor.surplusToPark -= 1;
-        }
+      if (donor !== undefined && donor.surplus <= 0) {
+        continue;
+      }
+      const pool = neediest(needs, vm.pool);
+      const need = needs.get(pool ?? '');
+      if (pool === undefined || need === undefined) {
+        continue;
+      }
+      orders.push(this.#move(vm, pool, now));
+      need.surplus += 1;
+      if (donor !== undefined) {
+        donor.surplus -= 1;
+        donor.surplusToPark -= 1;
       }
     }
     return orders;
   }
 
   // An idle VM that is on costs more than one that is switched off; what may be needed soon goes last.
-  #donors(needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): VmInfo[] {
+  #donors(needs: ReadonlyMap<string, Need>, spare: ReadonlySet<string>, now: number): VmInfo[] {
     const free = this.#vms.filter((vm) => this.#isFree(vm, spare, now));
     const rank = (vm: VmInfo): number => {
       const need = needs.get(vm.pool);
@@ -152,7 +176,7 @@
     return free.sort((a, b) => rank(a) - rank(b));
   }
 
-  #park(needs: Map<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
+  #park(needs: ReadonlyMap<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
     const orders: MoveOrder[] = [];
     const [target] = spare;
     if (target === undefined) {
@@ -190,7 +214,7 @@
     const has = load.open.length + this.#arriving(load.pool);
     const wanted = Math.max(busy, load.floor) + KEPT_WORKERS;
     const kept = Math.ceil(KEPT_PEAK_SHARE * this.#peakOf(load, busy, now));
-    return { surplus: has - wanted, surplusToPark: has - Math.max(wanted, kept) };
+    return { surplus: has - wanted, surplusToPark: has - Math.max(wanted, kept), wanted };
   }
 
   // Until something has been learned, the size that the operators gave the pool stands for its peak.
@@ -248,3 +272,9 @@
 function surplusOf(needs: ReadonlyMap<string, Need>, pool: string): number {
   return needs.get(pool)?.surplus ?? 0;
 }
+
+function neediest(needs: ReadonlyMap<string, Need>, except: string): string | undefined {
+  const lacking = [...needs].filter(([pool, need]) => pool !== except && need.surplus < 0);
+  lacking.sort(([, a], [, b]) => a.surplus / a.wanted - b.surplus / b.wanted);
+  return lacking[0]?.[0];
+}
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -53,6 +53,19 @@
     expect(balancer.plan(20, SPARE)).toEqual([]);
   });
 
+  it('gives each VM to the pool that has the smallest part of what it needs', () => {
+    const { balancer, fleet: made } = fleet();
+    made.waiting.set('busy', 40_000);
+    made.waiting.set('idle', 20_000);
+    for (const id of ['s1', 's2', 's3', 's4']) {
+      made.add('spare', id);
+    }
+    balancer.onVms(made.vms, 5);
+    const pools = balancer.plan(10, SPARE).map((order) => order.pool);
+    expect(pools).toEqual(['busy', 'busy', 'busy', 'busy']);
+    expect(balancer.plan(20, SPARE)).toEqual([]);
+  });
+
   it('never moves a VM whose worker has tasks', () => {
     const { balancer, fleet: made } = fleet();
     made.waiting.set('busy', 40_000);
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -1,4 +1,4 @@
-import type { LeaderRecord, TaskRecord } from '@sequoiaquay/core/jobs';
+import type { KeyedRecord, LeaderRecord, TaskRecord } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { decodeTaskRecord, encodeTermRecord, JOB_RECORD, TERM_KEY } from '@sequoiaquay/core/jobs';
 import { randomUUID } from 'node:crypto';
@@ -26,12 +26,10 @@
 export interface TermStart {
   /** Fencing token of the term; rises from term to term. */
   epoch: number;
-  /** No node has led before. */
-  isFirst: boolean;
   /** Monotonic time of the last sign of the leader before, in ms, and whether it gave up its term then. */
   lastSign: { at: number; released: boolean };
-  /** Keys of records that are not about tasks. */
-  otherKeys: string[];
+  /** Records that are not about tasks. */
+  otherRecords: KeyedRecord[];
   /** End of the stream of runs. */
   runsEnd: number;
   tasks: TaskRecord[];
@@ -39,7 +37,7 @@
 
 interface LoadedRuns {
   end: number;
-  otherKeys: string[];
+  otherRecords: KeyedRecord[];
   tasks: TaskRecord[];
   /** Offset of the record with which the last term began; -1 when there is none. */
   termOffset: number;
@@ -105,7 +103,9 @@
     this.#epochSeen = record.epoch;
     this.#leaderSeen = record.node;
     this.#signAt = this.timers.mono();
-    this.#releasedAt = record.released ? this.#signAt : undefined;
+    // A term of an earlier process of this node has ended with that process.
+    const isEarlierLife = record.node === this.settings.node && record.epoch !== this.ownEpoch;
+    this.#releasedAt = record.released || isEarlierLife ? this.#signAt : undefined;
     if (this.ownEpoch !== undefined && record.epoch > this.ownEpoch) {
       this.#lose(`node ${record.node} leads term ${record.epoch}`);
     }
@@ -226,7 +226,7 @@
       ...loaded,
       lastSign: this.#lastSign(),
       epoch: loaded.end + 1,
-      isFirst: loaded.end === 0,
+
       runsEnd: loaded.end + 1,
     };
   }
@@ -254,7 +254,7 @@
   }
 
   async #loadRuns(signal: AbortSignal): Promise<LoadedRuns | undefined> {
-    const otherKeys: string[] = [];
+    const otherRecords: KeyedRecord[] = [];
     const tasks: TaskRecord[] = [];
     let end: number | undefined;
     let termOffset = -1;
@@ -276,7 +276,7 @@
         if (decoded.isErr()) {
           this.log.error({ error: decoded.error }, 'record skipped');
         } else if (decoded.value === undefined) {
-          otherKeys.push(record.key);
+          otherRecords.push(record);
         } else {
           tasks.push(decoded.value);
         }
@@ -284,6 +284,6 @@
       after = page.value.records.at(-1)?.key;
       hasMore = page.value.hasMore && after !== undefined;
     }
-    return { end: end ?? 0, otherKeys, tasks, termOffset };
+    return { end: end ?? 0, otherRecords, tasks, termOffset };
   }
 }
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -1,4 +1,5 @@
 import type {
+  KeyedRecord,
   MaintenanceAnswer,
   MaintenanceOrder,
   MoveAnswer,
@@ -9,8 +10,9 @@
 } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import type { KeyedStream } from './ports/keyed-stream';
-import type { VmAnswer, VmService } from './ports/vm-service';
+import type { VmAnswer, VmOrder, VmService } from './ports/vm-service';
 import type { TermLog } from './term-log';
+import { OrderTimes } from './order-times';
 import { VM_ANSWER } from './ports/vm-service';
 
 /** What the loop needs of the term it belongs to. */
@@ -21,6 +23,8 @@
   epoch: number;
   /** Whether this node surely still leads. */
   isFresh: () => boolean;
+  /** Time for which two holders must not give orders for one VM, in ms. */
+  leaseDurationMs: number;
   log: Logger;
   node: string;
   onChange: () => void;
@@ -65,6 +69,7 @@
 export class MaintenanceLoop {
   #listedAt = -Infinity;
   #listing = false;
+  readonly #orderTimes = new OrderTimes();
   readonly #ordering = new Set<string>();
   #stored = Promise.resolve(true);
 
@@ -73,14 +78,13 @@
     private readonly signal: AbortSignal,
   ) {}
 
-  /** Runs until the signal aborts; gives no order before a monotonic time, in ms. */
-  run(notBefore: number): void {
+  /** Runs until the signal aborts; the records tell when earlier terms gave orders for VMs. */
+  run(records: readonly KeyedRecord[]): void {
+    this.#orderTimes.restore(records);
     this.ctx.timers.every(
       PERIOD_MS,
       () => {
-        if (this.ctx.timers.mono() >= notBefore) {
-          this.#step();
-        }
+        this.#step();
       },
       this.signal,
     );
@@ -126,35 +130,36 @@
   }
 
   async #order(order: MaintenanceOrder): Promise<void> {
-    if (this.#ordering.has(order.vm)) {
-      return;
-    }
-    this.#ordering.add(order.vm);
-    const { epoch, node, planner, timers, vms } = this.ctx;
-    const call = { epoch, holder: node, limitMs: LIMIT_MS, signal: this.signal, vm: order.vm };
-    const answer = await vms.maintain(call, order.wave);
-    this.#ordering.delete(order.vm);
-    if (!this.signal.aborted) {
-      planner.onAnswer(order, ANSWERS[answer], timers.mono());
+    const answer = await this.#give(order.vm, (call) => this.ctx.vms.maintain(call, order.wave));
+    if (answer !== undefined) {
+      this.ctx.planner.onAnswer(order, ANSWERS[answer], this.ctx.timers.mono());
       this.ctx.onChange();
     }
   }
 
   async #move(order: MoveOrder): Promise<void> {
-    if (this.#ordering.has(order.vm)) {
-      return;
-    }
-    this.#ordering.add(order.vm);
-    const { balancer, epoch, node, timers, vms } = this.ctx;
-    const call = { epoch, holder: node, limitMs: LIMIT_MS, signal: this.signal, vm: order.vm };
-    const answer = await vms.move(call, order.pool);
-    this.#ordering.delete(order.vm);
-    if (!this.signal.aborted) {
-      balancer.onAnswer(order, MOVE_ANSWERS[answer], timers.mono());
+    const answer = await this.#give(order.vm, (call) => this.ctx.vms.move(call, order.pool));
+    if (answer !== undefined) {
+      this.ctx.balancer.onAnswer(order, MOVE_ANSWERS[answer], this.ctx.timers.mono());
       this.ctx.onChange();
     }
   }
 
+  // The planners repeat an order that was not given. Its time is stored first, for a later term.
+  async #give(vm: string, send: (call: VmOrder) => Promise<VmAnswer>): Promise<VmAnswer | undefined> {
+    const { epoch, node, termLog, timers } = this.ctx;
+    if (this.#ordering.has(vm) || this.#orderTimes.isHeld(vm, timers.now(), this.ctx.leaseDurationMs)) {
+      return undefined;
+    }
+    this.#ordering.add(vm);
+    const stored = await termLog.append([OrderTimes.record(vm, timers.now())]);
+    const canSend = stored && this.ctx.isFresh();
+    const call = { epoch, holder: node, limitMs: LIMIT_MS, signal: this.signal, vm };
+    const answer = canSend ? await send(call) : undefined;
+    this.#ordering.delete(vm);
+    return this.signal.aborted ? undefined : answer;
+  }
+
   // The end of a wave is told once what it rests on is stored.
   async #tell(report: WaveReport): Promise<void> {
     if (!(await this.#stored)) {
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -304,8 +304,8 @@
     if (vms === undefined) {
       return;
     }
-    for (const key of this.start.otherKeys) {
-      this.#waves.restore(key);
+    for (const record of this.start.otherRecords) {
+      this.#waves.restore(record.key);
     }
     for (const asked of waves.values()) {
       this.onWave(asked);
@@ -316,6 +316,7 @@
         encodeReport: (report) => codec.encodeReport(report),
         epoch: this.start.epoch,
         isFresh: () => proofAge() < VM_FRESH_MS,
+        leaseDurationMs,
         log: this.#log,
         node,
         onChange: () => {
@@ -330,7 +331,7 @@
       },
       this.signal,
     );
-    loop.run(this.start.isFirst ? 0 : timers.mono() + leaseDurationMs);
+    loop.run(this.start.otherRecords);
   }
 
   #tick(): void {
