--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -12,3 +12,4 @@
 export * from './run-binary';
 export * from './timeout-signal';
 export * from './line-buffer';
+export * from './settings-watch';
