fix(node): tell callers soon that nothing was stored, and probe the store by reads

Change: a refused write is told after two tries, an unanswered one after 1 s, so that the caller can try another node; while appends fail, new requests are refused at once until reads succeed; limits for calls stop at 0.9 s.

--- a/packages/node/src/call-limit.ts
+++ b/packages/node/src/call-limit.ts
@@ -1,6 +1,6 @@
 /** Bounds of the limit for a call to the store, in ms. */
 const MIN_LIMIT_MS = 400;
-const MAX_LIMIT_MS = 1500;
+const MAX_LIMIT_MS = 900;
 
 /** Limit for a call as a multiple of the usual time. */
 const USUAL_TIMES = 8;
--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -56,8 +56,8 @@
 /** Age of the jobs' state above which an unknown id is not reported as gone, in ms. */
 const MAX_STATE_AGE_MS = 2500;
 
-/** Time after which callers should come back when the store is unavailable, in seconds. */
-const STORE_RETRY_S = 1;
+/** Time after which callers should come back when the store is unavailable, in seconds: outages take some. */
+const STORE_RETRY_S = 2;
 
 /** Serves callers: accepts, cancels and shows jobs. */
 export class CallerService {
@@ -88,7 +88,7 @@
     if (this.jobs.get(id)?.job !== undefined) {
       return this.#answer(id, { kind: CALLER_ANSWER.accepted });
     }
-    if (!this.writer.healthy && this.tail.okSince === undefined) {
+    if (!this.writer.isPromising(this.tail.okSince !== undefined)) {
       return this.#answer(id, this.#storeUnavailable());
     }
     const job = { acceptedAt: this.timers.now(), id, pool: queue.pool, queue: queue.name, spec: spec.value };
--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -21,11 +21,24 @@
   /** Monotonic time after which the writer gives the record up, in ms. */
   deadline: number;
   done: (outcome: WriteOutcome) => void;
+  /** Appends that failed with the record. */
+  failures: number;
   /** An append with the record had no answer. */
   maybeStored: boolean;
+  /** The record is tried until its deadline, also while the store refuses it. */
+  persistent: boolean;
   record: JobRecord;
 }
 
+/** Longest time for which a caller waits for a write: another node may reach the store, in ms. */
+const MAX_WRITE_MS = 1000;
+
+/** Refused appends after which a caller is told. */
+const MAX_REFUSALS = 2;
+
+/** Period of trying to write while the store does not answer, in ms. */
+const PROBE_MS = 250;
+
 /** Pause after an append that failed, in ms. */
 const RETRY_MS = 60;
 
@@ -38,6 +51,7 @@
   readonly #limit = new CallLimit();
   #healthy = true;
   readonly #queue: Item[] = [];
+  #triedAt = -Infinity;
 
   constructor(
     private readonly stream: KeyedStream,
@@ -52,10 +66,27 @@
     return this.#healthy;
   }
 
-  /** Writes a record until a monotonic time in ms. */
+  /**
+   * Whether a record that is written now may well be stored. After a failure one in a while is tried,
+   * once the store answers reads again.
+   */
+  isPromising(canRead: boolean): boolean {
+    return this.#healthy || (canRead && this.timers.mono() - this.#triedAt > PROBE_MS);
+  }
+
+  /** Tries a record a few times; says soon when it was surely not stored, and `unknown` after a while. */
   write(record: JobRecord, deadline: number): Promise<WriteOutcome> {
+    return this.#add(record, Math.min(deadline, this.timers.mono() + MAX_WRITE_MS), false);
+  }
+
+  /** Writes a record until a monotonic time in ms, through outages. */
+  writePersistently(record: JobRecord, deadline: number): Promise<WriteOutcome> {
+    return this.#add(record, deadline, true);
+  }
+
+  #add(record: JobRecord, deadline: number, persistent: boolean): Promise<WriteOutcome> {
     return new Promise((resolve) => {
-      this.#queue.push({ deadline, done: resolve, maybeStored: false, record });
+      this.#queue.push({ deadline, done: resolve, failures: 0, maybeStored: false, persistent, record });
       if (!this.#busy) {
         this.#busy = true;
         void this.#run();
@@ -79,6 +110,7 @@
   // Gives the items that are to be tried again.
   async #append(batch: Item[]): Promise<Item[]> {
     const startedAt = this.timers.mono();
+    this.#triedAt = startedAt;
     const records = batch.flatMap((item) => encodeJobRecord(item.record));
     const appended = await this.stream.append({ limitMs: this.#limit.ms, records, signal: this.signal });
     if (appended.isOk()) {
@@ -91,6 +123,9 @@
       return [];
     }
     this.#report(false, appended.error.message);
+    for (const item of batch) {
+      item.failures += 1;
+    }
     if (appended.error.kind === STORE_FAILURE.lost) {
       this.#limit.missed();
       for (const item of batch) {
@@ -102,7 +137,9 @@
 
   #dropLate(): void {
     const now = this.timers.mono();
-    for (const item of this.#queue.filter((waiting) => waiting.deadline <= now)) {
+    const isOver = (item: Item): boolean =>
+      item.deadline <= now || (!item.persistent && !item.maybeStored && item.failures >= MAX_REFUSALS);
+    for (const item of this.#queue.filter(isOver)) {
       this.#queue.splice(this.#queue.indexOf(item), 1);
       item.done(item.maybeStored ? WRITE_OUTCOME.unknown : WRITE_OUTCOME.refused);
     }
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -196,7 +196,7 @@
     const record: LeaderRecord = { epoch, kind: JOB_RECORD.leader, node: this.settings.node, released };
     const askedAt = this.timers.mono();
     const askedWall = this.timers.now();
-    const outcome = await this.writer.write(record, askedAt + this.settings.silenceMs);
+    const outcome = await this.writer.writePersistently(record, askedAt + this.settings.silenceMs);
     if (outcome !== WRITE_OUTCOME.stored) {
       return false;
     }
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -386,7 +386,7 @@
 
   async #tell(record: StateRecord): Promise<void> {
     const { timers, writer } = this.ctx;
-    const outcome = await writer.write(record, timers.mono() + STATE_WRITE_MS);
+    const outcome = await writer.writePersistently(record, timers.mono() + STATE_WRITE_MS);
     if (outcome === WRITE_OUTCOME.stored && record.state !== 'running' && !this.signal.aborted) {
       this.#scheduler.onEndStored(record.id);
       this.#planSoon();
--- /dev/null
+++ b/packages/node/tests/term-log.test.ts
@@ -0,0 +1,44 @@
+import { SystemTimerService } from '@sequoiaquay/runtime';
+import { describe, expect, it } from 'vitest';
+import type { AppendFault } from './support/memory-stream';
+import { TermLog } from '../src/term-log';
+import { MemoryStream } from './support/memory-stream';
+
+const RECORD = { key: 't.j.0.0.0', value: '1' };
+
+function make(...faults: AppendFault[]): { log: TermLog; lost: string[]; stream: MemoryStream } {
+  const stream = new MemoryStream();
+  stream.faults = faults;
+  const lost: string[] = [];
+  const stop = new AbortController();
+  const onLost = (reason: string): void => {
+    lost.push(reason);
+    stop.abort();
+  };
+  return { log: new TermLog(stream, 0, onLost, new SystemTimerService(), stop.signal), lost, stream };
+}
+
+describe('TermLog', () => {
+  it('recognises its own append when the answer was lost, and stores it once', async () => {
+    const { log, lost, stream } = make('lost-after');
+    expect(await log.append([RECORD])).toBe(true);
+    expect(stream.records).toHaveLength(1);
+    expect(lost).toEqual([]);
+  });
+
+  it('ends the term when another leader has written, also after an append without an answer', async () => {
+    const { log, lost, stream } = make('lost-before');
+    const done = log.append([RECORD]);
+    stream.records.push({ key: 'leader', offset: 0, value: 'other' });
+    expect(await done).toBe(false);
+    expect(lost).toHaveLength(1);
+  });
+
+  it('stores nothing more after the term has ended', async () => {
+    const { log, stream } = make();
+    stream.records.push({ key: 'leader', offset: 0, value: 'other' });
+    expect(await log.append([RECORD])).toBe(false);
+    expect(await log.append([RECORD])).toBe(false);
+    expect(stream.records).toHaveLength(1);
+  });
+});
