feat(node): counters and latency histograms on the metrics address

Requests by answer, calls to the store by outcome, decisions of the leader by kind, waits for the first run, ages and versions.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,6 +13,7 @@
   VmListClient,
 } from '@sequoiaquay/platform';
 import { closeServer, EventRing, listen, Metrics, mountRpc, timeoutSignal } from '@sequoiaquay/runtime';
+import { LatencyHistograms } from '@sequoiaquay/runtime';
 import { Hono } from 'hono';
 import { setMaxListeners } from 'node:events';
 import type { EntrySettings } from './entry-settings';
@@ -30,7 +31,6 @@
 import { HolderInquiry } from './holder-inquiry';
 import { InFlight } from './in-flight';
 import { KeptResults } from './kept-results';
-import { LatencyHistograms } from './latency-histograms';
 import { LeavingVms } from './leaving-vms';
 import { LeavingWatch } from './leaving-watch';
 import { JoinedMembers } from './live-members';
--- a/packages/entry/src/request-meter.ts
+++ b/packages/entry/src/request-meter.ts
@@ -1,5 +1,5 @@
 import type { EventRing, Metrics } from '@sequoiaquay/runtime';
-import type { LatencyHistograms } from './latency-histograms';
+import type { LatencyHistograms } from '@sequoiaquay/runtime';
 import type { CallerRefusal, CallerRefusalReason } from './refusal';
 
 /** Pool and job that a request names. */
@@ -103,7 +103,7 @@
   answered(req: MeteredRequest, ms: number): void {
     const names = { job: req.job, pool: req.pool };
     this.#requests.inc({ ...names, outcome: 'answered', reason: 'answered' });
-    this.latency.record(req.pool, req.job, ms);
+    this.latency.record({ job: req.job, pool: req.pool }, ms);
     this.ring.add(REQUEST_EVENT.answered, req.id, { ms: Math.round(ms) });
   }
 
--- a/packages/entry/tests/dispatcher.test.ts
+++ b/packages/entry/tests/dispatcher.test.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { EventRing, Metrics } from '@sequoiaquay/runtime';
+import { LatencyHistograms } from '@sequoiaquay/runtime';
 import { err, ok } from 'neverthrow';
 import { createServer } from 'node:http';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -9,7 +10,6 @@
 import type { RequestPlan } from '../src/request-plan';
 import { ByteBudget } from '../src/byte-budget';
 import { RequestDispatcher } from '../src/dispatcher';
-import { LatencyHistograms } from '../src/latency-histograms';
 import { LeavingVms } from '../src/leaving-vms';
 import { PauseGuard } from '../src/pause-guard';
 import { RequestMeter } from '../src/request-meter';
--- a/packages/entry/tests/request-meter.test.ts
+++ b/packages/entry/tests/request-meter.test.ts
@@ -1,6 +1,6 @@
 import { EventRing, Metrics, SystemTimerService } from '@sequoiaquay/runtime';
+import { LatencyHistograms } from '@sequoiaquay/runtime';
 import { expect, it } from 'vitest';
-import { LatencyHistograms } from '../src/latency-histograms';
 import { RequestMeter } from '../src/request-meter';
 
 const REQUEST = { id: 'r1', job: 'quote', pool: 'bookings' };
--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'neverthrow';
 import { findQueue, JOB_RECORD, JOB_STATE } from '@sequoiaquay/core/jobs';
 import type { JobWriter } from './job-writer';
+import type { NodeMetrics } from './node-metrics';
 import type { StreamTail } from './stream-tail';
 import { WRITE_OUTCOME } from './job-writer';
 
@@ -69,11 +70,16 @@
     private readonly writer: JobWriter,
     private readonly timers: TimerService,
     private readonly log: Logger,
+    private readonly metrics: NodeMetrics,
     private readonly signal: AbortSignal,
   ) {}
 
   /** Accepts a job once it is stored. */
-  async submit(req: CallerRequest, spec: Result<JobSpec, string>): Promise<CallerAnswer> {
+  submit(req: CallerRequest, spec: Result<JobSpec, string>): Promise<CallerAnswer> {
+    return this.#measure('submit', this.#submit(req, spec));
+  }
+
+  async #submit(req: CallerRequest, spec: Result<JobSpec, string>): Promise<CallerAnswer> {
     const place = this.#place(req);
     if ('kind' in place) {
       return place;
@@ -97,7 +103,11 @@
   }
 
   /** Cancels a job once that is stored. */
-  async cancel(req: CallerRequest): Promise<CallerAnswer> {
+  cancel(req: CallerRequest): Promise<CallerAnswer> {
+    return this.#measure('cancel', this.#cancel(req));
+  }
+
+  async #cancel(req: CallerRequest): Promise<CallerAnswer> {
     const place = this.#place(req);
     if ('kind' in place) {
       return place;
@@ -118,7 +128,11 @@
   }
 
   /** Shows the state of a job, or how many jobs of a queue wait. */
-  async show(req: CallerRequest): Promise<CallerAnswer> {
+  show(req: CallerRequest): Promise<CallerAnswer> {
+    return this.#measure('show', this.#show(req));
+  }
+
+  async #show(req: CallerRequest): Promise<CallerAnswer> {
     const place = this.#place(req);
     if ('kind' in place) {
       return place;
@@ -134,6 +148,13 @@
     return state === undefined ? this.#unknownJob() : { kind: CALLER_ANSWER.state, state };
   }
 
+  async #measure(call: string, answered: Promise<CallerAnswer>): Promise<CallerAnswer> {
+    const startedAt = this.timers.mono();
+    const answer = await answered;
+    this.metrics.onRequest(call, answer.kind, this.timers.mono() - startedAt);
+    return answer;
+  }
+
   #place(
     req: CallerRequest,
   ): CallerAnswer | { id: string | undefined; queue: FleetConfig['queues'][number]; rest: string } {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -2,6 +2,7 @@
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { decodeJobRecord, JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
 import { setMaxListeners } from 'node:events';
+import type { NodeMetrics, NodeValues } from './node-metrics';
 import type { NodeSettings } from './node-settings';
 import type { AdviceService } from './ports/advice-service';
 import type { FleetCodec } from './ports/fleet-feed';
@@ -60,6 +61,7 @@
     private readonly ports: NodePorts,
     private readonly timers: TimerService,
     private readonly log: Logger,
+    private readonly metrics: NodeMetrics,
   ) {
     const { signal } = this.#abort;
     setMaxListeners(0, signal);
@@ -92,7 +94,7 @@
       log,
       signal,
     );
-    this.callers = new CallerService(this.#jobs, this.#jobsTail, this.#writer, timers, log, signal);
+    this.callers = new CallerService(this.#jobs, this.#jobsTail, this.#writer, timers, log, metrics, signal);
     this.#leadership = new Leadership(
       { ...LEADERSHIP, node: cfg.name },
       ports.runs,
@@ -109,6 +111,21 @@
     return !this.#stopping && this.callers.cfg !== undefined && this.#jobsTail.age() < READY_AGE_MS;
   }
 
+  /** Values for the metrics. */
+  values(linesDropped: () => number): NodeValues {
+    return {
+      cfgVersion: () => this.callers.cfg?.version,
+      jobsKnown: () => this.#jobs.size,
+      linesDropped,
+      ownEpoch: () => this.#leadership.ownEpoch,
+      stateAgeMs: () => this.#jobsTail.age(),
+      waiting: () => {
+        const queues = this.callers.cfg?.queues ?? [];
+        return new Map(queues.map((queue) => [queue.name, this.#jobs.waiting(queue.name)]));
+      },
+    };
+  }
+
   /** Whether the node is to end. */
   get stopping(): boolean {
     return this.#stopping;
@@ -146,6 +163,7 @@
       jobsTail: this.#jobsTail,
       link: ports.link,
       log: this.log,
+      metrics: this.metrics,
       leaseDurationMs: this.cfg.bounds.leaseDurationMs,
       maxLeaseMs: this.cfg.bounds.maxLeaseMs,
       node: this.cfg.name,
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -24,6 +24,7 @@
 import { ChangeLog } from '@sequoiaquay/runtime';
 import type { JobWriter } from './job-writer';
 import type { TermStart } from './leadership';
+import type { NodeMetrics } from './node-metrics';
 import type { AdviceService } from './ports/advice-service';
 import type { FleetCodec } from './ports/fleet-feed';
 import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
@@ -55,6 +56,7 @@
   log: Logger;
   /** Longest lease that workers give, in ms. */
   maxLeaseMs: number;
+  metrics: NodeMetrics;
   /** Name of this node. */
   node: string;
   /** Time since this node last proved that it leads, in ms. */
@@ -129,16 +131,15 @@
       this.#planSoon();
     };
     this.#advice = new AdviceBook(ctx.advice, onAdvice, timers, this.#log, signal);
+    const logDecision = (decision: string, data: Record<string, unknown>): void => {
+      ctx.metrics.onDecision(decision, data);
+      this.#log.info(data, decision);
+    };
     this.#scheduler = new Scheduler(
       { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: this.#earlierLeasesEndAt() },
-      (decision, data) => {
-        this.#log.info(data, decision);
-      },
+      logDecision,
       (queue, step, workers) => this.#advice.allowed(queue, step, workers),
     );
-    const logDecision = (decision: string, data: Record<string, unknown>): void => {
-      this.#log.info(data, decision);
-    };
     this.#balancer = new PoolBalancer(this.#scheduler, logDecision);
     this.#waves = new WavePlanner(this.#scheduler, logDecision);
   }
@@ -385,7 +386,11 @@
   }
 
   async #tell(record: StateRecord): Promise<void> {
-    const { timers, writer } = this.ctx;
+    const { metrics, timers, writer } = this.ctx;
+    const run = this.#scheduler.jobs.get(record.id);
+    if (record.state === 'running' && run !== undefined) {
+      metrics.onFirstRun(run.job.queue, timers.now() - run.job.acceptedAt);
+    }
     const outcome = await writer.writePersistently(record, timers.mono() + STATE_WRITE_MS);
     if (outcome === WRITE_OUTCOME.stored && record.state !== 'running' && !this.signal.aborted) {
       this.#scheduler.onEndStored(record.id);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -13,3 +13,4 @@
 export * from './timeout-signal';
 export * from './line-buffer';
 export * from './settings-watch';
+export * from './latency-histograms';
