feat(core): move runs that stand still or whose worker leaves, and pace what fills idle time

Cause: tasks on some workers stand still while their reports look healthy, tasks that last went down with a worker that had announced its end, and nothing kept tasks that fill idle time from disturbing those that serve users.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -6,6 +6,7 @@
 export * from './job-run';
 export * from './job-spec';
 export * from './job-table';
+export * from './pacing';
 export * from './placement';
 export * from './pool-load';
 export * from './run-record';
--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -1,4 +1,5 @@
 import type { KeyedRecord, StateRecord } from './job-record';
+import type { PaceOrder } from './pacing';
 import type { Task } from './task';
 import type { Worker } from './worker';
 
@@ -28,6 +29,8 @@
 /** What the leader does next. */
 export interface Plan {
   ends: StoredEnds[];
+  /** To be sent at once. */
+  paces: PaceOrder[];
   /** To be stored before anything else of the plan is done, but for the stops. */
   records: KeyedRecord[];
   starts: StartOrder[];
@@ -43,6 +46,7 @@
   evacuated: 'run-moved',
   jobEnded: 'job-ended',
   lost: 'run-lost',
+  paced: 'run-paced',
   orderRefused: 'order-refused',
   stopped: 'run-stop-ordered',
   workerFound: 'worker-found',
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -11,6 +11,7 @@
 import type { EndRow, RunningRow, StartAnswer, WorkerReport } from './worker-report';
 import { JOB_RECORD } from './job-record';
 import { JobRun } from './job-run';
+import { paceFillers } from './pacing';
 import { chooseForGang, chooseWorker } from './placement';
 import { loadOf } from './pool-load';
 import { PoolState } from './pool-state';
@@ -18,6 +19,7 @@
 import { encodeTaskRecord, forgetTaskRecord } from './run-record';
 import { RunTimes } from './run-times';
 import { DECISION } from './scheduler-output';
+import { leavingWith, standingStill } from './standstill';
 import { parseTaskName } from './task-name';
 import { Worker } from './worker';
 import { RUN_END, START_ANSWER } from './worker-report';
@@ -164,6 +166,7 @@
     for (const task of worker.runs.values()) {
       this.#tellRunning(task.job);
     }
+    this.#pace(worker);
     this.#pool(worker.info.pool).dirty = true;
     this.#dropIfIdle(worker);
   }
@@ -233,6 +236,7 @@
       if (now > worker.leaseEndsAt) {
         this.#onLeaseEnd(worker, now);
       }
+      this.#moveStalled(worker, now);
     }
     for (const run of this.#jobs.values()) {
       if (run.addDue(wallNow)) {
@@ -449,6 +453,28 @@
     }
   }
 
+  #pace(worker: Worker): void {
+    for (const order of paceFillers(worker)) {
+      this.#out.paces.push(order);
+      this.log(DECISION.paced, { percent: order.percent, run: order.run, task: order.task });
+    }
+  }
+
+  // A worker on which runs stand still gets none for a while.
+  #moveStalled(worker: Worker, now: number): void {
+    const stalled = standingStill(worker, now);
+    for (const task of stalled) {
+      this.moveAway(task, 'no-progress', now);
+    }
+    if (stalled.length > 0) {
+      worker.pausedUntil = now + this.settings.setAsideMs;
+      this.log(DECISION.workerPaused, { stalled: stalled.length, worker: worker.info.id });
+    }
+    for (const task of leavingWith(worker)) {
+      this.moveAway(task, 'worker-leaves', now);
+    }
+  }
+
   #stopStray(worker: Worker, row: RunningRow): void {
     this.#out.stops.push({ run: row.run, task: row.task, worker });
     this.log(DECISION.stopped, {
@@ -618,5 +644,5 @@
 }
 
 function emptyPlan(): Plan {
-  return { ends: [], records: [], starts: [], states: [], stops: [] };
+  return { ends: [], paces: [], records: [], starts: [], states: [], stops: [] };
 }
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -256,6 +256,59 @@
     expect(canBeMissed(first.task, harness.now)).toBe(false);
   });
 
+  it('moves a run that makes no progress to another worker', () => {
+    const harness = new Harness('a', 'b');
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    const [order] = harness.start();
+    const id = order?.worker.info.id ?? '';
+    for (let at = 0; at < 4; at += 1) {
+      harness.now += 900;
+      order?.worker.extendLease(harness.now, 10_000);
+      harness.report(id, report([['j.0.0.0', 1]]));
+    }
+    harness.scheduler.tick(harness.now, 0);
+    expect(harness.plan().stops).toMatchObject([{ run: 1, task: 'j.0.0.0' }]);
+    harness.report(id, report([], [[1, 'j.0.0.0', 1, 'stopped']]));
+    const [next] = harness.plan().starts;
+    expect(next?.run).toBe(2);
+    expect(next?.worker).not.toBe(order?.worker);
+  });
+
+  it('moves tasks that last away from a worker that leaves', () => {
+    const harness = new Harness('a', 'b');
+    harness.scheduler.onJob(job('j', [step({ longRunning: true })]), [], harness.now, 0);
+    const [order] = harness.start();
+    const id = order?.worker.info.id ?? '';
+    harness.report(id, report([['j.0.0.0', 1]]));
+    harness.scheduler.onWorker(worker(id, { draining: true }), harness.now);
+    harness.scheduler.tick(harness.now, 0);
+    expect(harness.plan().stops).toHaveLength(1);
+  });
+
+  it('stops what fills idle time while a task beside it misses its target, and lets it on again', () => {
+    const harness = new Harness('a');
+    const steps = [
+      step({ longRunning: true, tailTargetMs: 100 }),
+      step({ fillsIdle: true, longRunning: true }),
+    ];
+    harness.scheduler.onJob(job('j', steps), [], harness.now, 0);
+    harness.start();
+    const withTail = (load: number): ReturnType<typeof report> => {
+      const made = report([
+        ['j.0.0.0', 1],
+        ['j.0.1.0', 1],
+      ]);
+      for (const row of made.running) {
+        row.load = row.task === 'j.0.0.0' ? load : 0;
+      }
+      return made;
+    };
+    harness.report('a', withTail(150));
+    expect(harness.plan().paces).toMatchObject([{ percent: 0, task: 'j.0.1.0' }]);
+    harness.report('a', withTail(30));
+    expect(harness.plan().paces).toMatchObject([{ percent: 15 }]);
+  });
+
   it('assigns nothing to a worker that drains', () => {
     const harness = new Harness('a');
     harness.scheduler.onWorker(worker('a', { draining: true }), harness.now);
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -109,10 +109,10 @@
   const gauge = (name: string, help: string, read: () => number | undefined): void => {
     metrics.readGauge({ help, labels: [], name: `sequoiaquay_${name}` }, () => single(read()));
   };
-  gauge('config_version', 'Version of the configuration in force', values.cfgVersion);
+  gauge('config_version', 'Version of the configuration in force; 0 before the first', values.cfgVersion);
   gauge('jobs_known', 'Jobs that the node knows', values.jobsKnown);
   gauge('log_lines_dropped', 'Log lines left out since the start', values.linesDropped);
-  gauge('leader_epoch', 'Term that the node leads; absent on others', values.ownEpoch);
+  gauge('leader_epoch', 'Term that the node leads; 0 while it does not lead', values.ownEpoch);
   gauge('state_age_seconds', 'Age of what the node knows of the jobs', () => values.stateAgeMs() / 1000);
   metrics.readGauge(
     { help: 'Jobs without a started task', labels: ['queue'], name: 'sequoiaquay_jobs_waiting' },
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -2,6 +2,7 @@
   FleetConfig,
   JobEntry,
   JobTable,
+  PaceOrder,
   Plan,
   StartOrder,
   StateRecord,
@@ -101,6 +102,9 @@
 const REGISTRY_WAIT_MS = 1000;
 const REGISTRY_RETRY_MS = 150;
 
+/** Stands for a share that differs from any that is ordered. */
+const UNKNOWN_PACE = 1;
+
 const SCHEDULER_SETTINGS = { refusedPauseMs: 1000, roomPauseMs: 150, setAsideAfter: 3, setAsideMs: 4000 };
 
 /** One term as leader: feeds the scheduler and carries out its plans. */
@@ -364,6 +368,9 @@
     for (const stop of plan.stops) {
       void this.#sendStop(stop);
     }
+    for (const pace of plan.paces) {
+      void this.#sendPace(pace);
+    }
     void this.#carryOut(plan);
   }
 
@@ -433,6 +440,17 @@
     this.#planSoon();
   }
 
+  async #sendPace(order: PaceOrder): Promise<void> {
+    const { percent, run, task, worker } = order;
+    const context = { epoch: this.start.epoch, limitMs: ORDER_LIMIT_MS, signal: this.signal };
+    const res = await this.ctx.link.pace({ ...context, percent, run, task, worker: worker.info });
+    const current = worker.runs.get(task);
+    // Without an answer the share is not known, and the next report sets it again.
+    if (res.isErr() && current?.run === run) {
+      current.pacePercent = UNKNOWN_PACE;
+    }
+  }
+
   async #sendStop(order: StopOrder): Promise<void> {
     const { link, timers } = this.ctx;
     if (order.worker.info.address === '') {
