--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -41,6 +41,8 @@
 /** Age of the state above which a node reports that it is not ready, in ms. */
 const READY_AGE_MS = 2500;
 
+const SECOND_MS = 1000;
+
 const LEADERSHIP = { heartbeatMs: 500, limitMs: 1000, silenceMs: 1600, spreadMs: 250 };
 
 /** A node: serves callers, and leads when no other node does. */
@@ -170,6 +172,7 @@
       proofAge: () => this.#leadership.proofAge,
       registry: ports.registry,
       runs: ports.runs,
+      stateKeptMs: this.cfg.bounds.stateKeptS * SECOND_MS,
       status: ports.status,
       timers: this.timers,
       vms: ports.vms,
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -2,11 +2,8 @@
   FleetConfig,
   JobEntry,
   JobTable,
-  PaceOrder,
   Plan,
-  StartOrder,
   StateRecord,
-  StopOrder,
   TaskRecord,
   Wave,
   Worker,
@@ -15,11 +12,12 @@
 import {
   forgetTaskRecord,
   isEnded,
+  JOB_RECORD,
+  JobRetention,
   longestLeaseMs,
   parseTaskName,
   PoolBalancer,
   Scheduler,
-  START_ANSWER,
   WavePlanner,
 } from '@sequoiaquay/core/jobs';
 import { ChangeLog } from '@sequoiaquay/runtime';
@@ -34,6 +32,7 @@
 import { AdviceBook } from './advice-book';
 import { WRITE_OUTCOME } from './job-writer';
 import { MaintenanceLoop } from './maintenance-loop';
+import { OrderSender } from './order-sender';
 import { StreamTail } from './stream-tail';
 import { TermLog } from './term-log';
 import { WorkerLoop } from './worker-loop';
@@ -64,6 +63,8 @@
   proofAge: () => number;
   registry: KeyedStream;
   runs: KeyedStream;
+  /** Time for which the state of an ended job is kept, in ms. */
+  stateKeptMs: number;
   status: KeyedStream;
   timers: TimerService;
   vms: VmService | undefined;
@@ -81,15 +82,15 @@
 /** Age of the proof above which a leader gives no orders for VMs, in ms: no other has taken over yet. */
 const VM_FRESH_MS = 1200;
 
+/** Period of looking for ended jobs whose state need not be kept, in ms. */
+const RETENTION_PERIOD_MS = 5000;
+
 /** Period of the scheduler's clock, in ms. */
 const TICK_MS = 100;
 
 /** Time for which events are collected before tasks are assigned, in ms. */
 const COLLECT_MS = 2;
 
-/** Limit for an order to a worker, in ms. */
-const ORDER_LIMIT_MS = 800;
-
 /** Time that an append may take before no more tasks are assigned, in ms. */
 const SLOW_STORE_MS = 300;
 
@@ -102,9 +103,6 @@
 const REGISTRY_WAIT_MS = 1000;
 const REGISTRY_RETRY_MS = 150;
 
-/** Stands for a share that differs from any that is ordered. */
-const UNKNOWN_PACE = 1;
-
 const SCHEDULER_SETTINGS = { refusedPauseMs: 1000, roomPauseMs: 150, setAsideAfter: 3, setAsideMs: 4000 };
 
 /** One term as leader: feeds the scheduler and carries out its plans. */
@@ -116,7 +114,9 @@
   readonly #loops = new Map<Worker, WorkerLoop>();
   #planned = false;
   #ready = false;
+  readonly #retention: JobRetention;
   readonly #scheduler: Scheduler;
+  readonly #sender: OrderSender;
   readonly #termLog: TermLog;
   readonly #waves: WavePlanner;
 
@@ -144,6 +144,23 @@
       logDecision,
       (queue, step, workers) => this.#advice.allowed(queue, step, workers),
     );
+    this.#retention = new JobRetention(ctx.stateKeptMs);
+    this.#sender = new OrderSender(
+      {
+        epoch: start.epoch,
+        leaseMs: this.#leaseMs,
+        link: ctx.link,
+        onAnswer: (worker) => {
+          this.#loops.get(worker)?.wake();
+          this.#planSoon();
+        },
+        onFenced: onLost,
+        permit: (task, workerId) => this.#advice.permit(task, workerId),
+        scheduler: this.#scheduler,
+        timers,
+      },
+      signal,
+    );
     this.#balancer = new PoolBalancer(this.#scheduler, logDecision);
     this.#waves = new WavePlanner(this.#scheduler, logDecision);
   }
@@ -189,6 +206,13 @@
       },
       this.signal,
     );
+    this.ctx.timers.every(
+      RETENTION_PERIOD_MS,
+      () => {
+        this.#forgetOldJobs();
+      },
+      this.signal,
+    );
     this.#planSoon();
     await new Promise<void>((resolve) => {
       this.signal.addEventListener('abort', () => {
@@ -339,6 +363,13 @@
     loop.run(this.start.otherRecords);
   }
 
+  #forgetOldJobs(): void {
+    const { jobs, timers, writer } = this.ctx;
+    for (const id of this.#retention.due(jobs, timers.mono())) {
+      void writer.write({ id, kind: JOB_RECORD.forget }, timers.mono() + RETENTION_PERIOD_MS);
+    }
+  }
+
   #tick(): void {
     const { timers } = this.ctx;
     this.#scheduler.tick(timers.mono(), timers.now());
@@ -366,10 +397,10 @@
     const canAssign = this.#termLog.delayMs < SLOW_STORE_MS;
     const plan = this.#scheduler.plan(timers.mono(), timers.now(), canAssign);
     for (const stop of plan.stops) {
-      void this.#sendStop(stop);
+      void this.#sender.stop(stop);
     }
     for (const pace of plan.paces) {
-      void this.#sendPace(pace);
+      void this.#sender.pace(pace);
     }
     void this.#carryOut(plan);
   }
@@ -388,7 +419,7 @@
       void this.#tell(state);
     }
     for (const order of plan.starts) {
-      void this.#sendStart(order);
+      void this.#sender.start(order);
     }
   }
 
@@ -404,71 +435,6 @@
       this.#planSoon();
     }
   }
-
-  async #sendStart(order: StartOrder): Promise<void> {
-    const { link, timers } = this.ctx;
-    const { run, task, worker } = order;
-    if (!this.#scheduler.isCurrent(order)) {
-      return;
-    }
-    const deadline = worker.extendLease(timers.mono(), this.#leaseMs);
-    if (deadline === undefined) {
-      this.#scheduler.onStartAnswer(order, START_ANSWER.refused, timers.mono());
-      return;
-    }
-    const answer = await link.start({
-      body: task.job.job.spec.body,
-      checkpoint: task.checkpoint,
-      deadline,
-      epoch: this.start.epoch,
-      limitMs: ORDER_LIMIT_MS,
-      run,
-      signal: this.signal,
-      task: task.name,
-      ticket: this.#advice.permit(task.name, worker.info.id),
-      worker: worker.info,
-    });
-    if (this.signal.aborted) {
-      return;
-    }
-    if (answer === START_ANSWER.fenced) {
-      this.onLost(`worker ${worker.info.id} has taken orders of a later term`);
-      return;
-    }
-    this.#scheduler.onStartAnswer(order, answer, timers.mono());
-    this.#loops.get(worker)?.wake();
-    this.#planSoon();
-  }
-
-  async #sendPace(order: PaceOrder): Promise<void> {
-    const { percent, run, task, worker } = order;
-    const context = { epoch: this.start.epoch, limitMs: ORDER_LIMIT_MS, signal: this.signal };
-    const res = await this.ctx.link.pace({ ...context, percent, run, task, worker: worker.info });
-    const current = worker.runs.get(task);
-    // Without an answer the share is not known, and the next report sets it again.
-    if (res.isErr() && current?.run === run) {
-      current.pacePercent = UNKNOWN_PACE;
-    }
-  }
-
-  async #sendStop(order: StopOrder): Promise<void> {
-    const { link, timers } = this.ctx;
-    if (order.worker.info.address === '') {
-      return;
-    }
-    const res = await link.stop({
-      epoch: this.start.epoch,
-      limitMs: ORDER_LIMIT_MS,
-      run: order.run,
-      signal: this.signal,
-      task: order.task,
-      worker: order.worker.info,
-    });
-    if (res.isOk()) {
-      this.#scheduler.onStopAnswer(order, timers.mono());
-      this.#loops.get(order.worker)?.wake();
-    }
-  }
 }
 
 function groupByJob(records: readonly TaskRecord[]): Map<string, TaskRecord[]> {
