--- a/packages/node/src/ports/worker-link.ts
+++ b/packages/node/src/ports/worker-link.ts
@@ -61,6 +61,8 @@
 
 /** Calls to the workers. */
 export interface WorkerLink {
+  /** Closes the connections to a worker that has left. */
+  forget: (worker: WorkerInfo) => void;
   pace: (call: PaceCall) => ResultAsync<void, LinkError>;
   report: (call: ReportCall) => ResultAsync<WorkerReport, LinkError>;
   start: (call: StartCall) => Promise<StartAnswer>;
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -300,7 +300,10 @@
         this.signal,
       );
       this.#loops.set(worker, loop);
-      void loop.run().then(() => this.#loops.delete(worker));
+      void loop.run().then(() => {
+        this.#loops.delete(worker);
+        link.forget(worker.info);
+      });
     }
   }
 
