feat(cli): merge logs of several processes by job, and document the node's settings

sequoiaquay-logs gives the chain of lines about a job, task, worker or VM over all processes. The schema of an address stood in three binaries and now stands once in the runtime; the node uses it too.

--- a/packages/cli/src/cli-settings.ts
+++ b/packages/cli/src/cli-settings.ts
@@ -1,21 +1,16 @@
 import type { Result } from 'neverthrow';
 import { describeProblems, nameSchema } from '@sequoiaquay/core';
-import { loadSettings, readSecret } from '@sequoiaquay/runtime';
+import { addressSchema, loadSettings, readSecret } from '@sequoiaquay/runtime';
 import { err, ok } from 'neverthrow';
 import { existsSync } from 'node:fs';
 import * as z from 'zod';
 import type { CliError } from './cli-error';
 import { usageError } from './cli-error';
 
-const address = z
-  .string()
-  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port')
-  .describe('IP address and port');
-
 /** Settings of the command line. Times in milliseconds. */
 export const cliSettingsSchema = z.strictObject({
   /** Controls, tried in turn. */
-  controls: z.array(address).min(1),
+  controls: z.array(addressSchema).min(1),
   /** Team whose settings the commands read and change. */
   team: nameSchema,
   /** Limit for one call to a control. */
--- a/packages/control/src/control-settings.ts
+++ b/packages/control/src/control-settings.ts
@@ -1,18 +1,14 @@
 import { nameSchema } from '@sequoiaquay/core';
+import { addressSchema } from '@sequoiaquay/runtime';
 import * as z from 'zod';
 
-const address = z
-  .string()
-  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port')
-  .describe('IP address and port');
-
 /** Settings of a control process. Times in milliseconds. */
 export const controlSettingsSchema = z.strictObject({
-  listen: address,
+  listen: addressSchema,
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   name: nameSchema,
   /** Controls of other entry VMs, as a source of state when the log is down. */
-  peers: z.array(address).default([]),
+  peers: z.array(addressSchema).default([]),
   platform: z.strictObject({
     addresses: z.array(z.url()).min(1),
     timeoutMs: z.int().min(100).default(6000),
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -1,29 +1,25 @@
 import { nameSchema } from '@sequoiaquay/core';
+import { addressSchema } from '@sequoiaquay/runtime';
 import * as z from 'zod';
 import { taskSettingsSchema } from './tasks/task-settings';
 
-const address = z
-  .string()
-  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'must be an IP address and a port')
-  .describe('IP address and port');
-
 /** Settings of an entry process. Times in milliseconds, sizes in bytes. */
 export const entrySettingsSchema = z.strictObject({
   /** Largest answer that is buffered whole. */
   bufferLimitBytes: z.int().min(1024).default(1_048_576),
   /** Controls to take the fleet state from, the one on this VM first. */
-  controls: z.array(address).min(1),
+  controls: z.array(addressSchema).min(1),
   /** Time for which an idempotency key is remembered. */
   keyWindowMs: z.int().min(1000).default(3_600_000),
-  listen: address,
+  listen: addressSchema,
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   /** Most bytes of request bodies held at a time; more are refused. */
   maxHeldBytes: z.int().min(1024).default(134_217_728),
   maxRequestBytes: z.int().min(1024).default(1_048_576),
   name: nameSchema,
   /** Address at which other entries reach `peerListen`, where that is another one. */
-  peerAdvertise: address.optional(),
-  peerListen: address,
+  peerAdvertise: addressSchema.optional(),
+  peerListen: addressSchema,
   platform: z.strictObject({
     addresses: z.array(z.url()).min(1),
     timeoutMs: z.int().min(100).default(6000),
--- a/packages/node/src/node-settings.ts
+++ b/packages/node/src/node-settings.ts
@@ -1,7 +1,6 @@
+import { addressSchema } from '@sequoiaquay/runtime';
 import * as z from 'zod';
 
-const addressSchema = z.string().regex(/^[^\s:]+:\d+$/, 'must be host:port');
-
 const positive = z.number().positive();
 
 /** Bounds of the platform that decisions depend on. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address-schema';
 export * from './change-log';
 export * from './event-ring';
 export * from './hlc';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,6 +9,7 @@
   sequoiaquay: 'packages/cli/src/main.ts',
   'sequoiaquay-control': 'packages/control/src/main.ts',
   'sequoiaquay-entry': 'packages/entry/src/main.ts',
+  'sequoiaquay-logs': 'packages/cli/src/logs-main.ts',
   'sequoiaquay-node': 'platform/src/main.ts',
   'stand-in-executor': 'packages/stand-ins/src/executor-main.ts',
   'stand-in-fault-proxy': 'packages/stand-ins/src/fault-proxy-main.ts',
--- a/tests/configuration-page.test.ts
+++ b/tests/configuration-page.test.ts
@@ -3,6 +3,7 @@
 import { controlSettingsSchema } from '@sequoiaquay/control';
 import { teamBranchSchema } from '@sequoiaquay/core';
 import { entrySettingsSchema } from '@sequoiaquay/entry';
+import { nodeSettingsSchema } from '@sequoiaquay/node';
 import { listOptions } from '@sequoiaquay/runtime';
 import { readFileSync } from 'node:fs';
 import { describe, expect, it } from 'vitest';
@@ -37,6 +38,7 @@
   it.each([
     ['Entry settings', entrySettingsSchema, ''],
     ['Control settings', controlSettingsSchema, ''],
+    ['Node settings', nodeSettingsSchema, ''],
     ['Command line settings', cliSettingsSchema, ''],
     ['Settings tree', teamBranchSchema, 'teams.<name>.'],
   ] as const)('lists exactly the options of the schema under "%s"', (heading, schema, prefix) => {
