--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -6,6 +6,7 @@
 import type { NodeMetrics } from './node-metrics';
 import type { StreamTail } from './stream-tail';
 import { WRITE_OUTCOME } from './job-writer';
+import { RecentIds } from './recent-ids';
 
 /** Kinds of answer to a caller. */
 export const CALLER_ANSWER = {
@@ -57,12 +58,17 @@
 /** Age of the jobs' state above which an unknown id is not reported as gone, in ms. */
 const MAX_STATE_AGE_MS = 2500;
 
+/** Most jobs of unknown outcome that are remembered. */
+const MAX_UNSURE = 10_000;
+
 /** Time after which callers should come back when the store is unavailable, in seconds: outages take some. */
 const STORE_RETRY_S = 2;
 
 /** Serves callers: accepts, cancels and shows jobs. */
 export class CallerService {
   cfg: FleetConfig | undefined;
+  /** Jobs that may have been stored without this node knowing it. */
+  readonly #unsure = new RecentIds(MAX_UNSURE);
 
   constructor(
     private readonly jobs: JobTable,
@@ -95,10 +101,16 @@
       return this.#answer(id, { kind: CALLER_ANSWER.accepted });
     }
     if (!this.writer.isPromising(this.tail.okSince !== undefined)) {
-      return this.#answer(id, this.#storeUnavailable());
+      return this.#answer(id, this.#notStored(id));
     }
     const job = { acceptedAt: this.timers.now(), id, pool: queue.pool, queue: queue.name, spec: spec.value };
     const outcome = await this.writer.write({ job, kind: JOB_RECORD.submit }, this.#writeUntil(req));
+    if (outcome === WRITE_OUTCOME.refused) {
+      return this.#answer(id, this.#notStored(id));
+    }
+    if (outcome === WRITE_OUTCOME.unknown) {
+      this.#unsure.add(id);
+    }
     return this.#answer(id, this.#toAnswer(outcome, CALLER_ANSWER.accepted));
   }
 
@@ -199,6 +211,11 @@
     return outcome === WRITE_OUTCOME.refused ? this.#storeUnavailable() : { kind: CALLER_ANSWER.unsure };
   }
 
+  // After an append without an answer the job may still run, whatever becomes of later requests for it.
+  #notStored(id: string): CallerAnswer {
+    return this.#unsure.has(id) ? { kind: CALLER_ANSWER.unsure } : this.#storeUnavailable();
+  }
+
   #storeUnavailable(): CallerAnswer {
     return { kind: CALLER_ANSWER.notRun, reason: REFUSAL.storeUnavailable, retryAfterS: STORE_RETRY_S };
   }
