fix(core): ask a worker before giving up what an earlier term assigned to it

The leader stopped at 13.0 s while the store was slow; the next one was ready at 17.6 s, when the leases of the term before counted as over, and gave runs up before its first report arrived, which listed them as done. Change: a lease that ended gives a run up only when the worker does not answer. Also: orders to start that had no answer are made void again in a new life of their worker, which knows of no order to stop.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -173,6 +173,7 @@
       return;
     }
     if (answer === START_ANSWER.silent) {
+      worker.noteUnanswered(order, now);
       task.advance('lose', now);
       worker.silent = true;
       return;
@@ -217,7 +218,8 @@
   /** Ends what can't run any more, starts due occurrences and releases runs whose lease has ended. */
   tick(now: number, wallNow: number): void {
     for (const worker of [...this.#ctx.workers.values()]) {
-      if (now > worker.leaseEndsAt) {
+      // A worker that answers tells itself what became of its runs.
+      if (now > worker.leaseEndsAt && (worker.silent || worker.gone)) {
         this.#onLeaseEnd(worker, now);
       }
       this.#moveStalled(worker, now);
@@ -307,6 +309,10 @@
     this.#ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
     worker.restart(info);
     worker.fenced = false;
+    // The new life knows of no order to stop, and would carry out a late order to start.
+    for (const order of worker.unanswered(now)) {
+      this.#ctx.out.stops.push({ ...order, worker });
+    }
     this.#onRestart(worker, now);
   }
 
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -26,6 +26,9 @@
   return leaseMs / SLOWEST_CLOCK + LEASE_MARGIN_MS;
 }
 
+/** Time after which an order without an answer is not carried out any more, in ms. */
+const LATE_ORDER_MS = 15_000;
+
 interface ClockReading {
   /** Monotonic time at which the answer with the reading arrived, in ms. */
   at: number;
@@ -59,6 +62,7 @@
   readonly runs = new Map<string, Task>();
   /** The last order had no answer. */
   silent = false;
+  #unanswered: { at: number; run: number; task: string }[] = [];
 
   constructor(info: WorkerInfo, leaseEndsAt: number) {
     this.info = info;
@@ -110,6 +114,17 @@
     return this.info.capacity.cpuMilli - this.reserved.cpuMilli;
   }
 
+  /** Notes an order to start that had no answer: it may be carried out later. */
+  noteUnanswered(order: { run: number; task: Task }, now: number): void {
+    this.#unanswered.push({ at: now, run: order.run, task: order.task.name });
+  }
+
+  /** Orders without an answer that may still be carried out. */
+  unanswered(now: number): { run: number; task: string }[] {
+    this.#unanswered = this.#unanswered.filter((order) => now - order.at < LATE_ORDER_MS);
+    return this.#unanswered.map(({ run, task }) => ({ run, task }));
+  }
+
   /** Takes a clock reading from an answer that arrived at a monotonic time. */
   readClock(value: number, at: number): void {
     this.#clock = { at, value };
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -210,6 +210,34 @@
     expect(harness.plan().starts).toMatchObject([{ run: 2 }]);
   });
 
+  it('asks a worker before it gives up what an earlier term had assigned to it', () => {
+    const harness = new Harness('b');
+    harness.scheduler.onWorker(worker('a'), harness.now);
+    const record = { checkpoint: '', failures: 0, run: 1, task: 'j.0.0.0', workerId: 'a' };
+    harness.scheduler.onJob(job('j', [step()]), [{ ...record, state: 'assigned' }], harness.now, 0);
+    harness.now = SETTINGS.earlierLeasesEndAt + 100;
+    harness.scheduler.tick(harness.now, 0);
+    expect(harness.plan().starts).toEqual([]);
+    harness.report('a', report([], [[1, 'j.0.0.0', 1, 'done']]));
+    const plan = harness.plan();
+    expect(plan.starts).toEqual([]);
+    expect(plan.states).toMatchObject([{ id: 'j', state: 'completed' }]);
+  });
+
+  it('makes an unanswered order void again in a new life of its worker', () => {
+    const harness = new Harness('a');
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    const [order] = harness.plan().starts;
+    if (order === undefined) {
+      throw new Error('nothing was started');
+    }
+    order.worker.extendLease(harness.now, 1000);
+    harness.scheduler.onStartAnswer(order, START_ANSWER.silent, harness.now);
+    harness.plan();
+    harness.scheduler.onWorker(worker('a', { bornAt: 2 }), harness.now);
+    expect(harness.plan().stops).toMatchObject([{ run: 1, task: 'j.0.0.0' }]);
+  });
+
   it('starts the members of a gang together or not at all', () => {
     const harness = new Harness('a');
     harness.scheduler.onJob(job('big', [step({ count: 5, gang: true })]), [], harness.now, 0);
