--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -52,9 +52,10 @@
     return this.#ctx.jobs;
   }
 
-  /** Loads of all pools at a monotonic time, in ms. */
+  /** Loads of the configured pools at a monotonic time, in ms. */
   loads(now: number): PoolLoad[] {
-    return [...this.#ctx.pools].map(([name, pool]) => loadOf(name, pool, now));
+    const configured = this.#ctx.cfg?.pools ?? [];
+    return configured.map(({ name }) => loadOf(name, this.#ctx.pool(name), now));
   }
 
   /** Takes a configuration. */
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -238,6 +238,15 @@
     expect(harness.plan().stops).toMatchObject([{ run: 1, task: 'j.0.0.0' }]);
   });
 
+  it('shows no pool for workers that only stored assignments tell of, so that no VM is moved there', () => {
+    const harness = new Harness('b');
+    const record = { checkpoint: '', failures: 0, run: 1, task: 'j.0.0.0', workerId: 'gone' };
+    harness.scheduler.onJob(job('j', [step()]), [{ ...record, state: 'assigned' }], harness.now, 0);
+    harness.now = SETTINGS.earlierLeasesEndAt + 100;
+    harness.scheduler.tick(harness.now, 0);
+    expect(harness.scheduler.loads(harness.now).map((load) => load.pool)).toEqual(['p']);
+  });
+
   it('starts the members of a gang together or not at all', () => {
     const harness = new Harness('a');
     harness.scheduler.onJob(job('big', [step({ count: 5, gang: true })]), [], harness.now, 0);
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -206,8 +206,9 @@
   }
 
   async #beginTerm(signal: AbortSignal): Promise<TermStart | undefined> {
+    const seen = this.#epochSeen;
     const loaded = await this.#loadRuns(signal);
-    if (loaded === undefined || this.#isNewTerm(loaded.termOffset + 1)) {
+    if (loaded === undefined || this.#isNewTerm(loaded.termOffset + 1, seen)) {
       return undefined;
     }
     const record = encodeTermRecord(this.settings.node, randomUUID());
@@ -235,13 +236,13 @@
     return { at: this.#signAt, released: this.#releasedAt !== undefined };
   }
 
-  // Another node has begun a term and not told yet: it counts as a sign of life, once.
-  #isNewTerm(epoch: number): boolean {
-    if (epoch <= this.#epochSeen) {
+  // Another node has begun a term since this one stood for the lead: that counts as a sign of life, once.
+  #isNewTerm(epoch: number, seen: number): boolean {
+    if (epoch <= seen) {
       return false;
     }
-    this.log.info({ epoch, seen: this.#epochSeen }, 'another node has just taken over');
-    this.#epochSeen = epoch;
+    this.log.info({ epoch, seen }, 'another node has just taken over');
+    this.#epochSeen = Math.max(this.#epochSeen, epoch);
     this.#releasedAt = undefined;
     this.#leaderSeen ??= '';
     this.#signAt = this.timers.mono();
