--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -43,7 +43,6 @@
 export const REFUSAL = {
   noConfiguration: 'no-configuration',
   stateNotCurrent: 'state-not-current',
-  stopping: 'stopping',
   storeUnavailable: 'store-unavailable',
 } as const;
 
--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -61,11 +61,6 @@
     private readonly signal: AbortSignal,
   ) {}
 
-  /** Whether the last append succeeded. */
-  get healthy(): boolean {
-    return this.#healthy;
-  }
-
   /**
    * Whether a record that is written now may well be stored. After a failure one in a while is tried,
    * once the store answers reads again.
--- a/packages/node/src/stream-tail.ts
+++ b/packages/node/src/stream-tail.ts
@@ -46,11 +46,6 @@
     return this.#loaded;
   }
 
-  /** Offset up to which all records have been read. */
-  get position(): number {
-    return this.#position;
-  }
-
   /** Monotonic time since which every read has succeeded, in ms; undefined after a failure. */
   get okSince(): number | undefined {
     return this.#okSince;
