refactor(node): read the newest records in one place

Cause: reading all pages of newest records stood twice, in the stream tail and in the leadership, the second without a test. Change: readNewest gives the records, the end of the first page and whether the stream changed meanwhile; the tail and the leadership decide what to make of it. Members of Leadership stand before its constructor, and its random delay has one parameter less. No change of behaviour meant.

--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -4,9 +4,10 @@
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { JobWriter } from './job-writer';
-import type { KeyedStream } from './ports/keyed-stream';
+import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
 import type { StreamTail } from './stream-tail';
 import { WRITE_OUTCOME } from './job-writer';
+import { readNewest } from './newest-records';
 import { STORE_FAILURE } from './ports/keyed-stream';
 
 /** Settings of the leadership. */
@@ -60,6 +61,11 @@
  * so that of several candidates one succeeds, and the offset of that record is the fencing token.
  */
 export class Leadership {
+  /** Fencing token of the term that this node leads; undefined while it does not lead. */
+  ownEpoch: number | undefined;
+
+  /** Monotonic time until which this node waits before it stands for the lead, in ms. */
+  #candidateUntil: number | undefined;
   #epochSeen = 0;
   #leaderSeen: string | undefined;
   #provenAt = -Infinity;
@@ -81,9 +87,6 @@
     this.#signAt = timers.mono();
   }
 
-  /** Fencing token of the term that this node leads; undefined while it does not lead. */
-  ownEpoch: number | undefined;
-
   /**
    * Time since this node last proved that it leads, in ms, by the clock that shows the longer time. The
    * proof is a stored sign of life: who takes over has seen it, and knows how long this node may act.
@@ -129,21 +132,19 @@
       return false;
     }
     if (this.#leaderSeen === undefined || this.#releasedAt !== undefined) {
-      return this.#delayOnce(now, 0);
+      return this.#hasWaited(now);
     }
     const silentFor = now - Math.max(this.#signAt, okSince);
-    return silentFor > this.settings.silenceMs && this.#delayOnce(now, 0);
+    return silentFor > this.settings.silenceMs && this.#hasWaited(now);
   }
 
   // Candidates wait different times, so that one of them is usually alone.
-  #candidateSince: number | undefined;
-
-  #delayOnce(now: number, extraMs: number): boolean {
-    this.#candidateSince ??= now + extraMs + Math.random() * this.settings.spreadMs;
-    if (now < this.#candidateSince) {
+  #hasWaited(now: number): boolean {
+    this.#candidateUntil ??= now + Math.random() * this.settings.spreadMs;
+    if (now < this.#candidateUntil) {
       return false;
     }
-    this.#candidateSince = undefined;
+    this.#candidateUntil = undefined;
     return true;
   }
 
@@ -227,7 +228,6 @@
       ...loaded,
       lastSign: this.#lastSign(),
       epoch: loaded.end + 1,
-
       runsEnd: loaded.end + 1,
     };
   }
@@ -255,36 +255,30 @@
   }
 
   async #loadRuns(signal: AbortSignal): Promise<LoadedRuns | undefined> {
-    const otherRecords: KeyedRecord[] = [];
-    const tasks: TaskRecord[] = [];
-    let end: number | undefined;
-    let termOffset = -1;
-    let after: string | undefined;
-    let hasMore = true;
-    while (hasMore) {
-      const page = await this.runs.newest(after, this.settings.limitMs, signal);
-      // A change between two pages shows in the end, and would make the append fail.
-      if (page.isErr() || (end !== undefined && page.value.end !== end)) {
-        return undefined;
-      }
-      end = page.value.end;
-      for (const record of page.value.records) {
-        if (record.key === TERM_KEY) {
-          termOffset = record.offset;
-          continue;
-        }
-        const decoded = decodeTaskRecord(record.key, record.value ?? '');
-        if (decoded.isErr()) {
-          this.log.error({ error: decoded.error }, 'record skipped');
-        } else if (decoded.value === undefined) {
-          otherRecords.push(record);
-        } else {
-          tasks.push(decoded.value);
-        }
-      }
-      after = page.value.records.at(-1)?.key;
-      hasMore = page.value.hasMore && after !== undefined;
+    const newest = await readNewest(this.runs, () => this.settings.limitMs, signal);
+    // A change between two pages would make the append fail.
+    if (newest.isErr() || newest.value.changed) {
+      return undefined;
+    }
+    const loaded: LoadedRuns = { end: newest.value.end, otherRecords: [], tasks: [], termOffset: -1 };
+    for (const record of newest.value.records) {
+      this.#sort(record, loaded);
+    }
+    return loaded;
+  }
+
+  #sort(record: StoredRecord, loaded: LoadedRuns): void {
+    if (record.key === TERM_KEY) {
+      loaded.termOffset = record.offset;
+      return;
+    }
+    const decoded = decodeTaskRecord(record.key, record.value ?? '');
+    if (decoded.isErr()) {
+      this.log.error({ error: decoded.error, key: record.key }, 'record skipped');
+    } else if (decoded.value === undefined) {
+      loaded.otherRecords.push(record);
+    } else {
+      loaded.tasks.push(decoded.value);
     }
-    return { end: end ?? 0, otherRecords, tasks, termOffset };
   }
 }
--- a/packages/node/src/stream-tail.ts
+++ b/packages/node/src/stream-tail.ts
@@ -3,6 +3,7 @@
 import { err, ok } from 'neverthrow';
 import type { KeyedStream, StoredRecord, StoreError } from './ports/keyed-stream';
 import { CallLimit } from './call-limit';
+import { readNewest } from './newest-records';
 import { STORE_FAILURE } from './ports/keyed-stream';
 
 /** Settings of a tail. */
@@ -82,23 +83,12 @@
   }
 
   async #load(signal: AbortSignal): Promise<Result<number, StoreError>> {
-    const records: StoredRecord[] = [];
-    let end: number | undefined;
-    let after: string | undefined;
-    let hasMore = true;
-    while (hasMore) {
-      const page = await this.stream.newest(after, this.#limit.ms, signal);
-      if (page.isErr()) {
-        return err(page.error);
-      }
-      records.push(...page.value.records);
-      // Records that come between two pages are read again from the end of the first.
-      end ??= page.value.end;
-      after = page.value.records.at(-1)?.key;
-      hasMore = page.value.hasMore && after !== undefined;
-    }
-    this.#install(records, end ?? 0);
-    return ok(records.length);
+    const newest = await readNewest(this.stream, () => this.#limit.ms, signal);
+    // Records that come between two pages are read again from the end of the first.
+    return newest.map(({ end, records }) => {
+      this.#install(records, end);
+      return records.length;
+    });
   }
 
   #install(records: StoredRecord[], end: number): void {
--- /dev/null
+++ b/packages/node/tests/newest-records.test.ts
@@ -0,0 +1,44 @@
+import { describe, expect, it } from 'vitest';
+import { readNewest } from '../src/newest-records';
+import { MemoryStream } from './support/memory-stream';
+
+const { signal } = new AbortController();
+
+function streamOf(...keys: string[]): MemoryStream {
+  const stream = new MemoryStream();
+  stream.pageSize = 2;
+  stream.records.push(...keys.map((key, offset) => ({ key, offset, value: `${offset}` })));
+  return stream;
+}
+
+// Guards against keys that are missed at the edge of a page, and against a mixture of times taken for a
+// state that was there at one time.
+describe('readNewest', () => {
+  it('gives the newest record of each key over all pages', async () => {
+    const stream = streamOf('a', 'b', 'c', 'd', 'e', 'b');
+    const newest = (await readNewest(stream, () => 100, signal))._unsafeUnwrap();
+    expect(newest.records.map(({ key, value }) => [key, value])).toEqual([
+      ['a', '0'],
+      ['b', '5'],
+      ['c', '2'],
+      ['d', '3'],
+      ['e', '4'],
+    ]);
+    expect(newest).toMatchObject({ changed: false, end: 6 });
+  });
+
+  it('keeps the end of the first page and tells that the stream has changed since', async () => {
+    const stream = streamOf('a', 'b', 'c');
+    stream.onPage = () => {
+      stream.onPage = () => undefined;
+      stream.records.push({ key: 'a', offset: 3, value: 'late' });
+    };
+    const newest = (await readNewest(stream, () => 100, signal))._unsafeUnwrap();
+    expect(newest).toMatchObject({ changed: true, end: 3 });
+  });
+
+  it('gives an empty result for an empty stream', async () => {
+    const newest = await readNewest(streamOf(), () => 100, signal);
+    expect(newest._unsafeUnwrap()).toEqual({ changed: false, end: 0, records: [] });
+  });
+});
--- a/packages/node/tests/support/memory-stream.ts
+++ b/packages/node/tests/support/memory-stream.ts
@@ -19,6 +19,10 @@
   faults: AppendFault[] = [];
   /** Offset of the first record that is kept. */
   first = 0;
+  /** Runs after a page of newest records was made up. */
+  onPage: (page: NewestPage) => void = () => undefined;
+  /** Most records in a page of newest records. */
+  pageSize = Infinity;
   readonly records: StoredRecord[] = [];
 
   append(call: AppendCall): ResultAsync<number, StoreError> {
@@ -39,10 +43,18 @@
       : okAsync(offset);
   }
 
-  newest(): ResultAsync<NewestPage, StoreError> {
+  newest(afterKey: string | undefined): ResultAsync<NewestPage, StoreError> {
     const newest = new Map(this.records.map((record) => [record.key, record]));
-    const records = [...newest.values()].filter((record) => record.value !== undefined);
-    return okAsync({ end: this.records.length, hasMore: false, records });
+    const records = [...newest.values()]
+      .filter((record) => record.value !== undefined && record.key > (afterKey ?? ''))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const page = {
+      end: this.records.length,
+      hasMore: records.length > this.pageSize,
+      records: records.slice(0, this.pageSize),
+    };
+    this.onPage(page);
+    return okAsync(page);
   }
 
   read(call: ReadCall): ResultAsync<StreamPage, StoreError> {
