--- a/packages/entry/src/target-client.ts
+++ b/packages/entry/src/target-client.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
+import { watchStart } from '@sequoiaquay/runtime';
 import { err, ok } from 'neverthrow';
 import { PassThrough, Readable } from 'node:stream';
 import { pipeline } from 'node:stream/promises';
@@ -195,37 +196,3 @@
   }
   signal.addEventListener('abort', task, { once: true, signal: done });
 }
-
-// Reports the moment at which a request is about to be written to a connected socket.
-function watchStart(
-  onStart: (controller: Dispatcher.DispatchController) => void,
-): Dispatcher.DispatcherComposeInterceptor {
-  return (dispatch) => (options, handler) => {
-    const watched: Dispatcher.DispatchHandler = {
-      onRequestStart(controller, context) {
-        // The handler first: it fails an assertion when it is started after its request was aborted, and in
-        // a minified bundle Node takes minutes to word a failed assertion.
-        handler.onRequestStart?.(controller, context);
-        if (!controller.aborted) {
-          onStart(controller);
-        }
-      },
-      onRequestUpgrade(controller, status, headers, socket) {
-        handler.onRequestUpgrade?.(controller, status, headers, socket);
-      },
-      onResponseData(controller, chunk) {
-        handler.onResponseData?.(controller, chunk);
-      },
-      onResponseEnd(controller, trailers) {
-        handler.onResponseEnd?.(controller, trailers);
-      },
-      onResponseError(controller, error) {
-        handler.onResponseError?.(controller, error);
-      },
-      onResponseStart(controller, status, headers, statusMessage) {
-        handler.onResponseStart?.(controller, status, headers, statusMessage);
-      },
-    };
-    return dispatch(options, watched);
-  };
-}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -15,3 +15,4 @@
 export * from './line-buffer';
 export * from './settings-watch';
 export * from './latency-histograms';
+export * from './watch-start';
