feat(core): expect the peaks of pools that peak in turn, and keep workers fairly

Change: the balancer notes when the load of a pool rises, learns the distance and the order of the turns, and brings VMs in ahead of the next peak; at the start of a peak it orders the usual height at once; a pool whose turn is far away keeps none for it; a pool that keeps workers gives of them only to a pool that is worse off. The starts of peaks are stored, so that the next leader goes on with them. A forecast needs two distances that agree, and is dropped when a peak fails to come. A pool without workers counts as one with workers like those of the others. The moves on their way and the needs of pools become modules of their own.

--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -4,6 +4,8 @@
 
 /** What a pool has and what its jobs ask for. */
 export interface PoolLoad {
+  /** Processor time that tasks of jobs that end hold or wait for, in thousandths of a core. */
+  endingCpuMilli: number;
   /** Workers without which a lasting step can't be spread as it must be. */
   floor: number;
   /** Workers that new tasks may be assigned to. */
@@ -18,6 +20,7 @@
 /** Load of a pool at a monotonic time, in ms. */
 export function loadOf(name: string, pool: PoolState, now: number): PoolLoad {
   const load: PoolLoad = {
+    endingCpuMilli: 0,
     floor: 0,
     open: pool.openWorkers(now),
     pool: name,
@@ -26,10 +29,13 @@
   };
   for (const worker of pool.workers) {
     load.reservedCpuMilli += worker.reserved.cpuMilli;
+    load.endingCpuMilli += endingOn(worker);
   }
   for (const run of pool.jobs) {
     for (const step of run.readySteps()) {
-      load.waitingCpuMilli += step.spec.fillsIdle ? 0 : step.waiting * step.spec.demand.cpuMilli;
+      const waiting = step.spec.fillsIdle ? 0 : step.waiting * step.spec.demand.cpuMilli;
+      load.waitingCpuMilli += waiting;
+      load.endingCpuMilli += step.spec.longRunning ? 0 : waiting;
     }
     for (const occurrence of run.occurrences) {
       load.floor = Math.max(load.floor, ...occurrence.steps.map(workersNeeded));
@@ -38,6 +44,14 @@
   return load;
 }
 
+function endingOn(worker: Worker): number {
+  let cpuMilli = 0;
+  for (const { step } of worker.runs.values()) {
+    cpuMilli += step.spec.longRunning || step.spec.fillsIdle ? 0 : step.spec.demand.cpuMilli;
+  }
+  return cpuMilli;
+}
+
 function workersNeeded(step: StepRun): number {
   const { longRunning, maxPerWorker } = step.spec;
   return longRunning && maxPerWorker > 0 ? Math.ceil(step.spec.count / maxPerWorker) : 0;
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -1,9 +1,15 @@
+import type { KeyedRecord } from '../jobs/job-record';
 import type { PoolLoad } from '../jobs/pool-load';
 import type { Worker } from '../jobs/worker';
+import type { PoolNeed } from './pool-needs';
+import type { PeakForecast } from './turn-forecast';
+import type { MoveAnswer, MoveOrder } from './vm-moves';
 import type { VmInfo } from './wave';
 import type { WaveLog } from './wave-planner';
-import { RecentPeak } from './recent-peak';
-import { VM_STATE } from './wave';
+import { PoolNeeds } from './pool-needs';
+import { TurnForecast } from './turn-forecast';
+import { decodeOnsets, encodeOnsets } from './turn-record';
+import { VmMoves } from './vm-moves';
 
 /** What the balancer sees and may do. */
 export interface BalancerFleet {
@@ -12,113 +18,81 @@
   workers: ReadonlyMap<string, Worker>;
 }
 
-/** Order to move a VM to another pool. */
-export interface MoveOrder {
-  pool: string;
-  vm: string;
+/** What is to be done for the pools. */
+export interface BalancePlan {
+  orders: MoveOrder[];
+  /** What a later leader needs to go on. */
+  records: KeyedRecord[];
 }
 
-/** Answers to an order to move a VM. */
-export type MoveAnswer = 'moved' | 'refused' | 'unknown';
-
 /** Period of the log lines about pools that lack workers, in ms. */
 const LOG_PERIOD_MS = 500;
 
-interface Movement extends MoveOrder {
-  from: string;
-  /** Monotonic time of the order, in ms. */
-  since: number;
-  stage: 'moved' | 'ordered';
-}
-
-interface Need {
-  /** Workers beyond what the pool needs now; negative when it lacks some. */
-  surplus: number;
-  /** Workers beyond what the pool may need within the time that a VM takes to arrive. */
-  surplusToPark: number;
-  /** Workers that the pool needs now. */
-  wanted: number;
-}
-
-/** Part of a worker's processor time that tasks of different sizes can fill. */
-const USABLE_SHARE = 0.85;
-
-/** Workers of a pool that are kept beyond its need. */
-const KEPT_WORKERS = 1;
-
-/** Part of a pool's recent peak for which workers are kept on, since the next peak comes at once. */
-const KEPT_PEAK_SHARE = 0.8;
-
 /** Time for which a worker must have been idle before its VM is parked, in ms. */
 const PARK_AFTER_MS = 3000;
 
-/** Time after which a VM that moved counts as arrived or lost, in ms. */
-const MOVE_LIMIT_MS = 6000;
-
-/** Time after which an order without a clear answer is repeated, in ms. */
-const REPEAT_MS = 500;
-
-/** Time for which a VM whose move was refused stays, in ms. */
-const REFUSED_PAUSE_MS = 10_000;
-
 /**
- * Moves idle VMs to the pools whose jobs wait, and parks those that no pool needs in the spare pool. A VM
- * moves only while nothing is assigned to its worker.
+ * Moves idle VMs to the pools whose jobs wait or whose peak is expected, and parks those that no pool
+ * needs in the spare pool. A VM moves only while nothing is assigned to its worker.
  */
 export class PoolBalancer {
   readonly #idleSince = new Map<string, number>();
   #lackLoggedAt = -Infinity;
-  readonly #moves = new Map<string, Movement>();
-  readonly #peaks = new Map<string, RecentPeak>();
-  readonly #refusedUntil = new Map<string, number>();
+  readonly #moves = new VmMoves();
+  readonly #needs: PoolNeeds;
   #vms: readonly VmInfo[] = [];
 
   constructor(
     private readonly fleet: BalancerFleet,
     private readonly log: WaveLog,
-  ) {}
+    private readonly forecast: PeakForecast = new TurnForecast(),
+  ) {
+    this.#needs = new PoolNeeds(forecast);
+  }
+
+  /** Takes the records of earlier terms; those of other kinds are passed over. */
+  restore(records: readonly KeyedRecord[]): void {
+    this.forecast.restore(decodeOnsets(records));
+  }
 
   /** Takes the list of VMs, asked for at a monotonic time. */
   onVms(vms: readonly VmInfo[], askedAt: number): void {
     this.#vms = vms;
-    for (const vm of vms) {
-      const move = this.#moves.get(vm.id);
-      const arrived = move?.stage === 'moved' && askedAt > move.since && vm.state === VM_STATE.up;
-      if (arrived && (vm.pool !== move.pool || this.fleet.workers.has(vm.workerId))) {
-        this.#moves.delete(vm.id);
-      }
-    }
+    this.#moves.onVms(vms, askedAt, (vm) => this.fleet.workers.has(vm.workerId));
   }
 
   /** Takes the answer to an order. */
   onAnswer(order: MoveOrder, answer: MoveAnswer, now: number): void {
-    const move = this.#moves.get(order.vm);
-    if (move === undefined) {
+    const from = this.#moves.onAnswer(order, answer, now);
+    if (from === undefined) {
       return;
     }
+    this.log('move-answered', { answer, from, pool: order.pool, vm: order.vm });
     const worker = this.#workerOf(order.vm);
-    this.log('move-answered', { answer, from: move.from, pool: order.pool, vm: order.vm });
-    if (answer === 'moved') {
-      move.stage = 'moved';
-      move.since = now;
-      if (worker !== undefined) {
-        this.fleet.onWorkerEnded(worker, now);
-      }
-    } else if (answer === 'refused') {
-      this.#moves.delete(order.vm);
-      this.#refusedUntil.set(order.vm, now + REFUSED_PAUSE_MS);
-      if (worker !== undefined) {
-        worker.evacuating = false;
-      }
+    if (answer === 'moved' && worker !== undefined) {
+      this.fleet.onWorkerEnded(worker, now);
+    } else if (answer === 'refused' && worker !== undefined) {
+      worker.evacuating = false;
     }
   }
 
-  /** Moves that are to be ordered now; `spare` names the pools whose VMs are switched off. */
-  plan(now: number, spare: ReadonlySet<string>): MoveOrder[] {
+  /** What is to be done at a time by both clocks; `spare` names the pools whose VMs are switched off. */
+  plan(now: number, wallNow: number, spare: ReadonlySet<string>): BalancePlan {
     this.#noteIdle(now);
-    const orders = this.#repeats(now);
+    const orders = this.#moves.repeats(now);
     const loads = this.fleet.loads(now).filter((load) => !spare.has(load.pool));
-    const needs = new Map(loads.map((load) => [load.pool, this.#needOf(load, now)]));
+    const { needs, onset } = this.#needs.of(loads, {
+      arriving: (pool) => this.#moves.arriving(pool),
+      now,
+      sized: (pool) => this.#vms.filter((vm) => vm.pool === pool).length,
+      travelMs: this.#moves.travelMs,
+      usualCpuMilli: Math.max(
+        0,
+        ...[...this.fleet.workers.values()].map((item) => item.info.capacity.cpuMilli),
+      ),
+      vms: this.#vms.length,
+      wallNow,
+    });
     this.#logLacking(
       loads.filter((load) => surplusOf(needs, load.pool) < 0),
       needs,
@@ -126,17 +100,31 @@
     );
     orders.push(...this.#fill(needs, spare, now));
     orders.push(...this.#park(needs, spare, now));
-    return orders;
+    return { orders, records: onset ? [this.#onsetRecord(loads, wallNow)] : [] };
+  }
+
+  #onsetRecord(loads: readonly PoolLoad[], wallNow: number): KeyedRecord {
+    const { forecast } = this;
+    const next = forecast.next(
+      loads.map((load) => load.pool),
+      wallNow,
+    );
+    this.log('peak-begins', {
+      next: next?.pool,
+      nextInMs: next && next.at - wallNow,
+      ...forecast.onsets.at(-1),
+    });
+    return encodeOnsets(forecast.onsets);
   }
 
-  #logLacking(lacking: PoolLoad[], needs: ReadonlyMap<string, Need>, now: number): void {
+  #logLacking(lacking: PoolLoad[], needs: ReadonlyMap<string, PoolNeed>, now: number): void {
     if (lacking.length === 0 || now - this.#lackLoggedAt < LOG_PERIOD_MS) {
       return;
     }
     this.#lackLoggedAt = now;
     for (const load of lacking) {
       const { pool, reservedCpuMilli, waitingCpuMilli } = load;
-      const arriving = this.#arriving(pool);
+      const arriving = this.#moves.arriving(pool);
       const lacks = -surplusOf(needs, pool);
       const open = load.open.length;
       this.log('pool-short', { arriving, lacks, open, pool, reservedCpuMilli, waitingCpuMilli });
@@ -144,30 +132,26 @@
   }
 
   // Each VM goes to the pool that then has the smallest part of what it needs.
-  #fill(needs: ReadonlyMap<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
+  #fill(needs: ReadonlyMap<string, PoolNeed>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
     const orders: MoveOrder[] = [];
     for (const vm of this.#donors(needs, spare, now)) {
       const donor = needs.get(vm.pool);
-      if (donor !== undefined && donor.surplus <= 0) {
-        continue;
-      }
       const pool = neediest(needs, vm.pool);
       const need = needs.get(pool ?? '');
-      if (pool === undefined || need === undefined) {
+      if (pool === undefined || need === undefined || (donor !== undefined && !canGive(donor, need))) {
         continue;
       }
       orders.push(this.#move(vm, pool, now));
-      need.surplus += 1;
+      change(need, 1);
       if (donor !== undefined) {
-        donor.surplus -= 1;
-        donor.surplusToPark -= 1;
+        change(donor, -1);
       }
     }
     return orders;
   }
 
   // An idle VM that is on costs more than one that is switched off; what may be needed soon goes last.
-  #donors(needs: ReadonlyMap<string, Need>, spare: ReadonlySet<string>, now: number): VmInfo[] {
+  #donors(needs: ReadonlyMap<string, PoolNeed>, spare: ReadonlySet<string>, now: number): VmInfo[] {
     const free = this.#vms.filter((vm) => this.#isFree(vm, spare, now));
     const rank = (vm: VmInfo): number => {
       const need = needs.get(vm.pool);
@@ -176,7 +160,7 @@
     return free.sort((a, b) => rank(a) - rank(b));
   }
 
-  #park(needs: ReadonlyMap<string, Need>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
+  #park(needs: ReadonlyMap<string, PoolNeed>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
     const orders: MoveOrder[] = [];
     const [target] = spare;
     if (target === undefined) {
@@ -190,8 +174,7 @@
       }
       if (this.#isFree(vm, spare, now)) {
         orders.push(this.#move(vm, target, now));
-        need.surplus -= 1;
-        need.surplusToPark -= 1;
+        change(need, -1);
       }
     }
     return orders;
@@ -202,53 +185,12 @@
     if (worker !== undefined) {
       worker.evacuating = true;
     }
-    this.#moves.set(vm.id, { from: vm.pool, pool, since: now, stage: 'ordered', vm: vm.id });
     this.log('vm-moved', { from: vm.pool, pool, vm: vm.id });
-    return { pool, vm: vm.id };
-  }
-
-  #needOf(load: PoolLoad, now: number): Need {
-    const perWorker = Math.max(1, ...load.open.map((worker) => worker.info.capacity.cpuMilli));
-    const usable = load.open.length === 0 ? Infinity : USABLE_SHARE * perWorker;
-    const busy = Math.ceil((load.reservedCpuMilli + load.waitingCpuMilli) / usable);
-    const has = load.open.length + this.#arriving(load.pool);
-    const wanted = Math.max(busy, load.floor) + KEPT_WORKERS;
-    const kept = Math.ceil(KEPT_PEAK_SHARE * this.#peakOf(load, busy, now));
-    return { surplus: has - wanted, surplusToPark: has - Math.max(wanted, kept), wanted };
-  }
-
-  // Until something has been learned, the size that the operators gave the pool stands for its peak.
-  #peakOf(load: PoolLoad, busy: number, now: number): number {
-    const known = this.#peaks.get(load.pool);
-    const sized = this.#vms.filter((vm) => vm.pool === load.pool).length;
-    const peak = known ?? new RecentPeak(sized, now);
-    this.#peaks.set(load.pool, peak);
-    peak.add(busy, now);
-    return peak.value;
-  }
-
-  #arriving(pool: string): number {
-    return [...this.#moves.values()].filter((move) => move.pool === pool).length;
-  }
-
-  #repeats(now: number): MoveOrder[] {
-    const orders: MoveOrder[] = [];
-    for (const [vm, move] of this.#moves) {
-      if (move.stage === 'ordered' && now - move.since > REPEAT_MS) {
-        move.since = now;
-        orders.push({ pool: move.pool, vm });
-      } else if (move.stage === 'moved' && now - move.since > MOVE_LIMIT_MS) {
-        this.#moves.delete(vm);
-      }
-    }
-    return orders;
+    return this.#moves.begin(vm, pool, now);
   }
 
   #isFree(vm: VmInfo, spare: ReadonlySet<string>, now: number): boolean {
-    if (vm.state !== VM_STATE.up || this.#moves.has(vm.id) || (this.#refusedUntil.get(vm.id) ?? 0) > now) {
-      return false;
-    }
-    return spare.has(vm.pool) || this.#idleSince.has(vm.workerId);
+    return this.#moves.canMove(vm, now) && (spare.has(vm.pool) || this.#idleSince.has(vm.workerId));
   }
 
   #noteIdle(now: number): void {
@@ -269,11 +211,23 @@
   }
 }
 
-function surplusOf(needs: ReadonlyMap<string, Need>, pool: string): number {
+// A pool that keeps workers for its next peak gives of them to a pool that is worse off.
+function canGive(donor: PoolNeed, need: PoolNeed): boolean {
+  const isKept = donor.surplusToPark <= 0;
+  return donor.surplus > 0 && (!isKept || (donor.has - 1) / donor.kept >= need.has / need.wanted);
+}
+
+function change(need: PoolNeed, workers: 1 | -1): void {
+  need.has += workers;
+  need.surplus += workers;
+  need.surplusToPark += workers;
+}
+
+function surplusOf(needs: ReadonlyMap<string, PoolNeed>, pool: string): number {
   return needs.get(pool)?.surplus ?? 0;
 }
 
-function neediest(needs: ReadonlyMap<string, Need>, except: string): string | undefined {
+function neediest(needs: ReadonlyMap<string, PoolNeed>, except: string): string | undefined {
   const lacking = [...needs].filter(([pool, need]) => pool !== except && need.surplus < 0);
   lacking.sort(([, a], [, b]) => a.surplus / a.wanted - b.surplus / b.wanted);
   return lacking[0]?.[0];
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -81,6 +81,7 @@
   /** Runs until the signal aborts; the records tell when earlier terms gave orders for VMs. */
   run(records: readonly KeyedRecord[]): void {
     this.#orderTimes.restore(records);
+    this.ctx.balancer.restore(records);
     this.ctx.timers.every(
       PERIOD_MS,
       () => {
@@ -103,14 +104,15 @@
       return;
     }
     const plan = planner.plan(now);
-    this.#stored = this.ctx.termLog.append(plan.records);
+    const balance = this.ctx.balancer.plan(now, timers.now(), this.ctx.sparePools());
+    this.#stored = this.ctx.termLog.append([...plan.records, ...balance.records]);
     for (const order of plan.orders) {
       void this.#order(order);
     }
     for (const report of plan.reports) {
       void this.#tell(report);
     }
-    for (const move of this.ctx.balancer.plan(now, this.ctx.sparePools())) {
+    for (const move of balance.orders) {
       void this.#move(move);
     }
     this.ctx.onChange();
