--- a/packages/core/tests/maintenance/support/turn-world.ts
+++ b/packages/core/tests/maintenance/support/turn-world.ts
@@ -114,7 +114,7 @@
   }
 
   #balance(): void {
-    const listed = this.#vms.map(({ info, upAt }) => ({
+    const listed = this.#vms.map(({ info, upAt }): VmInfo => ({
       ...info,
       state: upAt <= this.#now ? 'up' : 'moving',
     }));
