fix(node): ask workers nothing before the tasks of the earlier term are known

A new leader asked its workers as soon as the registry was read, and read the records of the earlier term some milliseconds later. An end that a worker listed in between belonged to no known task, was passed over, and was then acknowledged, so that the worker forgot it; the task was found neither running nor ended and was started again. Change: the loops over the workers start once the tasks are taken over. The registry is read while the jobs are caught up with, which a slow store made the longer part of a take-over.

--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -192,9 +192,8 @@
 
   /** Leads until the signal aborts. */
   async run(): Promise<void> {
-    await this.ctx.jobsTail.catchUp(this.signal);
     const registry = this.#openRegistry();
-    await this.#untilLoaded(registry);
+    await Promise.all([this.ctx.jobsTail.catchUp(this.signal), this.#untilLoaded(registry)]);
     if (this.signal.aborted) {
       return;
     }
@@ -276,7 +275,11 @@
     this.#planSoon();
   }
 
+  // A worker's report means something only once the tasks are known: ends of unknown tasks are forgotten.
   #startLoops(): void {
+    if (!this.#ready) {
+      return;
+    }
     for (const worker of this.#scheduler.workers.values()) {
       if (this.#loops.has(worker) || this.#sparePools().has(worker.info.pool)) {
         continue;
--- /dev/null
+++ b/packages/node/tests/term.test.ts
@@ -0,0 +1,158 @@
+import type { Job, RunEnd, WorkerInfo, WorkerReport } from '@sequoiaquay/core/jobs';
+import { JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
+import { SystemTimerService } from '@sequoiaquay/runtime';
+import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, describe, expect, it } from 'vitest';
+import type { ReportCall, StartCall, WorkerLink } from '../src/ports/worker-link';
+import type { TermContext } from '../src/term';
+import { JobWriter } from '../src/job-writer';
+import { NodeMetrics } from '../src/node-metrics';
+import { StreamTail } from '../src/stream-tail';
+import { Term } from '../src/term';
+import { MemoryStream } from './support/memory-stream';
+import { quietLog } from './support/quiet-log';
+
+const JOB_ID = '00000000000000a1';
+const TASK = `${JOB_ID}.0.0.0`;
+
+const WORKER: WorkerInfo = {
+  address: 'w1:1',
+  bornAt: 1,
+  capacity: { cpuMilli: 4000, gpus: 0, memoryMb: 1000 },
+  draining: false,
+  id: 'w1',
+  labels: [],
+  pool: 'p',
+  rack: 'r1',
+  zone: 'z1',
+};
+
+const JOB: Job = {
+  acceptedAt: 0,
+  id: JOB_ID,
+  pool: 'p',
+  queue: 'quick',
+  spec: {
+    body: 'work',
+    steps: [
+      {
+        after: [],
+        checkpointable: false,
+        count: 2,
+        demand: { cpuMilli: 1000, gpus: 0, memoryMb: 100 },
+        estimatedMs: 500,
+        fillsIdle: false,
+        gang: false,
+        image: '',
+        longRunning: false,
+        maxPerWorker: 0,
+        mayMiss: 0,
+        preferredRack: '',
+        rackSensitive: false,
+        requiredLabel: '',
+        speculative: false,
+        tailTargetMs: 0,
+      },
+    ],
+  },
+};
+
+/** A worker that answers at once and lists one end until it is stored. */
+class EndingWorker implements WorkerLink {
+  readonly started: { run: number; task: string }[] = [];
+  storedUpTo = 0;
+
+  forget(): void {
+    // Nothing is kept open.
+  }
+
+  pace(): ReturnType<WorkerLink['pace']> {
+    return okAsync(undefined);
+  }
+
+  report(call: ReportCall): ReturnType<WorkerLink['report']> {
+    this.storedUpTo = Math.max(this.storedUpTo, call.endsStored);
+    const end: RunEnd = 'done';
+    const ended = this.storedUpTo > 0 ? [] : [{ checkpoint: '', end, number: 1, run: 1, task: TASK }];
+    const running = this.started.map(({ run, task }) => ({ checkpoint: '', load: 0, percent: 1, run, task }));
+    const report: WorkerReport = { bornAt: 1, clockMs: 1000, ended, running };
+    return ResultAsync.fromSafePromise(delay(call.waitMs / 100, report));
+  }
+
+  start(call: StartCall): ReturnType<WorkerLink['start']> {
+    this.started.push({ run: call.run, task: call.task });
+    return Promise.resolve('started');
+  }
+
+  stop(): ReturnType<WorkerLink['stop']> {
+    return errAsync({ kind: 'silent', message: 'no answer' });
+  }
+}
+
+const stop = new AbortController();
+
+afterEach(() => {
+  stop.abort();
+});
+
+function contextOf(link: WorkerLink): TermContext {
+  const timers = new SystemTimerService();
+  const jobsStream = new MemoryStream();
+  const registry = new MemoryStream();
+  registry.records.push({ key: 'servers/w1', offset: 0, value: 'w1' });
+  const jobs = new JobTable();
+  jobs.apply({ job: JOB, kind: JOB_RECORD.submit });
+  const tailSettings = { gapMs: () => 5, name: 'jobs', retryMs: 5, waitMs: 0 };
+  const jobsTail = new StreamTail(jobsStream, tailSettings, () => undefined, timers, quietLog);
+  void jobsTail.run(stop.signal);
+  return {
+    advice: undefined,
+    cfg: () => undefined,
+    codec: {
+      encodeReport: () => ({ key: '', value: '' }),
+      operator: () => err('none'),
+      worker: () => ok(WORKER),
+      workerId: () => 'w1',
+    },
+    jobs,
+    jobsTail,
+    leaseDurationMs: 3000,
+    link,
+    log: quietLog,
+    maxLeaseMs: 4000,
+    metrics: new NodeMetrics(),
+    node: 'n1',
+    proofAge: () => 0,
+    registry,
+    runs: new MemoryStream(),
+    stateKeptMs: 120_000,
+    status: new MemoryStream(),
+    timers,
+    vms: undefined,
+    waves: new Map(),
+    writer: new JobWriter(jobsStream, () => undefined, timers, quietLog, stop.signal),
+  };
+}
+
+describe('Term', () => {
+  // Guards against a run that is repeated although its end was read: a report that came while the records
+  // of the earlier term were not yet taken over made the worker forget the end.
+  it('runs no task again whose end a worker reports while the term begins', async () => {
+    const link = new EndingWorker();
+    const start = {
+      epoch: 1,
+      lastSign: { at: -Infinity, released: true },
+      otherRecords: [],
+      runsEnd: 0,
+      tasks: [
+        { checkpoint: '', failures: 0, run: 1, state: 'assigned' as const, task: TASK, workerId: 'w1' },
+      ],
+    };
+    const term = new Term(contextOf(link), start, () => undefined, stop.signal);
+    void term.run();
+    await expect.poll(() => link.started.length, { timeout: 3000 }).toBeGreaterThan(0);
+    await expect.poll(() => link.storedUpTo, { timeout: 3000 }).toBe(1);
+    expect(link.started).toEqual([{ run: 1, task: `${JOB_ID}.0.0.1` }]);
+  });
+});
