perf(core): fill one worker with tasks that end before the next

Cause: tasks went to the worker with the most free processor time, so that after a peak a few tasks kept every VM of the pool in use, and none could move to the pool whose peak began. Change: tasks that end go to the fullest worker that has room; tasks that last are spread as before. Tests: placement has tests of its own now, also for labels, the limit per worker, racks, room and gangs.

--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -73,7 +73,7 @@
 
 function scoreOf(task: Task, worker: Worker): number {
   const { fillsIdle, longRunning, preferredRack, rackSensitive, tailTargetMs } = task.step.spec;
-  let score = worker.freeCpuMilli;
+  let score = longRunning ? worker.freeCpuMilli : -worker.freeCpuMilli;
   if (task.lastFailedOn === worker.info.id) {
     score += WEIGHT.failedThere;
   }
