fix(node): confirm nothing before the records that came earlier are stored

The store turned the leader away from 16.5 s on; its appends waited, but an end that changes nothing (the second member of a gang that is done, a run that was given up) made a plan without records, whose append was confirmed at once. With it the acknowledgement moved past earlier ends whose records still waited; the worker forgot them, and the next leader found the tasks neither running nor ended and started them again. Change: an append without records is confirmed after those before it. The same held for the report that a wave is completed, which rests on the append of the same plan. Tests: two of the term's log, both failed before.

--- a/packages/node/src/term-log.ts
+++ b/packages/node/src/term-log.ts
@@ -41,9 +41,12 @@
     return this.#inFlightSince === undefined ? 0 : this.timers.mono() - this.#inFlightSince;
   }
 
-  /** Stores records; false when the term is over. */
+  /**
+   * Stores records, after all that were handed in before; false when the term is over. Without records it
+   * tells when those before are stored.
+   */
   append(records: readonly KeyedRecord[]): Promise<boolean> {
-    if (records.length === 0) {
+    if (records.length === 0 && !this.#busy) {
       return Promise.resolve(!this.signal.aborted);
     }
     return new Promise((resolve) => {
@@ -76,6 +79,9 @@
   }
 
   async #store(records: readonly KeyedRecord[]): Promise<boolean> {
+    if (records.length === 0) {
+      return !this.signal.aborted;
+    }
     this.#inFlightSince = this.timers.mono();
     let maybeStored = false;
     while (!this.signal.aborted) {
--- a/packages/node/tests/term-log.test.ts
+++ b/packages/node/tests/term-log.test.ts
@@ -34,6 +34,24 @@
     expect(lost).toHaveLength(1);
   });
 
+  // What rests on records, such as the acknowledgement of an end, must not overtake them.
+  it('confirms nothing, also without records of its own, before all that came earlier is stored', async () => {
+    const { log, stream } = make('refused', 'refused');
+    const order: string[] = [];
+    const first = log.append([RECORD]).then(() => order.push(`first after ${stream.records.length}`));
+    const empty = log.append([]).then((stored) => order.push(`empty ${String(stored)}`));
+    await Promise.all([first, empty]);
+    expect(order).toEqual(['first after 1', 'empty true']);
+  });
+
+  it('does not confirm an append without records when the term ends before earlier ones are stored', async () => {
+    const { log, stream } = make('lost-before');
+    const first = log.append([RECORD]);
+    const empty = log.append([]);
+    stream.records.push({ key: 'leader', offset: 0, value: 'other' });
+    expect(await Promise.all([first, empty])).toEqual([false, false]);
+  });
+
   it('stores nothing more after the term has ended', async () => {
     const { log, stream } = make();
     stream.records.push({ key: 'leader', offset: 0, value: 'other' });
