feat(core): move VMs by the labels and racks that waiting tasks ask for

Change: the load of a pool tells what waits by label and where its data is; a pool that lacks a label gets VMs with it, counted as on their way; among equals those near the data go first, and leave last. When no VM has the label, any does for the rest. Tests: three of the balancer.

--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -8,11 +8,15 @@
   endingCpuMilli: number;
   /** Workers without which a lasting step can't be spread as it must be. */
   floor: number;
+  /** Racks that hold the data of the pool's jobs. */
+  nearLabels: Set<string>;
   /** Workers that new tasks may be assigned to. */
   open: Worker[];
   pool: string;
   /** Processor time of tasks that are assigned, in thousandths of a core. */
   reservedCpuMilli: number;
+  /** The same, by the label that the tasks require. */
+  waitingByLabel: Map<string, number>;
   /** Processor time of tasks whose turn has come and that have no worker, in thousandths of a core. */
   waitingCpuMilli: number;
 }
@@ -22,9 +26,11 @@
   const load: PoolLoad = {
     endingCpuMilli: 0,
     floor: 0,
+    nearLabels: new Set(),
     open: pool.openWorkers(now),
     pool: name,
     reservedCpuMilli: 0,
+    waitingByLabel: new Map(),
     waitingCpuMilli: 0,
   };
   for (const worker of pool.workers) {
@@ -33,9 +39,7 @@
   }
   for (const run of pool.jobs) {
     for (const step of run.readySteps()) {
-      const waiting = step.spec.fillsIdle ? 0 : step.waiting * step.spec.demand.cpuMilli;
-      load.waitingCpuMilli += waiting;
-      load.endingCpuMilli += step.spec.longRunning ? 0 : waiting;
+      addWaiting(load, step);
     }
     for (const occurrence of run.occurrences) {
       load.floor = Math.max(load.floor, ...occurrence.steps.map(workersNeeded));
@@ -44,6 +48,19 @@
   return load;
 }
 
+function addWaiting(load: PoolLoad, { spec, waiting }: StepRun): void {
+  const { demand, fillsIdle, longRunning, preferredRack, requiredLabel } = spec;
+  const cpuMilli = fillsIdle ? 0 : waiting * demand.cpuMilli;
+  load.waitingCpuMilli += cpuMilli;
+  load.endingCpuMilli += longRunning ? 0 : cpuMilli;
+  if (requiredLabel !== '' && waiting > 0) {
+    load.waitingByLabel.set(requiredLabel, (load.waitingByLabel.get(requiredLabel) ?? 0) + cpuMilli);
+  }
+  if (preferredRack !== '') {
+    load.nearLabels.add(preferredRack);
+  }
+}
+
 function endingOn(worker: Worker): number {
   let cpuMilli = 0;
   for (const { step } of worker.runs.values()) {
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -82,7 +82,10 @@
     const orders = this.#moves.repeats(now);
     const loads = this.fleet.loads(now).filter((load) => !spare.has(load.pool));
     const { needs, onset } = this.#needs.of(loads, {
-      arriving: (pool) => this.#moves.arriving(pool),
+      arriving: (pool, label) =>
+        label === undefined
+          ? this.#moves.arriving(pool)
+          : this.#vms.filter((vm) => this.#moves.isArriving(vm, pool) && vm.labels.includes(label)).length,
       now,
       sized: (pool) => this.#vms.filter((vm) => vm.pool === pool).length,
       travelMs: this.#moves.travelMs,
@@ -134,15 +137,20 @@
   // Each VM goes to the pool that then has the smallest part of what it needs.
   #fill(needs: ReadonlyMap<string, PoolNeed>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
     const orders: MoveOrder[] = [];
-    for (const vm of this.#donors(needs, spare, now)) {
-      const donor = needs.get(vm.pool);
-      const pool = neediest(needs, vm.pool);
-      const need = needs.get(pool ?? '');
-      if (pool === undefined || need === undefined || (donor !== undefined && !canGive(donor, need))) {
+    const free = new Set(this.#vms.filter((vm) => this.#isFree(vm, spare, now)));
+    const given = new Set<string>();
+    for (let pool = neediest(needs, given); pool !== undefined; pool = neediest(needs, given)) {
+      const vm = bestDonor(pool, needs, free);
+      const need = needs.get(pool);
+      if (vm === undefined || need === undefined) {
+        skip(pool, need, given);
         continue;
       }
+      free.delete(vm);
       orders.push(this.#move(vm, pool, now));
       change(need, 1);
+      noteLabels(need, vm);
+      const donor = needs.get(vm.pool);
       if (donor !== undefined) {
         change(donor, -1);
       }
@@ -150,16 +158,6 @@
     return orders;
   }
 
-  // An idle VM that is on costs more than one that is switched off; what may be needed soon goes last.
-  #donors(needs: ReadonlyMap<string, PoolNeed>, spare: ReadonlySet<string>, now: number): VmInfo[] {
-    const free = this.#vms.filter((vm) => this.#isFree(vm, spare, now));
-    const rank = (vm: VmInfo): number => {
-      const need = needs.get(vm.pool);
-      return need === undefined ? 1 : need.surplusToPark > 0 ? 0 : 2;
-    };
-    return free.sort((a, b) => rank(a) - rank(b));
-  }
-
   #park(needs: ReadonlyMap<string, PoolNeed>, spare: ReadonlySet<string>, now: number): MoveOrder[] {
     const orders: MoveOrder[] = [];
     const [target] = spare;
@@ -211,6 +209,78 @@
   }
 }
 
+// When no VM has a label that a pool lacks, any VM may do for the rest of its tasks.
+function skip(pool: string, need: PoolNeed | undefined, given: Set<string>): void {
+  if (need === undefined || need.lackingByLabel.size === 0) {
+    given.add(pool);
+    return;
+  }
+  need.lackingByLabel.clear();
+  need.surplus = need.has - need.wanted;
+}
+
+/** Ranks of VMs that a pool may get; the lowest goes first. */
+const DONOR_RANK = {
+  /** A worker that its pool does not need costs more while it is on than one that is switched off. */
+  unneeded: 0,
+  switchedOff: 1,
+  keptForPeak: 2,
+} as const;
+
+/** Rank by which a VM comes first that is in a rack with the data of the pool's jobs. */
+const NEAR_RANK = 0.5;
+
+function bestDonor(
+  pool: string,
+  needs: ReadonlyMap<string, PoolNeed>,
+  free: ReadonlySet<VmInfo>,
+): VmInfo | undefined {
+  const need = needs.get(pool);
+  if (need === undefined) {
+    return undefined;
+  }
+  let best: VmInfo | undefined;
+  let bestRank = Infinity;
+  for (const vm of free) {
+    const donor = needs.get(vm.pool);
+    const rank = vm.pool === pool || !hasWanted(vm, need) ? Infinity : rankOf(vm, donor, need);
+    if (rank < bestRank) {
+      best = vm;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+function rankOf(vm: VmInfo, donor: PoolNeed | undefined, need: PoolNeed): number {
+  if (donor !== undefined && !canGive(donor, need)) {
+    return Infinity;
+  }
+  const isNear = vm.labels.some((label) => need.nearLabels.has(label));
+  const isNearThere = vm.labels.some((label) => donor?.nearLabels.has(label));
+  const near = (Number(isNearThere) - Number(isNear)) * NEAR_RANK;
+  if (donor === undefined) {
+    return DONOR_RANK.switchedOff + near;
+  }
+  return (donor.surplusToPark > 0 ? DONOR_RANK.unneeded : DONOR_RANK.keptForPeak) + near;
+}
+
+// A pool that lacks workers with a label gets those first.
+function hasWanted(vm: VmInfo, need: PoolNeed): boolean {
+  return need.lackingByLabel.size === 0 || vm.labels.some((label) => need.lackingByLabel.has(label));
+}
+
+function noteLabels(need: PoolNeed, vm: VmInfo): void {
+  for (const label of vm.labels) {
+    const lacking = need.lackingByLabel.get(label) ?? 0;
+    if (lacking > 1) {
+      need.lackingByLabel.set(label, lacking - 1);
+    } else {
+      need.lackingByLabel.delete(label);
+    }
+  }
+}
+
 // A pool that keeps workers for its next peak gives of them to a pool that is worse off.
 function canGive(donor: PoolNeed, need: PoolNeed): boolean {
   const isKept = donor.surplusToPark <= 0;
@@ -227,8 +297,8 @@
   return needs.get(pool)?.surplus ?? 0;
 }
 
-function neediest(needs: ReadonlyMap<string, PoolNeed>, except: string): string | undefined {
-  const lacking = [...needs].filter(([pool, need]) => pool !== except && need.surplus < 0);
+function neediest(needs: ReadonlyMap<string, PoolNeed>, given: ReadonlySet<string>): string | undefined {
+  const lacking = [...needs].filter(([pool, need]) => !given.has(pool) && need.surplus < 0);
   lacking.sort(([, a], [, b]) => a.surplus / a.wanted - b.surplus / b.wanted);
   return lacking[0]?.[0];
 }
--- a/packages/core/src/maintenance/pool-needs.ts
+++ b/packages/core/src/maintenance/pool-needs.ts
@@ -8,6 +8,10 @@
   has: number;
   /** Workers that the pool keeps for its next peak. */
   kept: number;
+  /** Workers that the pool lacks of those with a label that its tasks require. */
+  lackingByLabel: Map<string, number>;
+  /** Racks that hold the data of the pool's jobs. */
+  nearLabels: ReadonlySet<string>;
   /** Workers beyond what the pool needs now; negative when it lacks some. */
   surplus: number;
   /** Workers beyond what the pool may need within the time that a VM takes to arrive. */
@@ -18,8 +22,8 @@
 
 /** What the needs are worked out from, beside the load. */
 export interface NeedInputs {
-  /** VMs that are on their way to a pool. */
-  arriving: (pool: string) => number;
+  /** VMs that are on their way to a pool, all or those with a label. */
+  arriving: (pool: string, label?: string) => number;
   /** Monotonic time, in ms. */
   now: number;
   /** VMs that are in a pool. */
@@ -83,7 +87,11 @@
     const now = Math.max(busy, load.floor) + KEPT_WORKERS;
     const wanted = Math.max(now, this.#ahead(load, pools, inputs));
     const kept = this.#kept(load, busy, pools, inputs);
-    return { has, kept, surplus: has - wanted, surplusToPark: has - Math.max(wanted, kept), wanted };
+    const { nearLabels } = load;
+    const lackingByLabel = lackingLabels(load, inputs);
+    const surplus = Math.min(has - wanted, 0 - sum(lackingByLabel.values()) || Infinity);
+    const surplusToPark = Math.min(surplus, has - Math.max(wanted, kept));
+    return { has, kept, lackingByLabel, nearLabels, surplus, surplusToPark, wanted };
   }
 
   // Workers for the usual height of a peak that has just begun or is about to; lasting tasks go on beside it.
@@ -109,6 +117,22 @@
   }
 }
 
+// Tasks that require a label may wait while workers without it are idle.
+function lackingLabels(load: PoolLoad, inputs: NeedInputs): Map<string, number> {
+  const lacking = new Map<string, number>();
+  for (const [label, cpuMilli] of load.waitingByLabel) {
+    const needed = Math.ceil(cpuMilli / usableOf(load, inputs)) - inputs.arriving(load.pool, label);
+    if (needed > 0) {
+      lacking.set(label, needed);
+    }
+  }
+  return lacking;
+}
+
+function sum(values: Iterable<number>): number {
+  return [...values].reduce((total, value) => total + value, 0);
+}
+
 // A pool without workers is taken to get such as the other pools have.
 function usableOf(load: PoolLoad, inputs: NeedInputs): number {
   const known = load.open.map((worker) => worker.info.capacity.cpuMilli);
--- a/packages/core/src/maintenance/vm-moves.ts
+++ b/packages/core/src/maintenance/vm-moves.ts
@@ -49,6 +49,11 @@
     return [...this.#moves.values()].filter((move) => move.pool === pool).length;
   }
 
+  /** Whether a VM is on its way to a pool. */
+  isArriving(vm: VmInfo, pool: string): boolean {
+    return this.#moves.get(vm.id)?.pool === pool;
+  }
+
   /** Whether a VM may be ordered to move at a monotonic time. */
   canMove(vm: VmInfo, now: number): boolean {
     const isPaused = (this.#refusedUntil.get(vm.id) ?? 0) > now;
--- a/packages/core/src/maintenance/wave.ts
+++ b/packages/core/src/maintenance/wave.ts
@@ -19,6 +19,8 @@
 /** What the platform says of a VM. */
 export interface VmInfo {
   id: string;
+  /** What tasks may require of the worker on the VM, its rack included. */
+  labels: readonly string[];
   pool: string;
   rack: string;
   state: (typeof VM_STATE)[keyof typeof VM_STATE];
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -9,13 +9,15 @@
   readonly ended: string[] = [];
   readonly vms: VmInfo[] = [];
   readonly workers = new Map<string, Worker>();
+  labels = new Map<string, Map<string, number>>();
+  near = new Map<string, Set<string>>();
   waiting = new Map<string, number>();
 
   add(pool: string, id: string): Worker {
     const added = new Worker(worker(id, { pool }), 0);
     added.fenced = true;
     this.workers.set(id, added);
-    this.vms.push({ id: `vm-${id}`, pool, rack: 'r', state: 'up', workerId: id, zone: 'z' });
+    this.vms.push({ id: `vm-${id}`, labels: [], pool, rack: 'r', state: 'up', workerId: id, zone: 'z' });
     return added;
   }
 
@@ -23,9 +25,11 @@
     return ['busy', 'idle'].map((pool) => ({
       endingCpuMilli: this.waiting.get(pool) ?? 0,
       floor: 0,
+      nearLabels: this.near.get(pool) ?? new Set(),
       open: [...this.workers.values()].filter((item) => item.info.pool === pool && item.isOpen(now)),
       pool,
       reservedCpuMilli: 0,
+      waitingByLabel: this.labels.get(pool) ?? new Map(),
       waitingCpuMilli: this.waiting.get(pool) ?? 0,
     }));
   }
@@ -87,6 +91,38 @@
     expect(ordersAt(balancer, 10).map((order) => order.pool)).toEqual(['busy', 'busy']);
   });
 
+  it('brings the VMs with a label that waiting tasks require, whatever else the pool has', () => {
+    const { balancer, fleet: made } = fleet();
+    made.add('busy', 'b2');
+    made.add('spare', 's1');
+    made.add('spare', 's2').info.labels = ['big'];
+    made.vms.forEach((vm) => (vm.labels = vm.id === 'vm-s2' ? ['big'] : []));
+    made.waiting.set('busy', 1000);
+    made.labels.set('busy', new Map([['big', 1000]]));
+    balancer.onVms(made.vms, 5);
+    expect(ordersAt(balancer, 10)).toEqual([{ pool: 'busy', vm: 'vm-s2' }]);
+    expect(ordersAt(balancer, 20)).toEqual([]);
+  });
+
+  it('brings any VM when none has the label, as far as the pool is short', () => {
+    const { balancer, fleet: made } = fleet();
+    made.waiting.set('busy', 4000);
+    made.labels.set('busy', new Map([['big', 4000]]));
+    expect(ordersAt(balancer, 10).map((order) => order.pool)).toEqual(['busy']);
+  });
+
+  it('prefers VMs in a rack with the data of the waiting jobs', () => {
+    const { balancer, fleet: made } = fleet();
+    for (const id of ['s1', 's2', 's3']) {
+      made.add('spare', id);
+    }
+    made.vms.forEach((vm) => (vm.labels = [vm.id === 'vm-s3' ? 'r-data' : 'r-other']));
+    made.near.set('busy', new Set(['r-data']));
+    made.waiting.set('busy', 3000);
+    balancer.onVms(made.vms, 5);
+    expect(ordersAt(balancer, 10)).toEqual([{ pool: 'busy', vm: 'vm-s3' }]);
+  });
+
   it('never moves a VM whose worker has tasks', () => {
     const { balancer, fleet: made } = fleet();
     made.waiting.set('busy', 40_000);
--- a/packages/core/tests/maintenance/support/turn-world.ts
+++ b/packages/core/tests/maintenance/support/turn-world.ts
@@ -73,7 +73,15 @@
     const pool = POOLS[Math.floor(index / VMS_PER_POOL)] ?? SPARE;
     const made = new VmWorker(worker(`w${index}`, { pool }), 0);
     made.fenced = true;
-    const info: VmInfo = { id: `vm${index}`, pool, rack: 'r', state: 'up', workerId: `w${index}`, zone: 'z' };
+    const info: VmInfo = {
+      id: `vm${index}`,
+      labels: [],
+      pool,
+      rack: 'r',
+      state: 'up',
+      workerId: `w${index}`,
+      zone: 'z',
+    };
     this.#vms.push({ info, upAt: 0, worker: made });
   }
 
@@ -106,9 +114,11 @@
     return {
       endingCpuMilli: reservedCpuMilli + waitingCpuMilli,
       floor: 0,
+      nearLabels: new Set(),
       open,
       pool,
       reservedCpuMilli,
+      waitingByLabel: new Map(),
       waitingCpuMilli,
     };
   }
