refactor(node): give the registry and the loops over workers modules of their own

TermContext holds the node's ports and settings instead of their fields. repeatStops says what it does.

--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -76,7 +76,7 @@
   }
 
   /** Repeats the orders to stop that had no answer: they may have been lost on their way. */
-  retellStops(worker: Worker): void {
+  repeatStops(worker: Worker): void {
     for (const task of worker.runs.values()) {
       if (task.phase === 'stopping' && task.stoppedAt === undefined) {
         this.ctx.out.stops.push({ run: task.run, task: task.name, worker });
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -133,7 +133,7 @@
     for (const row of findings.ends) {
       this.#ends.onEnd(worker, row, now);
     }
-    this.#control.retellStops(worker);
+    this.#control.repeatStops(worker);
     for (const task of findings.released) {
       this.#control.release(task, 'not-listed', now);
     }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,6 +2,7 @@
 export * from './measured-stream';
 export * from './node';
 export * from './node-metrics';
+export * from './node-ports';
 export * from './node-settings';
 export * from './ports/advice-service';
 export * from './ports/fleet-feed';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -3,32 +3,16 @@
 import { decodeJobRecord, JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
 import { setMaxListeners } from 'node:events';
 import type { NodeMetrics, NodeValues } from './node-metrics';
+import type { NodePorts } from './node-ports';
 import type { NodeSettings } from './node-settings';
-import type { AdviceService } from './ports/advice-service';
-import type { FleetCodec } from './ports/fleet-feed';
-import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
-import type { VmService } from './ports/vm-service';
-import type { WorkerLink } from './ports/worker-link';
-import type { AskedWave } from './term';
+import type { StoredRecord } from './ports/keyed-stream';
+import type { AskedWave, TermContext } from './term';
 import { CallerService } from './caller-service';
 import { JobWriter } from './job-writer';
 import { Leadership } from './leadership';
 import { StreamTail } from './stream-tail';
 import { Term } from './term';
 
-/** Services of the platform that a node uses. */
-export interface NodePorts {
-  advice: AdviceService | undefined;
-  codec: FleetCodec;
-  jobs: KeyedStream;
-  link: WorkerLink;
-  operators: KeyedStream;
-  registry: KeyedStream;
-  runs: KeyedStream;
-  status: KeyedStream;
-  vms: VmService | undefined;
-}
-
 const TAIL_RETRY_MS = 100;
 
 /** Time for which the store holds a read open: short, so that a silent connection is noticed, in ms. */
@@ -41,8 +25,6 @@
 /** Age of the state above which a node reports that it is not ready, in ms. */
 const READY_AGE_MS = 2500;
 
-const SECOND_MS = 1000;
-
 const LEADERSHIP = { heartbeatMs: 500, limitMs: 1000, silenceMs: 1600, spreadMs: 250 };
 
 /** A node: serves callers, and leads when no other node does. */
@@ -155,27 +137,17 @@
     this.#term = undefined;
   }
 
-  #termContext(): ConstructorParameters<typeof Term>[0] {
-    const { ports } = this;
+  #termContext(): TermContext {
     return {
-      advice: ports.advice,
       cfg: () => this.callers.cfg,
-      codec: ports.codec,
       jobs: this.#jobs,
       jobsTail: this.#jobsTail,
-      link: ports.link,
       log: this.log,
       metrics: this.metrics,
-      leaseDurationMs: this.cfg.bounds.leaseDurationMs,
-      maxLeaseMs: this.cfg.bounds.maxLeaseMs,
-      node: this.cfg.name,
+      ports: this.ports,
       proofAge: () => this.#leadership.proofAge,
-      registry: ports.registry,
-      runs: ports.runs,
-      stateKeptMs: this.cfg.bounds.stateKeptS * SECOND_MS,
-      status: ports.status,
+      settings: this.cfg,
       timers: this.timers,
-      vms: ports.vms,
       waves: this.#waves,
       writer: this.#writer,
     };
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -6,7 +6,6 @@
   StateRecord,
   TaskRecord,
   Wave,
-  Worker,
 } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import {
@@ -20,22 +19,19 @@
   Scheduler,
   WavePlanner,
 } from '@sequoiaquay/core/jobs';
-import { ChangeLog } from '@sequoiaquay/runtime';
 import type { JobWriter } from './job-writer';
 import type { TermStart } from './leadership';
 import type { NodeMetrics } from './node-metrics';
-import type { AdviceService } from './ports/advice-service';
-import type { FleetCodec } from './ports/fleet-feed';
-import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
-import type { VmService } from './ports/vm-service';
-import type { WorkerLink } from './ports/worker-link';
+import type { NodePorts } from './node-ports';
+import type { NodeSettings } from './node-settings';
+import type { StreamTail } from './stream-tail';
 import { AdviceBook } from './advice-book';
 import { WRITE_OUTCOME } from './job-writer';
 import { MaintenanceLoop } from './maintenance-loop';
 import { OrderSender } from './order-sender';
-import { StreamTail } from './stream-tail';
 import { TermLog } from './term-log';
-import { WorkerLoop } from './worker-loop';
+import { WorkerLoops } from './worker-loops';
+import { WorkerRegistry } from './worker-registry';
 
 /** A wave and the monotonic time at which this node heard of it, in ms. */
 export interface AskedWave {
@@ -45,29 +41,16 @@
 
 /** What a term works with. */
 export interface TermContext {
-  advice: AdviceService | undefined;
   cfg: () => FleetConfig | undefined;
-  codec: FleetCodec;
   jobs: JobTable;
   jobsTail: StreamTail;
-  /** Time for which two leaders must not give orders for the same VM, in ms. */
-  leaseDurationMs: number;
-  link: WorkerLink;
   log: Logger;
-  /** Longest lease that workers give, in ms. */
-  maxLeaseMs: number;
   metrics: NodeMetrics;
-  /** Name of this node. */
-  node: string;
+  ports: NodePorts;
   /** Time since this node last proved that it leads, in ms. */
   proofAge: () => number;
-  registry: KeyedStream;
-  runs: KeyedStream;
-  /** Time for which the state of an ended job is kept, in ms. */
-  stateKeptMs: number;
-  status: KeyedStream;
+  settings: NodeSettings;
   timers: TimerService;
-  vms: VmService | undefined;
   /** Waves that were asked for. */
   waves: ReadonlyMap<number, AskedWave>;
   writer: JobWriter;
@@ -97,11 +80,7 @@
 /** Time for which the state of a job is written, in ms. */
 const STATE_WRITE_MS = 60_000;
 
-/** Period of reading the registry, in ms. */
-const REGISTRY_GAP_MS = 120;
-
-const REGISTRY_WAIT_MS = 1000;
-const REGISTRY_RETRY_MS = 150;
+const SECOND_MS = 1000;
 
 const SCHEDULER_SETTINGS = { refusedPauseMs: 1000, roomPauseMs: 150, setAsideAfter: 3, setAsideMs: 4000 };
 
@@ -109,9 +88,8 @@
 export class Term {
   readonly #advice: AdviceBook;
   readonly #balancer: PoolBalancer;
-  readonly #changes: ChangeLog;
   readonly #log: Logger;
-  readonly #loops = new Map<Worker, WorkerLoop>();
+  readonly #loops: WorkerLoops;
   #planned = false;
   #ready = false;
   readonly #retention: JobRetention;
@@ -126,15 +104,14 @@
     private readonly onLost: (reason: string) => void,
     private readonly signal: AbortSignal,
   ) {
-    const { timers } = ctx;
+    const { ports, timers } = ctx;
     this.#log = ctx.log.child({ epoch: start.epoch });
-    this.#changes = new ChangeLog(this.#log);
-    this.#termLog = new TermLog(ctx.runs, start.runsEnd, onLost, timers, signal);
+    this.#termLog = new TermLog(ports.runs, start.runsEnd, onLost, timers, signal);
     const onAdvice = (): void => {
       this.#scheduler.reconsider();
       this.#planSoon();
     };
-    this.#advice = new AdviceBook(ctx.advice, onAdvice, timers, this.#log, signal);
+    this.#advice = new AdviceBook(ports.advice, onAdvice, timers, this.#log, signal);
     const logDecision = (decision: string, data: Record<string, unknown>): void => {
       ctx.metrics.onDecision(decision, data);
       this.#log.info(data, decision);
@@ -144,14 +121,14 @@
       logDecision,
       (queue, step, workers) => this.#advice.allowed(queue, step, workers),
     );
-    this.#retention = new JobRetention(ctx.stateKeptMs);
+    this.#retention = new JobRetention(ctx.settings.bounds.stateKeptS * SECOND_MS);
     this.#sender = new OrderSender(
       {
         epoch: start.epoch,
         leaseMs: this.#leaseMs,
-        link: ctx.link,
+        link: ports.link,
         onAnswer: (worker) => {
-          this.#loops.get(worker)?.wake();
+          this.#loops.wake(worker);
           this.#planSoon();
         },
         onFenced: onLost,
@@ -161,6 +138,23 @@
       },
       signal,
     );
+    this.#loops = new WorkerLoops(
+      {
+        epoch: start.epoch,
+        isFresh: () => ctx.proofAge() < FRESH_MS,
+        leaseMs: this.#leaseMs,
+        link: ports.link,
+        log: this.#log,
+        onChange: () => {
+          this.#planSoon();
+        },
+        onFenced: onLost,
+        scheduler: this.#scheduler,
+        timers,
+      },
+      () => this.#sparePools(),
+      signal,
+    );
     this.#balancer = new PoolBalancer(this.#scheduler, logDecision);
     this.#waves = new WavePlanner(this.#scheduler, logDecision);
   }
@@ -192,8 +186,7 @@
 
   /** Leads until the signal aborts. */
   async run(): Promise<void> {
-    const registry = this.#openRegistry();
-    await Promise.all([this.ctx.jobsTail.catchUp(this.signal), this.#untilLoaded(registry)]);
+    await Promise.all([this.ctx.jobsTail.catchUp(this.signal), this.#openRegistry()]);
     if (this.signal.aborted) {
       return;
     }
@@ -221,7 +214,7 @@
   }
 
   get #leaseMs(): number {
-    return Math.min(LEASE_MS, this.ctx.maxLeaseMs);
+    return Math.min(LEASE_MS, this.ctx.settings.bounds.maxLeaseMs);
   }
 
   // The leader before kept runs alive until its proof was too old; workers' clocks may be slow.
@@ -230,83 +223,26 @@
     return at + (released ? 0 : FRESH_MS) + longestLeaseMs(this.#leaseMs);
   }
 
-  #openRegistry(): StreamTail {
-    const settings = {
-      gapMs: () => REGISTRY_GAP_MS,
-      name: 'registry',
-      retryMs: REGISTRY_RETRY_MS,
-      waitMs: REGISTRY_WAIT_MS,
-    };
-    const { registry, timers } = this.ctx;
-    const tail = new StreamTail(
-      registry,
-      settings,
-      (record) => {
-        this.#onEntry(record);
+  #openRegistry(): Promise<void> {
+    const { ports, timers } = this.ctx;
+    const registry = new WorkerRegistry({
+      codec: ports.codec,
+      log: this.#log,
+      onChange: () => {
+        this.#startLoops();
+        this.#planSoon();
       },
+      scheduler: this.#scheduler,
+      stream: ports.registry,
       timers,
-      this.#log,
-    );
-    void tail.run(this.signal);
-    return tail;
-  }
-
-  async #untilLoaded(tail: StreamTail): Promise<void> {
-    while (!tail.loaded && !this.signal.aborted) {
-      await this.ctx.timers.sleep(COLLECT_MS, this.signal);
-    }
-  }
-
-  #onEntry(record: StoredRecord): void {
-    const { codec, timers } = this.ctx;
-    const id = codec.workerId(record.key);
-    if (record.value === undefined) {
-      this.#scheduler.onWorkerGone(id);
-      return;
-    }
-    const info = codec.worker(record.key, record.value);
-    if (info.isErr()) {
-      this.#changes.report(`registry entry ${id}`, 'unusable', { error: info.error.slice(0, 200) });
-      this.#scheduler.onWorkerGone(id);
-      return;
-    }
-    this.#scheduler.onWorker(info.value, timers.mono());
-    this.#startLoops();
-    this.#planSoon();
+    });
+    return registry.open(this.signal);
   }
 
   // A worker's report means something only once the tasks are known: ends of unknown tasks are forgotten.
   #startLoops(): void {
-    if (!this.#ready) {
-      return;
-    }
-    for (const worker of this.#scheduler.workers.values()) {
-      if (this.#loops.has(worker) || this.#sparePools().has(worker.info.pool)) {
-        continue;
-      }
-      const { link, timers } = this.ctx;
-      const loop = new WorkerLoop(
-        worker,
-        {
-          epoch: this.start.epoch,
-          isFresh: () => this.ctx.proofAge() < FRESH_MS,
-          leaseMs: this.#leaseMs,
-          link,
-          log: this.#log,
-          onChange: () => {
-            this.#planSoon();
-          },
-          onFenced: this.onLost,
-          scheduler: this.#scheduler,
-          timers,
-        },
-        this.signal,
-      );
-      this.#loops.set(worker, loop);
-      void loop.run().then(() => {
-        this.#loops.delete(worker);
-        link.forget(worker.info);
-      });
+    if (this.#ready) {
+      this.#loops.startMissing();
     }
   }
 
@@ -335,7 +271,8 @@
   }
 
   #startMaintenance(): void {
-    const { codec, leaseDurationMs, node, proofAge, status, timers, vms, waves } = this.ctx;
+    const { ports, proofAge, settings, timers, waves } = this.ctx;
+    const { codec, status, vms } = ports;
     if (vms === undefined) {
       return;
     }
@@ -351,9 +288,9 @@
         encodeReport: (report) => codec.encodeReport(report),
         epoch: this.start.epoch,
         isFresh: () => proofAge() < VM_FRESH_MS,
-        leaseDurationMs,
+        leaseDurationMs: settings.bounds.leaseDurationMs,
         log: this.#log,
-        node,
+        node: settings.name,
         onChange: () => {
           this.#planSoon();
         },
@@ -418,7 +355,7 @@
     for (const { bornAt, number, worker } of plan.ends) {
       if (worker.info.bornAt === bornAt) {
         worker.endsStored = Math.max(worker.endsStored, number);
-        this.#loops.get(worker)?.wake();
+        this.#loops.wake(worker);
       }
     }
     for (const state of plan.states) {
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -4,6 +4,8 @@
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
+import type { NodeSettings } from '../src/node-settings';
+import type { FleetCodec } from '../src/ports/fleet-feed';
 import type { ReportCall, StartCall, WorkerLink } from '../src/ports/worker-link';
 import type { TermContext } from '../src/term';
 import { JobWriter } from '../src/job-writer';
@@ -58,6 +60,24 @@
   },
 };
 
+const CODEC: FleetCodec = {
+  encodeReport: () => ({ key: '', value: '' }),
+  operator: () => err('none'),
+  worker: () => ok(WORKER),
+  workerId: () => 'w1',
+};
+
+const SETTINGS: NodeSettings = {
+  availabilityZone: 'z1',
+  bounds: { gracePeriodS: 6, leaseDurationMs: 3000, maxLeaseMs: 4000, stateKeptS: 120 },
+  callerAddress: '127.0.0.1:1',
+  logLevel: 'info',
+  metricsAddress: '127.0.0.1:2',
+  name: 'n1',
+  readinessAddress: '127.0.0.1:3',
+  storeAddress: '127.0.0.1:4',
+};
+
 /** A worker that answers at once and lists one end until it is stored. */
 class EndingWorker implements WorkerLink {
   readonly started: { run: number; task: string }[] = [];
@@ -107,29 +127,25 @@
   const jobsTail = new StreamTail(jobsStream, tailSettings, () => undefined, timers, quietLog);
   void jobsTail.run(stop.signal);
   return {
-    advice: undefined,
     cfg: () => undefined,
-    codec: {
-      encodeReport: () => ({ key: '', value: '' }),
-      operator: () => err('none'),
-      worker: () => ok(WORKER),
-      workerId: () => 'w1',
-    },
     jobs,
     jobsTail,
-    leaseDurationMs: 3000,
-    link,
     log: quietLog,
-    maxLeaseMs: 4000,
     metrics: new NodeMetrics(),
-    node: 'n1',
+    ports: {
+      advice: undefined,
+      codec: CODEC,
+      jobs: jobsStream,
+      link,
+      operators: new MemoryStream(),
+      registry,
+      runs: new MemoryStream(),
+      status: new MemoryStream(),
+      vms: undefined,
+    },
     proofAge: () => 0,
-    registry,
-    runs: new MemoryStream(),
-    stateKeptMs: 120_000,
-    status: new MemoryStream(),
+    settings: SETTINGS,
     timers,
-    vms: undefined,
     waves: new Map(),
     writer: new JobWriter(jobsStream, () => undefined, timers, quietLog, stop.signal),
   };
