--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -1,4 +1,4 @@
-import type { Job, RunEnd, WorkerInfo, WorkerReport } from '@sequoiaquay/core/jobs';
+import type { RunEnd, WorkerReport } from '@sequoiaquay/core/jobs';
 import { JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
@@ -14,51 +14,9 @@
 import { Term } from '../src/term';
 import { MemoryStream } from './support/memory-stream';
 import { quietLog } from './support/quiet-log';
+import { JOB, WORKER } from './support/sample-job';
 
-const JOB_ID = '00000000000000a1';
-const TASK = `${JOB_ID}.0.0.0`;
-
-const WORKER: WorkerInfo = {
-  address: 'w1:1',
-  bornAt: 1,
-  capacity: { cpuMilli: 4000, gpus: 0, memoryMb: 1000 },
-  draining: false,
-  id: 'w1',
-  labels: [],
-  pool: 'p',
-  rack: 'r1',
-  zone: 'z1',
-};
-
-const JOB: Job = {
-  acceptedAt: 0,
-  id: JOB_ID,
-  pool: 'p',
-  queue: 'quick',
-  spec: {
-    body: 'work',
-    steps: [
-      {
-        after: [],
-        checkpointable: false,
-        count: 2,
-        demand: { cpuMilli: 1000, gpus: 0, memoryMb: 100 },
-        estimatedMs: 500,
-        fillsIdle: false,
-        gang: false,
-        image: '',
-        longRunning: false,
-        maxPerWorker: 0,
-        mayMiss: 0,
-        preferredRack: '',
-        rackSensitive: false,
-        requiredLabel: '',
-        speculative: false,
-        tailTargetMs: 0,
-      },
-    ],
-  },
-};
+const TASK = `${JOB.id}.0.0.0`;
 
 const CODEC: FleetCodec = {
   encodeReport: () => ({ key: '', value: '' }),
@@ -169,6 +127,6 @@
     void term.run();
     await expect.poll(() => link.started.length, { timeout: 3000 }).toBeGreaterThan(0);
     await expect.poll(() => link.storedUpTo, { timeout: 3000 }).toBe(1);
-    expect(link.started).toEqual([{ run: 1, task: `${JOB_ID}.0.0.1` }]);
+    expect(link.started).toEqual([{ run: 1, task: `${JOB.id}.0.0.1` }]);
   });
 });
