--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -1,11 +1,9 @@
 import type { RunEnd, WorkerReport } from '@sequoiaquay/core/jobs';
 import { JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
-import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
-import type { NodeSettings } from '../src/node-settings';
-import type { FleetCodec } from '../src/ports/fleet-feed';
 import type { ReportCall, StartCall, WorkerLink } from '../src/ports/worker-link';
 import type { TermContext } from '../src/term';
 import { JobWriter } from '../src/job-writer';
@@ -14,28 +12,11 @@
 import { Term } from '../src/term';
 import { MemoryStream } from './support/memory-stream';
 import { quietLog } from './support/quiet-log';
-import { JOB, WORKER } from './support/sample-job';
+import { JOB } from './support/sample-job';
+import { CODEC, SETTINGS } from './support/sample-node';
 
 const TASK = `${JOB.id}.0.0.0`;
 
-const CODEC: FleetCodec = {
-  encodeReport: () => ({ key: '', value: '' }),
-  operator: () => err('none'),
-  worker: () => ok(WORKER),
-  workerId: () => 'w1',
-};
-
-const SETTINGS: NodeSettings = {
-  availabilityZone: 'z1',
-  bounds: { gracePeriodS: 6, leaseDurationMs: 3000, maxLeaseMs: 4000, stateKeptS: 120 },
-  callerAddress: '127.0.0.1:1',
-  logLevel: 'info',
-  metricsAddress: '127.0.0.1:2',
-  name: 'n1',
-  readinessAddress: '127.0.0.1:3',
-  storeAddress: '127.0.0.1:4',
-};
-
 /** A worker that answers at once and lists one end until it is stored. */
 class EndingWorker implements WorkerLink {
   readonly started: { run: number; task: string }[] = [];
