--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -15,7 +15,7 @@
   pool: string;
   /** Processor time of tasks that are assigned, in thousandths of a core. */
   reservedCpuMilli: number;
-  /** The same, by the label that the tasks require. */
+  /** Processor time of waiting tasks that require a label, by label, in thousandths of a core. */
   waitingByLabel: Map<string, number>;
   /** Processor time of tasks whose turn has come and that have no worker, in thousandths of a core. */
   waitingCpuMilli: number;
--- a/packages/core/src/maintenance/pool-needs.ts
+++ b/packages/core/src/maintenance/pool-needs.ts
@@ -89,8 +89,9 @@
     const kept = this.#kept(load, busy, pools, inputs);
     const { nearLabels } = load;
     const lackingByLabel = lackingLabels(load, inputs);
-    const surplus = Math.min(has - wanted, 0 - sum(lackingByLabel.values()) || Infinity);
-    const surplusToPark = Math.min(surplus, has - Math.max(wanted, kept));
+    const lacking = sum(lackingByLabel.values());
+    const surplus = lacking > 0 ? Math.min(has - wanted, -lacking) : has - wanted;
+    const surplusToPark = Math.min(surplus, has - kept);
     return { has, kept, lackingByLabel, nearLabels, surplus, surplusToPark, wanted };
   }
 
@@ -117,11 +118,14 @@
   }
 }
 
-// Tasks that require a label may wait while workers without it are idle.
+// Tasks that require a label may wait while workers without it are idle. What workers with the label have
+// room for is about to be assigned.
 function lackingLabels(load: PoolLoad, inputs: NeedInputs): Map<string, number> {
   const lacking = new Map<string, number>();
-  for (const [label, cpuMilli] of load.waitingByLabel) {
-    const needed = Math.ceil(cpuMilli / usableOf(load, inputs)) - inputs.arriving(load.pool, label);
+  for (const [label, waiting] of load.waitingByLabel) {
+    const labelled = load.open.filter((worker) => worker.info.labels.includes(label));
+    const free = sum(labelled.map((worker) => USABLE_SHARE * worker.freeCpuMilli));
+    const needed = Math.ceil((waiting - free) / usableOf(load, inputs)) - inputs.arriving(load.pool, label);
     if (needed > 0) {
       lacking.set(label, needed);
     }
--- a/packages/core/src/maintenance/turn-forecast.ts
+++ b/packages/core/src/maintenance/turn-forecast.ts
@@ -27,7 +27,7 @@
   restore: (onsets: readonly PeakOnset[]) => void;
 }
 
-/** Part of a pool's highest load at which a peak begins, and below which it has ended. */
+/** Parts of the expected height of a peak: the load at which it begins, and below which it has ended. */
 const BEGINS_AT = 0.4;
 const ENDS_AT = 0.25;
 
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -104,6 +104,17 @@
     expect(ordersAt(balancer, 20)).toEqual([]);
   });
 
+  it('brings none with a label while a worker that has it has room for what waits', () => {
+    const { balancer, fleet: made } = fleet();
+    made.add('busy', 'b2').info.labels = ['big'];
+    made.add('spare', 's2');
+    made.vms.forEach((vm) => (vm.labels = ['vm-b2', 'vm-s2'].includes(vm.id) ? ['big'] : []));
+    made.waiting.set('busy', 1000);
+    made.labels.set('busy', new Map([['big', 1000]]));
+    balancer.onVms(made.vms, 5);
+    expect(ordersAt(balancer, 10)).toEqual([]);
+  });
+
   it('brings any VM when none has the label, as far as the pool is short', () => {
     const { balancer, fleet: made } = fleet();
     made.waiting.set('busy', 4000);
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -262,12 +262,12 @@
     }
     const loaded: LoadedRuns = { end: newest.value.end, otherRecords: [], tasks: [], termOffset: -1 };
     for (const record of newest.value.records) {
-      this.#sort(record, loaded);
+      this.#addRecord(record, loaded);
     }
     return loaded;
   }
 
-  #sort(record: StoredRecord, loaded: LoadedRuns): void {
+  #addRecord(record: StoredRecord, loaded: LoadedRuns): void {
     if (record.key === TERM_KEY) {
       loaded.termOffset = record.offset;
       return;
