--- a/packages/platform/tests/fleet-replica.test.ts
+++ b/packages/platform/tests/fleet-replica.test.ts
@@ -74,7 +74,7 @@
     behind.ageMs = 5000;
     ahead.ageMs = 5000;
     const replica = start(log, behind, ahead);
-    await delay(60);
+    await eventually(() => replica.ageMs !== undefined);
     expect(replica.state.next).toBe(9);
     expect(replica.ageMs).toBeGreaterThanOrEqual(5000);
   });
