refactor: read stored JSON in one place, and store the end of a task once

Found in a last reading of the change on the users' platform. - JSON text was read against a schema in four places (platform, records of jobs, of tasks, of peaks): parseJson moves from the adapter to packages/core/src/jobs and serves all. The texts of two errors differ a little. - The end of each run that was done put the same record of its task into the plan twice; it is there once now, with those of the other members of a gang. What is stored for each key is the same. - Each record of a task listed all tasks of its job to see whether the job may be forgotten, before the two cheap conditions, and a release did it twice; the cheap ones come first, once. - The balancer looked the same need up twice and checked for its absence; it gets it with the pool. - Removed: WavePlanner.active and an export that nothing used, and a second sample step in the node's tests.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -11,6 +11,7 @@
 export * from './job-spec';
 export * from './job-table';
 export * from './pacing';
+export * from './parse-json';
 export * from './placement';
 export * from './pool-load';
 export * from './run-record';
--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow';
 import * as z from 'zod';
 import type { Job } from './job-spec';
+import { parseJson } from './parse-json';
 
 /** Kinds of record in the stream of jobs. */
 export const JOB_RECORD = {
@@ -121,7 +122,7 @@
     return ok({ id, kind: JOB_RECORD.forget });
   }
   if (key === LEADER_KEY) {
-    return parse(leaderSchema, value).map((leader) => ({ kind: JOB_RECORD.leader, ...leader }));
+    return parseJson(value, leaderSchema).map((leader) => ({ kind: JOB_RECORD.leader, ...leader }));
   }
   if (key.startsWith('c.')) {
     return ok({ id, kind: JOB_RECORD.cancel });
@@ -133,16 +134,7 @@
       : err(`record ${key} has the unknown state ${value}`);
   }
   if (key.startsWith('j.')) {
-    return parse(jobSchema, value).map((job) => ({ job: { id, ...job }, kind: JOB_RECORD.submit }));
+    return parseJson(value, jobSchema).map((job) => ({ job: { id, ...job }, kind: JOB_RECORD.submit }));
   }
   return err(`record ${key} is of no known kind`);
 }
-
-function parse<T>(schema: z.ZodType<T>, value: string): Result<T, string> {
-  try {
-    const parsed = schema.safeParse(JSON.parse(value));
-    return parsed.success ? ok(parsed.data) : err(parsed.error.message);
-  } catch (error) {
-    return err(String(error));
-  }
-}
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -39,9 +39,11 @@
    * leader that finds neither would run the job again.
    */
   forgetIfIdle(run: JobRun): void {
+    if (!run.endStored || this.ctx.jobs.get(run.job.id) !== run) {
+      return;
+    }
     const tasks = [...run.tasks()];
-    const isKnown = this.ctx.jobs.get(run.job.id) === run;
-    if (!isKnown || !run.endStored || tasks.some((task) => task.worker !== undefined)) {
+    if (tasks.some((task) => task.worker !== undefined)) {
       return;
     }
     this.ctx.jobs.delete(run.job.id);
@@ -91,7 +93,6 @@
     task.advance('release', now);
     this.store(task);
     this.ctx.pool(task.job.job.pool).dirty = true;
-    this.forgetIfIdle(task.job);
   }
 
   /** Stores what is known about a task. */
--- a/packages/core/src/jobs/run-ends.ts
+++ b/packages/core/src/jobs/run-ends.ts
@@ -56,8 +56,9 @@
       task.advance('release', now);
       return;
     }
-    const finished = task.step.spec.gang ? task.step.tasks : [task];
-    for (const member of finished) {
+    task.advance('finish', now);
+    const others = task.step.spec.gang ? task.step.tasks.filter((member) => member !== task) : [];
+    for (const member of others) {
       member.advance('finish', now);
       this.control.store(member);
     }
--- a/packages/core/src/jobs/run-record.ts
+++ b/packages/core/src/jobs/run-record.ts
@@ -1,7 +1,8 @@
 import type { Result } from 'neverthrow';
-import { err, ok } from 'neverthrow';
+import { ok } from 'neverthrow';
 import * as z from 'zod';
 import type { KeyedRecord } from './job-record';
+import { parseJson } from './parse-json';
 
 /** What the leader has stored about a task. */
 export interface TaskRecord {
@@ -47,14 +48,14 @@
   if (!key.startsWith('t.')) {
     return ok(undefined);
   }
-  try {
-    const parsed = recordSchema.safeParse(JSON.parse(value));
-    if (!parsed.success) {
-      return err(`record ${key}: ${parsed.error.message}`);
-    }
-    const [letter, run, workerId, failures, checkpoint] = parsed.data;
-    return ok({ checkpoint, failures, run, state: STATE[letter], task: key.slice(2), workerId });
-  } catch (error) {
-    return err(`record ${key}: ${String(error)}`);
-  }
+  return parseJson(value, recordSchema)
+    .map(([letter, run, workerId, failures, checkpoint]) => ({
+      checkpoint,
+      failures,
+      run,
+      state: STATE[letter],
+      task: key.slice(2),
+      workerId,
+    }))
+    .mapErr((problem) => `record ${key}: ${problem}`);
 }
--- a/packages/core/src/maintenance/donor-choice.ts
+++ b/packages/core/src/maintenance/donor-choice.ts
@@ -15,13 +15,10 @@
 /** The VM that a pool gets next; undefined when no pool can give one that it can use. */
 export function bestDonor(
   pool: string,
+  need: PoolNeed,
   needs: ReadonlyMap<string, PoolNeed>,
   free: ReadonlySet<VmInfo>,
 ): VmInfo | undefined {
-  const need = needs.get(pool);
-  if (need === undefined) {
-    return undefined;
-  }
   let best: VmInfo | undefined;
   let bestRank = Infinity;
   for (const vm of free) {
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -140,10 +140,10 @@
     const orders: MoveOrder[] = [];
     const free = new Set(this.#vms.filter((vm) => this.#isFree(vm, spare, now)));
     const given = new Set<string>();
-    for (let pool = neediest(needs, given); pool !== undefined; pool = neediest(needs, given)) {
-      const vm = bestDonor(pool, needs, free);
-      const need = needs.get(pool);
-      if (vm === undefined || need === undefined) {
+    for (let found = neediest(needs, given); found !== undefined; found = neediest(needs, given)) {
+      const [pool, need] = found;
+      const vm = bestDonor(pool, need, needs, free);
+      if (vm === undefined) {
         skip(pool, need, given);
         continue;
       }
@@ -211,8 +211,8 @@
 }
 
 // When no VM has a label that a pool lacks, any VM may do for the rest of its tasks.
-function skip(pool: string, need: PoolNeed | undefined, given: Set<string>): void {
-  if (need === undefined || need.lackingByLabel.size === 0) {
+function skip(pool: string, need: PoolNeed, given: Set<string>): void {
+  if (need.lackingByLabel.size === 0) {
     given.add(pool);
     return;
   }
@@ -241,8 +241,11 @@
   return needs.get(pool)?.surplus ?? 0;
 }
 
-function neediest(needs: ReadonlyMap<string, PoolNeed>, given: ReadonlySet<string>): string | undefined {
+function neediest(
+  needs: ReadonlyMap<string, PoolNeed>,
+  given: ReadonlySet<string>,
+): [string, PoolNeed] | undefined {
   const lacking = [...needs].filter(([pool, need]) => !given.has(pool) && need.surplus < 0);
   lacking.sort(([, a], [, b]) => a.surplus / a.wanted - b.surplus / b.wanted);
-  return lacking[0]?.[0];
+  return lacking[0];
 }
--- a/packages/core/src/maintenance/turn-record.ts
+++ b/packages/core/src/maintenance/turn-record.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 import type { KeyedRecord } from '../jobs/job-record';
 import type { PeakOnset } from './turn-forecast';
+import { parseJson } from '../jobs/parse-json';
 
 const KEY = 'peaks';
 
@@ -14,14 +15,8 @@
 /** Starts of peaks that an earlier leader has seen; none when there is no readable record of them. */
 export function decodeOnsets(records: readonly KeyedRecord[]): PeakOnset[] {
   const value = records.find((record) => record.key === KEY)?.value;
-  if (value === undefined) {
-    return [];
-  }
-  try {
-    const parsed = onsetsSchema.safeParse(JSON.parse(value));
-    return parsed.success ? parsed.data.map(([pool, at]) => ({ at, pool })) : [];
-  } catch {
-    // Without them the forecast learns anew.
-    return [];
-  }
+  // Without a readable record the forecast learns anew.
+  return parseJson(value ?? '[]', onsetsSchema)
+    .map((rows) => rows.map(([pool, at]) => ({ at, pool })))
+    .unwrapOr([]);
 }
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -70,11 +70,6 @@
     private readonly log: WaveLog,
   ) {}
 
-  /** Whether the list of VMs is needed. */
-  get active(): boolean {
-    return [...this.#runs.values()].some((run) => run.told !== 'completed' || run.down > 0);
-  }
-
   /** Takes a wave that was asked for at a monotonic time, in ms. */
   onWave(wave: Wave, askedAt: number): void {
     if (this.#runs.has(wave.id)) {
