fix(jobs): delete the specification of a job with its end

Cause: the stream of jobs kept the specification and the state "running" of every ended job until it was forgotten, 180 s later. Every node loads them after a restart, and kept them in memory as well. Only the leader needs the specification, and only until the job has ended.

Change: the append that stores the end or the cancellation of a job also deletes its specification (j.ID) and its state "running" (r.ID). The end or the cancellation alone then says that the job was accepted: a repeat of the submission, a GET and a DELETE are answered as before, for as long as before. The table drops the specification at the end as well. - The deletion of a key decodes to a record of its own instead of "forget". Each key of a job is deleted by itself, so that a reload that reports missing keys as deleted reaches the same state as reading every record. - The end or the cancellation comes before the deletions, so that a reader of any part of the append knows the job. - The leader handles a cancellation without a specification. - Retention finds ended jobs without a specification. A state "running" that was stored after its job was forgotten stayed for ever; it is removed after the retention time, by its own key only, since the specification of a job may be stored but not be readable. The order of storing is unchanged: the end is stored before the records of the tasks are dropped.

Failing before, passing now, also: "keeps no specification of ended jobs in memory", "returns the state of an ended job whose specification is deleted", "removes a state that was stored after its job was forgotten, and nothing else of that job". The property tests pass before and after; they and the other tests fail when a deletion decodes to "forget", when the deletions come before the cancellation, when the specification is kept at the end, when entries are not removed, when the leader ignores a cancellation without a specification, and when a repeat looks for a specification (each tried).

Tests replaced: "returns no state for a job whose submit record has not been read" expected no state from a cancellation alone, which now stands for an accepted job; a state "running" alone still gives none, a cancellation or an end alone gives its state. The retention test expects the records instead of the ids. The stand-in worker of the term test has its stop as a property.

Conclusion: what a node loads grows with the ends of the last 180 s by 19 to 27 bytes each, no longer with their specifications. Each end costs two more records without a value in the stream.

--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -7,31 +7,45 @@
 /** Kinds of records in the stream of jobs. */
 export const JOB_RECORD = {
   cancel: 'cancel',
+  delete: 'delete',
   forget: 'forget',
   leader: 'leader',
   state: 'state',
   submit: 'submit',
 } as const;
 
+/** Prefixes of the keys under which the records of a job are stored. */
+export const JOB_KEY_PREFIX = { cancelled: 'c', ended: 'e', running: 'r', submitted: 'j' } as const;
+
+/** Prefix of the key of a record of a job. */
+export type JobKeyPrefix = (typeof JOB_KEY_PREFIX)[keyof typeof JOB_KEY_PREFIX];
+
 /** Records that a job was accepted. Applying the record again changes nothing. */
 export interface SubmitRecord {
   job: Job;
   kind: typeof JOB_RECORD.submit;
 }
 
-/** Records that a caller cancelled a job. */
+/** Records that a caller cancelled a job, which was accepted before. Deletes the specification of the job. */
 export interface CancelRecord {
   id: string;
   kind: typeof JOB_RECORD.cancel;
 }
 
+/** Deletes one of the records of a job. */
+export interface DeleteRecord {
+  id: string;
+  kind: typeof JOB_RECORD.delete;
+  prefix: JobKeyPrefix;
+}
+
 /** Removes the state of an ended job when its retention time is over. */
 export interface ForgetRecord {
   id: string;
   kind: typeof JOB_RECORD.forget;
 }
 
-/** Records the state of a job, as reported by the leader. */
+/** Records the state of a job, as reported by the leader. Its end deletes the specification of the job. */
 export interface StateRecord {
   id: string;
   kind: typeof JOB_RECORD.state;
@@ -49,7 +63,8 @@
 }
 
 /** Record in the stream of jobs. */
-export type JobRecord = CancelRecord | ForgetRecord | LeaderRecord | StateRecord | SubmitRecord;
+export type JobRecord =
+  CancelRecord | DeleteRecord | ForgetRecord | LeaderRecord | StateRecord | SubmitRecord;
 
 /** Record as a key-value pair; the store keeps the newest value of each key. */
 export interface KeyedRecord {
@@ -95,49 +110,64 @@
 const LEADER_KEY = 'leader';
 
 /**
- * Encodes a record as one or more key-value pairs. The end of a job has its own key: the store keeps only
- * the newest value of a key, and a leader that was partitioned may write late that the job is running.
+ * Encodes a record as one or more key-value pairs, in the order in which they must be stored. The end of a
+ * job has its own key: the store keeps only the newest value of a key, and a leader that was partitioned may
+ * write late that the job is running. The end or the cancellation comes before the deletion of the
+ * specification, so that a reader of any part of the pairs never sees an accepted job as unknown.
  */
 export function encodeJobRecord(record: JobRecord): KeyedRecord[] {
+  const { cancelled, ended, running, submitted } = JOB_KEY_PREFIX;
   switch (record.kind) {
     case JOB_RECORD.cancel:
-      return [{ key: `c.${record.id}`, value: '1' }];
+      return [{ key: `${cancelled}.${record.id}`, value: '1' }, ...deletions(record.id, submitted, running)];
+    case JOB_RECORD.delete:
+      return deletions(record.id, record.prefix);
     case JOB_RECORD.forget:
-      return ['j', 'c', 'r', 'e'].map((prefix) => ({ key: `${prefix}.${record.id}`, value: undefined }));
+      return deletions(record.id, submitted, cancelled, running, ended);
     case JOB_RECORD.leader:
       return [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
     case JOB_RECORD.state:
-      return [{ key: `${record.state === 'running' ? 'r' : 'e'}.${record.id}`, value: record.state }];
+      return record.state === 'running'
+        ? [{ key: `${running}.${record.id}`, value: record.state }]
+        : [
+            { key: `${ended}.${record.id}`, value: record.state },
+            ...deletions(record.id, submitted, running),
+          ];
     case JOB_RECORD.submit: {
       const { id, ...job } = record.job;
-      return [{ key: `j.${id}`, value: JSON.stringify(job) }];
+      return [{ key: `${submitted}.${id}`, value: JSON.stringify(job) }];
     }
   }
 }
 
 /**
- * Decodes a record. An undefined value decodes to a `forget` record. The error describes why the record is
+ * Decodes a record. An undefined value decodes to a `delete` record. The error describes why the record is
  * invalid.
  */
 export function decodeJobRecord(key: string, value: string | undefined): Result<JobRecord, string> {
-  const id = key.slice(2);
-  if (value === undefined) {
-    return ok({ id, kind: JOB_RECORD.forget });
-  }
-  if (key === LEADER_KEY) {
+  if (key === LEADER_KEY && value !== undefined) {
     return parseJson(value, leaderSchema).map((leader) => ({ kind: JOB_RECORD.leader, ...leader }));
   }
-  if (key.startsWith('c.')) {
-    return ok({ id, kind: JOB_RECORD.cancel });
+  const prefix = Object.values(JOB_KEY_PREFIX).find((known) => key.startsWith(`${known}.`));
+  if (prefix === undefined) {
+    return err(`record key ${key} has an unknown prefix`);
   }
-  if (key.startsWith('r.') || key.startsWith('e.')) {
-    const state = stateSchema.safeParse(value);
-    return state.success
-      ? ok({ id, kind: JOB_RECORD.state, state: state.data })
-      : err(`record ${key} has the unknown state ${value}`);
+  const id = key.slice(prefix.length + 1);
+  if (value === undefined) {
+    return ok({ id, kind: JOB_RECORD.delete, prefix });
   }
-  if (key.startsWith('j.')) {
+  if (prefix === JOB_KEY_PREFIX.submitted) {
     return parseJson(value, jobSchema).map((job) => ({ job: { id, ...job }, kind: JOB_RECORD.submit }));
   }
-  return err(`record key ${key} has an unknown prefix`);
+  if (prefix === JOB_KEY_PREFIX.cancelled) {
+    return ok({ id, kind: JOB_RECORD.cancel });
+  }
+  const state = stateSchema.safeParse(value);
+  return state.success
+    ? ok({ id, kind: JOB_RECORD.state, state: state.data })
+    : err(`record ${key} has the unknown state ${value}`);
+}
+
+function deletions(id: string, ...prefixes: JobKeyPrefix[]): KeyedRecord[] {
+  return prefixes.map((prefix) => ({ key: `${prefix}.${id}`, value: undefined }));
 }
--- a/packages/core/src/jobs/job-retention.ts
+++ b/packages/core/src/jobs/job-retention.ts
@@ -1,4 +1,6 @@
+import type { DeleteRecord, ForgetRecord } from './job-record';
 import type { JobTable } from './job-table';
+import { JOB_KEY_PREFIX, JOB_RECORD } from './job-record';
 
 /**
  * Factor on the promised retention time of the state of an ended job. The margin covers clock differences
@@ -8,24 +10,31 @@
 
 /** Decides when the state of an ended job may be removed. */
 export class JobRetention {
-  readonly #endSeenAt = new Map<string, number>();
+  #endSeenAt = new Map<string, number>();
 
   constructor(private readonly retentionMs: number) {}
 
   /**
-   * Returns the ids of the jobs whose retention time is over at a monotonic time in ms, each id once. The
-   * retention time starts when this method first sees that the job has ended.
+   * Returns the records that remove the jobs whose retention time is over at a monotonic time in ms, each job
+   * once. The retention time starts when this method first sees that the job has ended. Of a job without a
+   * known end only the state is removed: its specification may be stored, but not be readable here.
    */
-  collectExpired(jobs: JobTable, now: number): string[] {
-    const expired: string[] = [];
+  collectExpired(jobs: JobTable, now: number): (DeleteRecord | ForgetRecord)[] {
+    const expired: (DeleteRecord | ForgetRecord)[] = [];
+    const endSeenAt = new Map<string, number>();
     for (const id of jobs.endedIds()) {
-      const endSeenAt = this.#endSeenAt.get(id) ?? now;
-      this.#endSeenAt.set(id, endSeenAt);
-      if (now - endSeenAt > RETENTION_FACTOR * this.retentionMs) {
-        expired.push(id);
-        this.#endSeenAt.delete(id);
+      const seenAt = this.#endSeenAt.get(id) ?? now;
+      if (now - seenAt > RETENTION_FACTOR * this.retentionMs) {
+        expired.push(
+          jobs.stateOf(id) === undefined
+            ? { id, kind: JOB_RECORD.delete, prefix: JOB_KEY_PREFIX.running }
+            : { id, kind: JOB_RECORD.forget },
+        );
+      } else {
+        endSeenAt.set(id, seenAt);
       }
     }
+    this.#endSeenAt = endSeenAt;
     return expired;
   }
 }
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -1,12 +1,15 @@
-import type { JobRecord } from './job-record';
+import type { DeleteRecord, JobRecord } from './job-record';
 import type { Job, JobState } from './job-spec';
-import { JOB_RECORD } from './job-record';
+import { JOB_KEY_PREFIX, JOB_RECORD } from './job-record';
 import { JOB_STATE } from './job-spec';
 
 /** State of a job, as read from the stream of jobs. */
 export interface JobEntry {
   cancelled: boolean;
-  /** Undefined until the record of the acceptance has been read; other records may be read before it. */
+  /**
+   * Undefined until the record of the acceptance has been read, since other records may be read before it,
+   * and once the job has ended.
+   */
   job: Job | undefined;
   /** Newest state that the leader reported; undefined before the first report. */
   reportedState: 'completed' | 'failed' | 'running' | undefined;
@@ -15,7 +18,8 @@
 /**
  * Table of the jobs, built from the stream of jobs. The result does not depend on the order of the records
  * of a job: the store keeps only the newest record of each key, so a reader that starts late may see them
- * in another order.
+ * in another order. The specification of a job is kept until the job has ended; its end or cancellation alone
+ * then says that it was accepted.
  */
 export class JobTable {
   readonly #entries = new Map<string, JobEntry>();
@@ -29,16 +33,16 @@
   /** Yields the jobs that have not ended, in the order in which they were first read. */
   *activeJobs(): Generator<Job> {
     for (const entry of this.#entries.values()) {
-      if (entry.job !== undefined && !isEnded(entry)) {
+      if (entry.job !== undefined) {
         yield entry.job;
       }
     }
   }
 
-  /** Yields the ids of the jobs that have ended. */
+  /** Yields the ids of the jobs that have ended, and of those of which only the state `running` is left. */
   *endedIds(): Generator<string> {
     for (const [id, entry] of this.#entries) {
-      if (isEnded(entry)) {
+      if (entry.job === undefined) {
         yield id;
       }
     }
@@ -53,16 +57,24 @@
       this.#removeEntry(record.id);
       return undefined;
     }
+    if (record.kind === JOB_RECORD.delete) {
+      this.#deleteRecord(record);
+      return undefined;
+    }
     const id = record.kind === JOB_RECORD.submit ? record.job.id : record.id;
     const entry = this.#getOrCreateEntry(id);
     if (record.kind === JOB_RECORD.submit) {
       entry.job ??= record.job;
     } else if (record.kind === JOB_RECORD.cancel) {
       entry.cancelled = true;
-    } else if (entry.reportedState !== 'completed' && entry.reportedState !== 'failed') {
+    } else if (!hasReportedEnd(entry)) {
       entry.reportedState = record.state;
     }
-    this.#updateQueuedIndex(id, entry);
+    if (isEnded(entry)) {
+      this.#dropJob(id, entry);
+    } else {
+      this.#updateQueuedIndex(id, entry);
+    }
     return entry;
   }
 
@@ -74,7 +86,9 @@
   /** Returns the state of a job as reported to callers; undefined if no such job was accepted. */
   stateOf(id: string): JobState | undefined {
     const entry = this.#entries.get(id);
-    return entry?.job === undefined ? undefined : stateOfEntry(entry);
+    return entry === undefined || (entry.job === undefined && !isEnded(entry))
+      ? undefined
+      : stateOfEntry(entry);
   }
 
   /** Returns the number of queued jobs of a queue, without jobs that have a schedule. */
@@ -82,10 +96,35 @@
     return this.#queuedIdsByQueue.get(queue)?.size ?? 0;
   }
 
-  #removeEntry(id: string): void {
+  // The keys of a job are deleted one by one: a reader that reloads the stream may have known only some.
+  #deleteRecord({ id, prefix }: DeleteRecord): void {
     const entry = this.#entries.get(id);
-    if (entry?.job !== undefined) {
+    if (entry === undefined) {
+      return;
+    }
+    if (prefix === JOB_KEY_PREFIX.cancelled) {
+      entry.cancelled = false;
+    } else if (prefix === JOB_KEY_PREFIX.submitted) {
+      this.#dropJob(id, entry);
+    } else if (hasReportedEnd(entry) === (prefix === JOB_KEY_PREFIX.ended)) {
+      entry.reportedState = undefined;
+    }
+    if (entry.job === undefined && !entry.cancelled && entry.reportedState === undefined) {
+      this.#entries.delete(id);
+    }
+  }
+
+  #dropJob(id: string, entry: JobEntry): void {
+    if (entry.job !== undefined) {
       this.#queuedIdsByQueue.get(entry.job.queue)?.delete(id);
+      entry.job = undefined;
+    }
+  }
+
+  #removeEntry(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) {
+      this.#dropJob(id, entry);
     }
     this.#entries.delete(id);
   }
@@ -114,12 +153,16 @@
   }
 }
 
-/** Returns whether a job has ended, so that none of its tasks may start. */
-export function isEnded(entry: JobEntry): boolean {
+// None of the tasks of an ended job may start.
+function isEnded(entry: JobEntry): boolean {
   const state = stateOfEntry(entry);
   return state !== JOB_STATE.queued && state !== JOB_STATE.running;
 }
 
+function hasReportedEnd(entry: JobEntry): boolean {
+  return entry.reportedState === 'completed' || entry.reportedState === 'failed';
+}
+
 // A reported end takes precedence over a cancellation.
 function stateOfEntry(entry: JobEntry): JobState {
   if (entry.reportedState === 'completed' || entry.reportedState === 'failed') {
--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -100,7 +100,7 @@
     if (spec.isErr()) {
       return this.#logAnswer(id, { kind: CALLER_ANSWER.badRequest, problem: spec.error });
     }
-    if (this.jobs.get(id)?.job !== undefined) {
+    if (this.jobs.stateOf(id) !== undefined) {
       return this.#logAnswer(id, { kind: CALLER_ANSWER.accepted });
     }
     if (!this.writer.isLikelyToSucceed(this.tail.reachableSince !== undefined)) {
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -10,8 +10,6 @@
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import {
   encodeTaskTombstone,
-  isEnded,
-  JOB_RECORD,
   JobRetention,
   longestLeaseMs,
   parseTaskName,
@@ -180,13 +178,13 @@
 
   /** Applies the submission or cancellation of a job; ignored until the state of earlier terms is restored. */
   onJob(id: string, entry: JobEntry): void {
-    if (!this.#isRestored || entry.job === undefined) {
+    if (!this.#isRestored) {
       return;
     }
     const { timers } = this.ctx;
     if (entry.cancelled) {
       this.#scheduler.onCancel(id, timers.mono());
-    } else if (!isEnded(entry)) {
+    } else if (entry.job !== undefined) {
       this.#scheduler.onJob(entry.job, [], timers.mono(), timers.now());
     }
     this.#schedulePlan();
@@ -318,8 +316,8 @@
 
   #forgetExpiredJobs(): void {
     const { jobs, timers, writer } = this.ctx;
-    for (const id of this.#retention.collectExpired(jobs, timers.mono())) {
-      void writer.write({ id, kind: JOB_RECORD.forget }, timers.mono() + RETENTION_INTERVAL_MS);
+    for (const record of this.#retention.collectExpired(jobs, timers.mono())) {
+      void writer.write(record, timers.mono() + RETENTION_INTERVAL_MS);
     }
   }
 
