feat(node): leave a line for requests refused before a job is looked up

Cause: answers with no-configuration, state-not-current and unknown-queue were given without a line, so the log of a node that refuses all callers was silent.

--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -7,6 +7,7 @@
 import type { StreamTail } from './stream-tail';
 import { WRITE_OUTCOME } from './job-writer';
 import { RecentIds } from './recent-ids';
+import { RefusalLog } from './refusal-log';
 
 /** Kinds of answers to callers. */
 export const CALLER_ANSWER = {
@@ -57,6 +58,9 @@
 /** Age of the job table above which an unknown id is not reported as gone, in ms. */
 const MAX_STATE_AGE_MS = 2500;
 
+/** Length to which the host and the path of a refused request are cut in a log line. */
+const MAX_LOGGED_LENGTH = 128;
+
 /** Most ids of jobs with an unconfirmed write that are kept. */
 const MAX_UNCONFIRMED_JOBS = 10_000;
 
@@ -69,6 +73,7 @@
   cfg: FleetConfig | undefined;
   /** Ids of jobs whose submission may have been stored although no append was confirmed. */
   readonly #unconfirmedIds = new RecentIds(MAX_UNCONFIRMED_JOBS);
+  readonly #refusalLog: RefusalLog;
 
   constructor(
     private readonly jobs: JobTable,
@@ -78,7 +83,9 @@
     private readonly log: Logger,
     private readonly metrics: NodeMetrics,
     private readonly signal: AbortSignal,
-  ) {}
+  ) {
+    this.#refusalLog = new RefusalLog(timers, log);
+  }
 
   /** Submits a job; the answer is `accepted` only once the job is stored. */
   submit(req: CallerRequest, spec: Result<JobSpec, string>): Promise<CallerAnswer> {
@@ -88,7 +95,7 @@
   async #submit(req: CallerRequest, spec: Result<JobSpec, string>): Promise<CallerAnswer> {
     const resolved = this.#resolvePath(req);
     if ('kind' in resolved) {
-      return resolved;
+      return this.#logRefusal('submit', req, resolved);
     }
     const { id, queue } = resolved;
     if (id === undefined) {
@@ -125,7 +132,7 @@
   async #cancel(req: CallerRequest): Promise<CallerAnswer> {
     const resolved = this.#resolvePath(req);
     if ('kind' in resolved) {
-      return resolved;
+      return this.#logRefusal('cancel', req, resolved);
     }
     const { id } = resolved;
     if (id === undefined) {
@@ -150,7 +157,7 @@
   async #show(req: CallerRequest): Promise<CallerAnswer> {
     const resolved = this.#resolvePath(req);
     if ('kind' in resolved) {
-      return resolved;
+      return this.#logRefusal('show', req, resolved);
     }
     const { id, queue, rest } = resolved;
     if (rest === '') {
@@ -160,7 +167,11 @@
       return { kind: CALLER_ANSWER.gone };
     }
     const state = await this.#currentState(id, req);
-    return state === undefined ? this.#unknownJobAnswer() : { kind: CALLER_ANSWER.state, state };
+    if (state !== undefined) {
+      return { kind: CALLER_ANSWER.state, state };
+    }
+    const answer = this.#unknownJobAnswer();
+    return answer.kind === CALLER_ANSWER.notRun ? this.#logRefusal('show', req, answer) : answer;
   }
 
   async #recordRequest(call: string, handled: Promise<CallerAnswer>): Promise<CallerAnswer> {
@@ -246,6 +257,22 @@
     return this.timers.mono() + this.#remainingMs(req);
   }
 
+  // Refused before a job was looked up, or without changing one.
+  #logRefusal(call: string, req: CallerRequest, answer: CallerAnswer): CallerAnswer {
+    const { host, path } = req;
+    const job = path.slice(path.lastIndexOf('/') + 1);
+    this.#refusalLog.write({
+      answer,
+      call,
+      cfgVersion: this.cfg?.version,
+      host: host.slice(0, MAX_LOGGED_LENGTH),
+      job: JOB_ID_PATTERN.test(job) ? job : undefined,
+      path: path.slice(0, MAX_LOGGED_LENGTH),
+      stateAgeMs: Math.round(this.tail.ageMs()),
+    });
+    return answer;
+  }
+
   #logAnswer(id: string, answer: CallerAnswer): CallerAnswer {
     const stateAgeMs = Math.round(this.tail.ageMs());
     const cfgVersion = this.cfg?.version;
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -10,6 +10,7 @@
 import { StreamTail } from '../src/stream-tail';
 import { MemoryStream } from './support/memory-stream';
 import { quietLog } from './support/quiet-log';
+import { createRecordingLog } from './support/recording-log';
 
 const ID = '00000bb87a21d94b';
 const REQ = { host: 'h', path: `/q/${ID}`, timeoutMs: 600 };
@@ -98,4 +99,28 @@
     }
     expect(await callers.show(REQ)).toEqual({ kind: 'state', state: 'queued' });
   });
+
+  it('leaves a line with the reason and the inputs of a refusal before a job is looked up', async () => {
+    const lines: Record<string, unknown>[] = [];
+    const log = createRecordingLog(lines);
+    const tail = new StreamTail(
+      stream,
+      { readPauseMs: () => 5, name: 'jobs', retryDelayMs: 5, waitMs: 0 },
+      () => undefined,
+      timers,
+      log,
+    );
+    const writer = new JobWriter(stream, () => undefined, timers, log, stop.signal);
+    const callers = new CallerService(jobs, tail, writer, timers, log, new NodeMetrics(), stop.signal);
+    await callers.submit(REQ, ok(SPEC));
+    callers.cfg = CONFIG;
+    await callers.show(REQ);
+    await callers.cancel({ ...REQ, host: 'x' });
+    const refused = lines.filter((line) => line.msg === 'request refused');
+    expect(refused).toMatchObject([
+      { answer: { reason: 'no-configuration' }, call: 'submit', host: 'h', job: ID, path: REQ.path },
+      { answer: { reason: 'state-not-current' }, call: 'show', cfgVersion: 1, job: ID },
+      { answer: { kind: 'unknown-queue' }, call: 'cancel', host: 'x' },
+    ]);
+  });
 });
