feat(node): record bytes by kind of traffic, event loop delay and orders in flight

Cause: a leader whose link or processor is full can't be told from one whose workers are slow. Change: counters of bytes by kind of traffic and direction (bodies only), a histogram of the delay of the event loop, time from the plan of a start order to its answer, orders in flight, and the line `leader overloaded` with the figures that decide, at most one in 5 s. The settings of a node state its share of a core, speed, link and memory where the platform gives them.

--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -1,5 +1,22 @@
 import type { Metrics, MetricSample } from '@sequoiaquay/runtime';
 import { LatencyHistograms, singleSample } from '@sequoiaquay/runtime';
+import { OrdersInFlight } from './orders-in-flight';
+
+/** Kinds of traffic of a node; the traffic of a stream of the store has the name of the stream. */
+export const TRAFFIC = {
+  callers: 'callers',
+  workerOrders: 'worker-orders',
+  workerReports: 'worker-reports',
+} as const;
+
+/** Bytes that were sent and received. */
+export interface TrafficTotals {
+  received: number;
+  sent: number;
+}
+
+/** Records the bytes of bodies that were sent and received; headers are not included. */
+export type TrafficRecorder = (kind: string, direction: keyof TrafficTotals, bytes: number) => void;
 
 /** Values that are read each time the metrics are scraped. */
 export interface NodeGauges {
@@ -26,13 +43,13 @@
 class LabelledCounter {
   readonly #counts = new Map<string, LabelledCount>();
 
-  increment(labels: Record<string, string>): void {
+  increment(labels: Record<string, string>, by = 1): void {
     const key = Object.values(labels).join('\n');
     const count = this.#counts.get(key);
     if (count === undefined) {
-      this.#counts.set(key, { labels, value: 1 });
+      this.#counts.set(key, { labels, value: by });
     } else {
-      count.value += 1;
+      count.value += by;
     }
   }
 
@@ -43,12 +60,39 @@
 
 /** Counters and histograms of a node. */
 export class NodeMetrics {
+  /** Start orders of this node as leader that have no answer. */
+  readonly orders = new OrdersInFlight();
   readonly #decisions = new LabelledCounter();
+  readonly #eventLoopDelays = new LatencyHistograms();
+  readonly #orderTimes = new LatencyHistograms();
   readonly #requestTimes = new LatencyHistograms();
   readonly #requests = new LabelledCounter();
   readonly #storeCalls = new LabelledCounter();
   readonly #storeTimes = new LatencyHistograms();
   readonly #firstRunWaits = new LatencyHistograms();
+  readonly #traffic = new LabelledCounter();
+  readonly #trafficTotals: TrafficTotals = { received: 0, sent: 0 };
+
+  /** Records the bytes of bodies that were sent or received; headers are not included. */
+  readonly recordTraffic: TrafficRecorder = (kind, direction, bytes) => {
+    this.#traffic.increment({ direction, kind }, bytes);
+    this.#trafficTotals[direction] += bytes;
+  };
+
+  /** Returns the bytes of all kinds of traffic since the process started. */
+  trafficTotals(): TrafficTotals {
+    return { ...this.#trafficTotals };
+  }
+
+  /** Records how late the event loop ran a timer, in ms. */
+  recordEventLoopDelay(delayMs: number): void {
+    this.#eventLoopDelays.record({}, delayMs);
+  }
+
+  /** Removes a start order from those in flight and records the time from its plan to its answer. */
+  recordOrderAnswer(id: number, now: number): void {
+    this.#orderTimes.record({}, this.orders.remove(id, now));
+  }
 
   /** Counts a decision of the leader by the end, answer, state or reason in its data. */
   recordDecision(decision: string, data: Record<string, unknown>): void {
@@ -93,6 +137,10 @@
     metrics.registerCounter({ ...decisions, name: 'sequoiaquay_decisions_total' }, () =>
       this.#decisions.samples(),
     );
+    const traffic = { help: 'Bytes of bodies by kind of traffic', labels: ['kind', 'direction'] };
+    metrics.registerCounter({ ...traffic, name: 'sequoiaquay_traffic_bytes_total' }, () =>
+      this.#traffic.samples(),
+    );
   }
 
   #publishLatencies(metrics: Metrics): void {
@@ -108,6 +156,18 @@
     metrics.registerGauge({ ...wait, name: 'sequoiaquay_first_run_wait_seconds' }, () =>
       this.#firstRunWaits.quantiles(),
     );
+    const delay = { help: 'Delay of timers by a busy event loop', labels: ['quantile'] };
+    metrics.registerGauge({ ...delay, name: 'sequoiaquay_event_loop_delay_seconds' }, () =>
+      this.#eventLoopDelays.quantiles(),
+    );
+    const order = { help: 'Time from the plan of a start order to its answer', labels: ['quantile'] };
+    metrics.registerGauge({ ...order, name: 'sequoiaquay_start_order_seconds' }, () =>
+      this.#orderTimes.quantiles(),
+    );
+    metrics.registerGauge(
+      { help: 'Start orders without an answer', labels: [], name: 'sequoiaquay_start_orders_in_flight' },
+      () => singleSample(this.orders.count),
+    );
   }
 }
 
--- a/packages/node/src/node-settings.ts
+++ b/packages/node/src/node-settings.ts
@@ -3,6 +3,9 @@
 
 const positiveNumber = z.number().positive();
 
+/** Size of a resource of the machine; 0 means that it is not known. */
+const resourceSize = z.number().nonnegative();
+
 /** Time bounds of the platform. */
 const boundsSchema = z.object({
   /** Time between the request to stop a process and its forced end, in seconds. */
@@ -23,7 +26,15 @@
   bounds: boundsSchema,
   /** Address on which the node listens for callers. */
   callerAddress: addressSchema,
+  /** Speed of a core relative to that of other machines. */
+  cpuCores: resourceSize.optional(),
+  /** Share of a core that the process may use. */
+  cpuShare: resourceSize.optional(),
+  /** Capacity of the machine's link in each direction, in Mbit/s. */
+  linkMbps: resourceSize.optional(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+  /** Memory that the process may use, in MB. */
+  memoryMb: resourceSize.optional(),
   /** Address on which the node serves its metrics. */
   metricsAddress: addressSchema,
   /** Name of the node, unique among all nodes. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,8 +8,10 @@
 import type { StoredRecord } from './ports/keyed-stream';
 import type { RequestedWave, TermContext } from './term';
 import { CallerService } from './caller-service';
+import { EventLoopMonitor } from './event-loop-monitor';
 import { JobWriter } from './job-writer';
 import { Leadership } from './leadership';
+import { OverloadMonitor } from './overload-monitor';
 import { StreamTail } from './stream-tail';
 import { Term } from './term';
 
@@ -26,6 +28,8 @@
 /** Age of the job table above which a node reports that it is not ready, in ms. */
 const MAX_READY_STATE_AGE_MS = 2500;
 
+const BYTES_PER_MBIT = 125_000;
+
 const LEADERSHIP_SETTINGS = {
   heartbeatIntervalMs: 500,
   heartbeatTimeoutMs: 1600,
@@ -37,10 +41,12 @@
 export class Node {
   readonly #abort = new AbortController();
   readonly callers: CallerService;
+  readonly #eventLoop: EventLoopMonitor;
   readonly #jobs = new JobTable();
   readonly #jobsTail: StreamTail;
   readonly #leadership: Leadership;
   readonly #operatorsTail: StreamTail;
+  readonly #overload: OverloadMonitor;
   #isStopRequested = false;
   #term: Term | undefined;
   readonly #waves = new Map<number, RequestedWave>();
@@ -55,6 +61,9 @@
   ) {
     const { signal } = this.#abort;
     setMaxListeners(0, signal);
+    this.#eventLoop = new EventLoopMonitor(metrics, timers);
+    const linkBytesPerS = (cfg.linkMbps ?? 0) > 0 ? (cfg.linkMbps ?? 0) * BYTES_PER_MBIT : undefined;
+    this.#overload = new OverloadMonitor(linkBytesPerS, this.#eventLoop, metrics, timers, log);
     const tail = { retryDelayMs: TAIL_RETRY_DELAY_MS, waitMs: TAIL_WAIT_MS };
     const isLeader = (): boolean => this.#term !== undefined;
     this.#jobsTail = new StreamTail(
@@ -94,7 +103,10 @@
       ports.runs,
       this.#jobsTail,
       this.#writer,
-      (start, onLost, termSignal) => this.#runTerm(new Term(this.#termContext(), start, onLost, termSignal)),
+      (start, onLost, termSignal) => {
+        this.#overload.run(termSignal);
+        return this.#runTerm(new Term(this.#termContext(), start, onLost, termSignal));
+      },
       timers,
       log,
     );
@@ -135,6 +147,7 @@
     stop.addEventListener('abort', () => {
       this.#isStopRequested = true;
     });
+    void this.#eventLoop.run(signal);
     void this.#jobsTail.run(signal);
     void this.#operatorsTail.run(signal);
     await this.#leadership.run(stop);
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -1,6 +1,7 @@
 import type { Scheduler, StartOrder, StopOrder, ThrottleOrder, Worker } from '@sequoiaquay/core/jobs';
 import type { TimerService } from '@sequoiaquay/runtime';
 import { START_ANSWER } from '@sequoiaquay/core/jobs';
+import type { NodeMetrics } from './node-metrics';
 import type { WorkerLink } from './ports/worker-link';
 
 /** Dependencies of the sender on its term. */
@@ -10,6 +11,7 @@
   /** Duration of the lease that a start order extends, in ms. */
   leaseMs: number;
   link: WorkerLink;
+  metrics: NodeMetrics;
   /** Called after a worker's answer to a start or stop order has been handled. */
   onAnswer: (worker: Worker) => void;
   /** Called when a worker has accepted orders of a later term. */
@@ -33,8 +35,15 @@
     private readonly signal: AbortSignal,
   ) {}
 
-  /** Orders a run to start, unless the order has been superseded since it was planned. */
-  async start(order: StartOrder): Promise<void> {
+  /** Orders a run to start, unless the order has been superseded since it was planned, at `plannedAt` in ms. */
+  async start(order: StartOrder, plannedAt: number): Promise<void> {
+    const { metrics, timers } = this.ctx;
+    const id = metrics.orders.add(plannedAt);
+    await this.#start(order);
+    metrics.recordOrderAnswer(id, timers.mono());
+  }
+
+  async #start(order: StartOrder): Promise<void> {
     const { link, timers } = this.ctx;
     const { run, task, worker } = order;
     if (!this.ctx.scheduler.isStartPending(order)) {
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -135,6 +135,7 @@
         epoch: start.epoch,
         leaseMs: this.#leaseMs,
         link: ports.link,
+        metrics: ctx.metrics,
         onAnswer: (worker) => {
           this.#workerLoops.wakeUp(worker);
           this.#schedulePlan();
@@ -355,10 +356,10 @@
     for (const pace of plan.throttles) {
       void this.#sender.throttle(pace);
     }
-    void this.#executePlan(plan);
+    void this.#executePlan(plan, timers.mono());
   }
 
-  async #executePlan(plan: Plan): Promise<void> {
+  async #executePlan(plan: Plan, plannedAt: number): Promise<void> {
     if (!(await this.#termLog.append(plan.records))) {
       return;
     }
@@ -372,7 +373,7 @@
       void this.#writeState(state);
     }
     for (const order of plan.starts) {
-      void this.#sender.start(order);
+      void this.#sender.start(order, plannedAt);
     }
   }
 
--- a/packages/node/tests/node-metrics.test.ts
+++ b/packages/node/tests/node-metrics.test.ts
@@ -18,6 +18,12 @@
     nodeMetrics.recordStoreCall('jobs', 'append', 'lost', 400);
     nodeMetrics.recordDecision('run-ended', { end: 'failed' });
     nodeMetrics.recordFirstRun('quick', 250);
+    nodeMetrics.recordTraffic('worker-orders', 'sent', 1200);
+    nodeMetrics.recordTraffic('worker-orders', 'sent', 300);
+    nodeMetrics.recordTraffic('keyed.jobs', 'received', 50);
+    nodeMetrics.recordEventLoopDelay(20);
+    nodeMetrics.orders.add(1000);
+    nodeMetrics.recordOrderAnswer(nodeMetrics.orders.add(1000), 1300);
     const text = await metrics.renderText();
     expect(text).toContain('sequoiaquay_requests_total{answer="not-run",call="submit"} 1');
     expect(text).toContain('sequoiaquay_store_calls_total{call="append",outcome="lost",stream="jobs"} 1');
@@ -27,6 +33,12 @@
     expect(text).toContain('sequoiaquay_state_age_seconds 1.5');
     expect(text).toContain('sequoiaquay_log_lines_dropped 2');
     expect(text).toContain('sequoiaquay_jobs_waiting{queue="quick"} 4');
+    expect(text).toContain('sequoiaquay_traffic_bytes_total{direction="sent",kind="worker-orders"} 1500');
+    expect(text).toContain('sequoiaquay_traffic_bytes_total{direction="received",kind="keyed.jobs"} 50');
+    expect(text).toContain('sequoiaquay_event_loop_delay_seconds{quantile="0.5"} 0.02');
+    expect(text).toContain('sequoiaquay_start_order_seconds{quantile="0.5"} 0.3');
+    expect(text).toContain('sequoiaquay_start_orders_in_flight 1');
+    expect(nodeMetrics.trafficTotals()).toEqual({ received: 50, sent: 1500 });
     expect(text).toContain('\nsequoiaquay_leader_epoch 0\n');
   });
 });
