feat(node): lead on a node with room, and hand over from one without

Cause: any node can be elected. Change: fitness of a machine (leader-fitness.ts), carried by the heartbeat. A candidate less fit than the fittest known waits up to 0.6 s longer; a node at least twice as fit as the leader requests the leadership; the leader stops planning, waits for its appends (0.5 s at most) and releases to that node (succession.ts). Equal nodes neither wait nor request. The result of an append that succeeds after the end of a term is dropped; before, its start orders were passed to the link with an aborted signal, at a shutdown as well. Evidence: on the code before, leadership.test.ts fails with 'moves from a node with a narrow link to one with a wide link' (term undefined, expected 2), 'goes to a fit node, not to one of several unfit nodes' (0 terms of the fit node, expected 1), and the tests of one hand-over, of a missing successor and of the release; 'stays with a node with a narrow link that is alone' and 'never handed over between equal nodes' pass before and after. term.test.ts without the check: calls after the end [start, start], expected []. Now 418 of 418 unit tests pass. term.test.ts: the shared stop signal, aborted after the first test, is now new for each test; the Candidate of leadership.test.ts follows the new signal. No assertion changed. earlierLeasesEndAt and groupByJob moved to files of their own, unchanged. The slowed-down leader is open.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -10,6 +10,8 @@
 export * from './job-run';
 export * from './job-spec';
 export * from './job-table';
+export * from './leader-fitness';
+export * from './succession';
 export * from './throttle';
 export * from './parse-json';
 export * from './placement';
--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -42,14 +42,32 @@
 export interface LeaderRecord {
   /** Fencing token of the leader's term. */
   epoch: number;
+  /** Fitness of the node as leader; undefined in records of versions that do not state it. */
+  fitness?: number | undefined;
+  isRequest?: undefined;
   kind: typeof JOB_RECORD.leader;
   node: string;
   /** Whether the leader steps down. */
   released: boolean;
+  /** Node that is to take over; only if the leader steps down at its request. */
+  successor?: string | undefined;
+}
+
+/** Request of a node to take over from the leader of a term. */
+export interface LeaderRequestRecord {
+  /** Fencing token of the leader's term. */
+  epoch: number;
+  /** Fitness of the node as leader. */
+  fitness: number;
+  isRequest: true;
+  kind: typeof JOB_RECORD.leader;
+  /** Node that makes the request. */
+  node: string;
 }
 
 /** Record in the stream of jobs. */
-export type JobRecord = CancelRecord | ForgetRecord | LeaderRecord | StateRecord | SubmitRecord;
+export type JobRecord =
+  CancelRecord | ForgetRecord | LeaderRecord | LeaderRequestRecord | StateRecord | SubmitRecord;
 
 /** Record as a key-value pair; the store keeps the newest value of each key. */
 export interface KeyedRecord {
@@ -90,9 +108,18 @@
 
 const stateSchema = z.enum(['completed', 'failed', 'running']);
 
-const leaderSchema = z.object({ epoch: z.int(), node: z.string(), released: z.boolean() });
+const leaderSchema = z.object({
+  epoch: z.int(),
+  fitness: z.number().optional(),
+  node: z.string(),
+  released: z.boolean(),
+  successor: z.string().optional(),
+});
+
+const leaderRequestSchema = z.object({ epoch: z.int(), fitness: z.number(), node: z.string() });
 
 const LEADER_KEY = 'leader';
+const LEADER_REQUEST_KEY = 'leader-request';
 
 /**
  * Encodes a record as one or more key-value pairs. The end of a job has its own key: the store keeps only
@@ -105,7 +132,9 @@
     case JOB_RECORD.forget:
       return ['j', 'c', 'r', 'e'].map((prefix) => ({ key: `${prefix}.${record.id}`, value: undefined }));
     case JOB_RECORD.leader:
-      return [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
+      return record.isRequest === true
+        ? [{ key: LEADER_REQUEST_KEY, value: JSON.stringify(leaderRequestSchema.parse(record)) }]
+        : [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
     case JOB_RECORD.state:
       return [{ key: `${record.state === 'running' ? 'r' : 'e'}.${record.id}`, value: record.state }];
     case JOB_RECORD.submit: {
@@ -127,6 +156,13 @@
   if (key === LEADER_KEY) {
     return parseJson(value, leaderSchema).map((leader) => ({ kind: JOB_RECORD.leader, ...leader }));
   }
+  if (key === LEADER_REQUEST_KEY) {
+    return parseJson(value, leaderRequestSchema).map((request) => ({
+      isRequest: true,
+      kind: JOB_RECORD.leader,
+      ...request,
+    }));
+  }
   if (key.startsWith('c.')) {
     return ok({ id, kind: JOB_RECORD.cancel });
   }
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -1,6 +1,12 @@
-import type { KeyedRecord, LeaderRecord, TaskRecord } from '@sequoiaquay/core/jobs';
+import type {
+  KeyedRecord,
+  LeaderRecord,
+  LeaderRequestRecord,
+  SuccessionSettings,
+  TaskRecord,
+} from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { decodeTaskRecord, encodeTermRecord, JOB_RECORD, TERM_KEY } from '@sequoiaquay/core/jobs';
+import { decodeTaskRecord, encodeTermRecord, JOB_RECORD, Succession, TERM_KEY } from '@sequoiaquay/core/jobs';
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { JobWriter } from './job-writer';
@@ -22,6 +28,7 @@
   node: string;
   /** Timeout of a call to the store, in ms. */
   storeTimeoutMs: number;
+  succession: SuccessionSettings;
 }
 
 /** State from which a leader starts its term. */
@@ -45,11 +52,15 @@
   termOffset: number;
 }
 
-/** Runs a term until the signal aborts; `onLost` reports that leadership is lost, which ends the term. */
+/**
+ * Runs a term until the signal aborts, or until its records are stored after `retire` has aborted; `onLost`
+ * reports that leadership is lost, which ends the term.
+ */
 export type TermRunner = (
   start: TermStart,
   onLost: (reason: string) => void,
   signal: AbortSignal,
+  retire: AbortSignal,
 ) => Promise<void>;
 
 /** Interval between checks for a missing leader, in ms. */
@@ -58,6 +69,9 @@
 /** Time for which a node is no candidate after a failed election or the end of its own term, in ms. */
 const ELECTION_BACKOFF_MS = 300;
 
+/** Time after which a leader that hands over releases leadership even if its records are not stored, in ms. */
+const MAX_RETIRE_MS = 500;
+
 /**
  * Elects the leader over the store. A term starts with a conditional append to the stream of runs, so that
  * only one of several candidates succeeds; the offset of the appended record is the fencing token.
@@ -68,6 +82,9 @@
 
   /** Monotonic time at which the random delay of this candidate ends, in ms. */
   #electionDelayEndsAt: number | undefined;
+  /** Monotonic time at which the delay ends by which this candidate leaves the leadership to fitter ones. */
+  #extraDelayEndsAt: number | undefined;
+  #handOver: ((successor: string) => void) | undefined;
   #latestEpoch = 0;
   #latestLeader: string | undefined;
   #ownHeartbeatAt = -Infinity;
@@ -76,6 +93,7 @@
   #lastHeartbeatAt: number;
   #termController: AbortController | undefined;
   #backoffUntil = 0;
+  readonly #succession: Succession;
 
   constructor(
     private readonly settings: LeadershipSettings,
@@ -87,6 +105,7 @@
     private readonly log: Logger,
   ) {
     this.#lastHeartbeatAt = timers.mono();
+    this.#succession = new Succession(settings.succession);
   }
 
   /**
@@ -98,8 +117,24 @@
     return Math.max(this.timers.mono() - this.#ownHeartbeatAt, this.timers.now() - this.#ownHeartbeatWallAt);
   }
 
-  /** Handles a leader's heartbeat, or its release of leadership, from the stream of jobs. */
-  onRecord(record: LeaderRecord): void {
+  /** Handles a leader's heartbeat, its release of leadership or a request for it from the stream of jobs. */
+  onRecord(record: LeaderRecord | LeaderRequestRecord): void {
+    if (record.isRequest === true) {
+      this.#onRequest(record);
+    } else {
+      this.#onHeartbeat(record);
+    }
+  }
+
+  #onRequest(request: LeaderRequestRecord): void {
+    const now = this.timers.mono();
+    this.#succession.onRequest(request, now);
+    if (this.ownEpoch !== undefined && this.#succession.accepts(request, this.ownEpoch, now)) {
+      this.#handOver?.(request.node);
+    }
+  }
+
+  #onHeartbeat(record: LeaderRecord): void {
     if (record.epoch < this.#latestEpoch) {
       return;
     }
@@ -109,6 +144,8 @@
     this.#latestEpoch = record.epoch;
     this.#latestLeader = record.node;
     this.#lastHeartbeatAt = this.timers.mono();
+    this.#extraDelayEndsAt = undefined;
+    this.#succession.onHeartbeat(record, this.#lastHeartbeatAt);
     // A term of an earlier incarnation of this node ended with that process.
     const isEarlierIncarnation = record.node === this.settings.node && record.epoch !== this.ownEpoch;
     this.#releasedAt = record.released || isEarlierIncarnation ? this.#lastHeartbeatAt : undefined;
@@ -122,11 +159,23 @@
     while (!signal.aborted) {
       if (this.#canStartElection()) {
         await this.#acquireLeadership(signal);
+      } else {
+        this.#requestIfFitter();
       }
       await this.timers.sleep(CHECK_INTERVAL_MS, signal);
     }
   }
 
+  #requestIfFitter(): void {
+    const now = this.timers.mono();
+    const reachableSince = this.jobsTail.isLoaded ? this.jobsTail.reachableSince : undefined;
+    const request = this.#succession.takeRequest(now, reachableSince, Math.random());
+    if (request !== undefined) {
+      this.log.info({ epoch: request.epoch, fitness: request.fitness }, 'leadership requested');
+      void this.writer.write(request, now + this.settings.heartbeatTimeoutMs);
+    }
+  }
+
   // A missing heartbeat counts only for the time in which this node could read the stream of jobs.
   #canStartElection(): boolean {
     const now = this.timers.mono();
@@ -143,14 +192,22 @@
 
   // Random delays make it likely that only one candidate appends at a time.
   #hasElectionDelayPassed(now: number): boolean {
-    this.#electionDelayEndsAt ??= now + Math.random() * this.settings.maxElectionDelayMs;
-    if (now < this.#electionDelayEndsAt) {
+    const { maxElectionDelayMs } = this.settings;
+    this.#electionDelayEndsAt ??= now + Math.random() * maxElectionDelayMs;
+    this.#extraDelayEndsAt ??= this.#drawExtraDelay(now);
+    if (!this.#succession.isSuccessor && now < Math.max(this.#electionDelayEndsAt, this.#extraDelayEndsAt)) {
       return false;
     }
     this.#electionDelayEndsAt = undefined;
+    this.#extraDelayEndsAt = undefined;
     return true;
   }
 
+  #drawExtraDelay(now: number): number {
+    const { extraDelayMs } = this.#succession;
+    return extraDelayMs === 0 ? now : now + extraDelayMs + Math.random() * this.settings.maxElectionDelayMs;
+  }
+
   async #acquireLeadership(signal: AbortSignal): Promise<void> {
     const start = await this.#beginTerm(signal);
     if (start === undefined || signal.aborted) {
@@ -163,8 +220,9 @@
     this.#termController = term;
     this.log.info({ epoch: start.epoch, tasks: start.tasks.length }, 'term begins');
     const isAnnounced = await this.#writeHeartbeat(start.epoch, false);
-    if (isAnnounced) {
-      await this.#runOwnTerm(start, term, signal);
+    const isReleased = isAnnounced && (await this.#runOwnTerm(start, term, signal));
+    if (!isReleased) {
+      this.#succession.onTermLost(this.timers.mono());
     }
     this.ownEpoch = undefined;
     this.#backoffUntil = this.timers.mono() + ELECTION_BACKOFF_MS;
@@ -172,25 +230,47 @@
     this.log.info({ epoch: start.epoch }, 'term ended');
   }
 
-  async #runOwnTerm(start: TermStart, term: AbortController, signal: AbortSignal): Promise<void> {
-    const release = (): void => {
-      void this.#writeHeartbeat(start.epoch, true);
-      this.#abortTerm('the node is shutting down');
+  // Returns whether this node released its leadership, at a shutdown or to hand it over.
+  async #runOwnTerm(start: TermStart, term: AbortController, signal: AbortSignal): Promise<boolean> {
+    const retire = new AbortController();
+    let isReleased = false;
+    let successor: string | undefined;
+    // Nothing may be sent between the release and the abort, which ends the extension of leases.
+    const release = (reason: string): void => {
+      if (!term.signal.aborted) {
+        isReleased = true;
+        void this.#writeHeartbeat(start.epoch, true, successor);
+        this.#abortTerm(reason);
+      }
+    };
+    const onShutdown = (): void => {
+      release('the node is shutting down');
+    };
+    signal.addEventListener('abort', onShutdown, { once: true });
+    this.#handOver = (node): void => {
+      this.#handOver = undefined;
+      successor = node;
+      retire.abort();
+      const onTimeout = (): void => {
+        release(`leadership is handed over to ${node}, records are not stored`);
+      };
+      this.timers.after(MAX_RETIRE_MS, onTimeout, term.signal);
     };
-    signal.addEventListener('abort', release, { once: true });
     this.timers.every(
       this.settings.heartbeatIntervalMs,
       () => void this.#writeHeartbeat(start.epoch, false),
       term.signal,
     );
-    await this.runTerm(
-      start,
-      (reason) => {
-        this.#abortTerm(reason);
-      },
-      term.signal,
-    );
-    signal.removeEventListener('abort', release);
+    const onLost = (reason: string): void => {
+      this.#abortTerm(reason);
+    };
+    await this.runTerm(start, onLost, term.signal, retire.signal);
+    if (successor !== undefined) {
+      release(`leadership is handed over to ${successor}`);
+    }
+    this.#handOver = undefined;
+    signal.removeEventListener('abort', onShutdown);
+    return isReleased;
   }
 
   #abortTerm(reason: string): void {
@@ -200,8 +280,10 @@
     }
   }
 
-  async #writeHeartbeat(epoch: number, released: boolean): Promise<boolean> {
-    const record: LeaderRecord = { epoch, kind: JOB_RECORD.leader, node: this.settings.node, released };
+  async #writeHeartbeat(epoch: number, released: boolean, successor?: string): Promise<boolean> {
+    const { node, succession } = this.settings;
+    const { fitness } = succession;
+    const record: LeaderRecord = { epoch, fitness, kind: JOB_RECORD.leader, node, released, successor };
     const sentAt = this.timers.mono();
     const sentWallAt = this.timers.now();
     const outcome = await this.writer.writePersistently(record, sentAt + this.settings.heartbeatTimeoutMs);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,6 @@
 import type { FleetConfig, JobRecord, Wave } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { decodeJobRecord, JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
+import { decodeJobRecord, JOB_RECORD, JobTable, leaderFitness } from '@sequoiaquay/core/jobs';
 import { setMaxListeners } from 'node:events';
 import type { NodeGauges, NodeMetrics } from './node-metrics';
 import type { NodePorts } from './node-ports';
@@ -37,6 +37,21 @@
   storeTimeoutMs: 1000,
 };
 
+/**
+ * Times of the succession, in ms. A node that waits longest, for a fitter one and for a named successor, takes
+ * over long before the leases of runs end.
+ */
+const SUCCESSION_TIMES = {
+  handoverIntervalMs: 15_000,
+  holdBackMs: 500,
+  maxRequestDelayMs: 1000,
+  maxUnfitDelayMs: 600,
+  minReachableMs: 3000,
+  minTermMs: 3000,
+  quietAfterLossMs: 30_000,
+  requestIntervalMs: 5000,
+};
+
 /** Node process: serves callers, and is a candidate for the leadership of all nodes. */
 export class Node {
   readonly #abort = new AbortController();
@@ -99,13 +114,17 @@
     );
     this.callers = new CallerService(this.#jobs, this.#jobsTail, this.#writer, timers, log, metrics, signal);
     this.#leadership = new Leadership(
-      { ...LEADERSHIP_SETTINGS, node: cfg.name },
+      {
+        ...LEADERSHIP_SETTINGS,
+        node: cfg.name,
+        succession: { ...SUCCESSION_TIMES, fitness: leaderFitness(cfg), node: cfg.name },
+      },
       ports.runs,
       this.#jobsTail,
       this.#writer,
-      (start, onLost, termSignal) => {
+      (start, onLost, termSignal, retire) => {
         this.#overload.run(termSignal);
-        return this.#runTerm(new Term(this.#termContext(), start, onLost, termSignal));
+        return this.#runTerm(new Term(this.#termContext(), start, onLost, termSignal, retire));
       },
       timers,
       log,
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -1,20 +1,10 @@
-import type {
-  FleetConfig,
-  JobEntry,
-  JobTable,
-  Plan,
-  StateRecord,
-  TaskRecord,
-  Wave,
-} from '@sequoiaquay/core/jobs';
+import type { FleetConfig, JobEntry, JobTable, Plan, StateRecord, Wave } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import {
   encodeTaskTombstone,
   isEnded,
   JOB_RECORD,
   JobRetention,
-  longestLeaseMs,
-  parseTaskName,
   PoolBalancer,
   Scheduler,
   WavePlanner,
@@ -25,7 +15,9 @@
 import type { NodePorts } from './node-ports';
 import type { NodeSettings } from './node-settings';
 import type { StreamTail } from './stream-tail';
+import { groupByJob } from './group-by-job';
 import { WRITE_OUTCOME } from './job-writer';
+import { earlierLeasesEndAt, LEASE_MS, MAX_HEARTBEAT_AGE_MS } from './lease-times';
 import { MaintenanceLoop } from './maintenance-loop';
 import { OrderSender } from './order-sender';
 import { PermitCache } from './permit-cache';
@@ -58,15 +50,6 @@
   writer: JobWriter;
 }
 
-/** Duration of the lease of runs on workers, in ms: longer than another node needs to acquire leadership. */
-const LEASE_MS = 4200;
-
-/**
- * Age of its last stored heartbeat, in ms, from which on a leader no longer extends the leases of runs; most
- * outages of the store are shorter.
- */
-const MAX_HEARTBEAT_AGE_MS = 4500;
-
 /**
  * Age of its last stored heartbeat, in ms, from which on a leader gives no more orders for VMs; below it no
  * other node has acquired leadership yet.
@@ -111,6 +94,8 @@
     private readonly start: TermStart,
     private readonly onLost: (reason: string) => void,
     private readonly signal: AbortSignal,
+    /** Aborts when the leadership is to be handed over: nothing more is planned. */
+    private readonly retire: AbortSignal,
   ) {
     const { ports, timers } = ctx;
     this.#log = ctx.log.child({ epoch: start.epoch });
@@ -125,7 +110,7 @@
       this.#log.info(data, decision);
     };
     this.#scheduler = new Scheduler(
-      { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: this.#earlierLeasesEndAt() },
+      { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, this.#leaseMs) },
       logDecision,
       (queue, step, workers) => this.#permitCache.allowedWorkers(queue, step, workers),
     );
@@ -193,7 +178,10 @@
     this.#schedulePlan();
   }
 
-  /** Restores the state of earlier terms, then acts as leader until the signal aborts. */
+  /**
+   * Restores the state of earlier terms, then acts as leader until the signal aborts, or until all records are
+   * stored once nothing more is planned.
+   */
   async run(): Promise<void> {
     await Promise.all([this.ctx.jobsTail.catchUp(this.signal), this.#openRegistry()]);
     if (this.signal.aborted) {
@@ -216,9 +204,18 @@
     );
     this.#schedulePlan();
     await new Promise<void>((resolve) => {
+      const finish = (): void => {
+        void this.#termLog.append([]).then(() => {
+          resolve();
+        });
+      };
       this.signal.addEventListener('abort', () => {
         resolve();
       });
+      this.retire.addEventListener('abort', finish);
+      if (this.retire.aborted) {
+        finish();
+      }
     });
   }
 
@@ -226,13 +223,6 @@
     return Math.min(LEASE_MS, this.ctx.settings.bounds.maxLeaseMs);
   }
 
-  // The previous leader may have extended leases until its last heartbeat was too old, or until it released
-  // leadership. `longestLeaseMs` allows for slow clocks of workers.
-  #earlierLeasesEndAt(): number {
-    const { at, released } = this.start.lastHeartbeat;
-    return at + (released ? 0 : MAX_HEARTBEAT_AGE_MS) + longestLeaseMs(this.#leaseMs);
-  }
-
   #openRegistry(): Promise<void> {
     const { ports, timers } = this.ctx;
     const registry = new WorkerRegistry({
@@ -298,7 +288,8 @@
         balancer: this.#balancer,
         encodeReport: (report) => codec.encodeReport(report),
         epoch: this.start.epoch,
-        isLeadershipConfirmed: () => ownHeartbeatAgeMs() < MAX_VM_ORDER_HEARTBEAT_AGE_MS,
+        isLeadershipConfirmed: () =>
+          !this.signal.aborted && !this.retire.aborted && ownHeartbeatAgeMs() < MAX_VM_ORDER_HEARTBEAT_AGE_MS,
         leaseDurationMs: settings.bounds.leaseDurationMs,
         log: this.#log,
         node: settings.name,
@@ -347,6 +338,9 @@
 
   #plan(): void {
     this.#isPlanScheduled = false;
+    if (this.retire.aborted) {
+      return;
+    }
     const { timers } = this.ctx;
     const canAssign = this.#termLog.appendDelayMs < MAX_APPEND_DELAY_MS;
     const plan = this.#scheduler.plan(timers.mono(), timers.now(), canAssign);
@@ -360,7 +354,8 @@
   }
 
   async #executePlan(plan: Plan, plannedAt: number): Promise<void> {
-    if (!(await this.#termLog.append(plan.records))) {
+    // An append that was in flight at the end of the term may still succeed.
+    if (!(await this.#termLog.append(plan.records)) || this.signal.aborted) {
       return;
     }
     for (const { bornAt, number, worker } of plan.ends) {
@@ -390,15 +385,3 @@
     }
   }
 }
-
-/** Groups task records by job id; a record whose task name cannot be parsed forms a group of its own. */
-function groupByJob(records: readonly TaskRecord[]): Map<string, TaskRecord[]> {
-  const recordsByJob = new Map<string, TaskRecord[]>();
-  for (const record of records) {
-    const id = parseTaskName(record.task)?.jobId ?? record.task;
-    const group = recordsByJob.get(id) ?? [];
-    group.push(record);
-    recordsByJob.set(id, group);
-  }
-  return recordsByJob;
-}
--- a/packages/node/tests/leadership.test.ts
+++ b/packages/node/tests/leadership.test.ts
@@ -1,4 +1,4 @@
-import { decodeJobRecord, encodeTaskRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
+import { decodeJobRecord, encodeJobRecord, encodeTaskRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -16,6 +16,18 @@
   maxElectionDelayMs: 20,
   storeTimeoutMs: 100,
 };
+const FIT = 1;
+const UNFIT = 0.25;
+const SUCCESSION = {
+  handoverIntervalMs: 2000,
+  holdBackMs: 100,
+  maxRequestDelayMs: 100,
+  maxUnfitDelayMs: 300,
+  minReachableMs: 100,
+  minTermMs: 300,
+  quietAfterLossMs: 2000,
+  requestIntervalMs: 500,
+};
 const TAIL_SETTINGS = { name: 'jobs', readPauseMs: () => 5, retryDelayMs: 5, waitMs: 0 };
 
 const TASK = {
@@ -38,11 +50,13 @@
   readonly leadership: Leadership;
   /** Names of this node, one for each term that has ended. */
   readonly endedTerms: string[] = [];
+  /** Called when the node is to hand over leadership; resolves when its records are stored. */
+  onRetire: () => Promise<void> = () => Promise.resolve();
   readonly process = new AbortController();
   readonly starts: TermStart[] = [];
   readonly stop = new AbortController();
 
-  constructor(store: SharedStore, name: string) {
+  constructor(store: SharedStore, name: string, fitness = FIT) {
     const timers = new SystemTimerService();
     const { signal } = this.process;
     const tail = new StreamTail(
@@ -59,14 +73,17 @@
     );
     const writer = new JobWriter(store.jobs, () => undefined, timers, quietLog, signal);
     this.leadership = new Leadership(
-      { ...SETTINGS, node: name },
+      { ...SETTINGS, node: name, succession: { ...SUCCESSION, fitness, node: name } },
       store.runs,
       tail,
       writer,
-      async (start, _onLost, term) => {
+      async (start, _onLost, term, retire) => {
         this.starts.push(start);
         await new Promise((resolve) => {
           term.addEventListener('abort', resolve);
+          retire.addEventListener('abort', () => {
+            void this.onRetire().then(resolve);
+          });
         });
         this.endedTerms.push(name);
       },
@@ -171,3 +188,126 @@
     expect(node.starts[0]?.epoch).toBe(2);
   });
 });
+
+// Guards against leadership that stays with a node whose link or processor is too small for it, and against
+// hand-overs that do not end or leave two leaders.
+describe('Leadership among nodes of different fitness', () => {
+  async function startLeader(store: SharedStore, name: string, fitness: number): Promise<Candidate> {
+    const leader = new Candidate(store, name, fitness);
+    await expect.poll(() => leader.leadership.ownEpoch, { timeout: 5000 }).toBeDefined();
+    return leader;
+  }
+
+  function countTerms(): number {
+    return candidates.flatMap((candidate) => candidate.starts).length;
+  }
+
+  it('moves from a node with a narrow link to one with a wide link', async () => {
+    const store = new SharedStore();
+    const unfit = await startLeader(store, 'a', UNFIT);
+    const fit = new Candidate(store, 'b', FIT);
+    await expect.poll(() => fit.leadership.ownEpoch, { interval: 5, timeout: 5000 }).toBe(2);
+    expect(unfit.endedTerms).toEqual(['a']);
+    expect(fit.starts[0]?.lastHeartbeat.released).toBe(true);
+    await delay(HEARTBEAT_TIMEOUT_MS);
+    expect(currentLeaders()).toEqual([fit]);
+    expect(countTerms()).toBe(2);
+  });
+
+  it('stays with a node with a narrow link that is alone', async () => {
+    const store = new SharedStore();
+    const fit = await startLeader(store, 'a', FIT);
+    const unfit = new Candidate(store, 'b', UNFIT);
+    await delay(100);
+    const killedAt = performance.now();
+    fit.kill();
+    await expect.poll(() => unfit.starts.length, { interval: 5, timeout: 5000 }).toBe(1);
+    const { maxElectionDelayMs } = SETTINGS;
+    const longest = HEARTBEAT_TIMEOUT_MS + SUCCESSION.maxUnfitDelayMs + 2 * maxElectionDelayMs;
+    expect(performance.now() - killedAt).toBeLessThan(longest + 500);
+    await delay(HEARTBEAT_TIMEOUT_MS);
+    expect(unfit.leadership.ownEpoch).toBe(2);
+  });
+
+  it('goes to a fit node, not to one of several unfit nodes, when the fit leader crashes', async () => {
+    const store = new SharedStore();
+    const first = await startLeader(store, 'a', FIT);
+    for (const name of ['b', 'c', 'd', 'e', 'f']) {
+      new Candidate(store, name, UNFIT);
+    }
+    const fit = new Candidate(store, 'g', FIT);
+    await delay(100);
+    first.kill();
+    await expect.poll(countTerms, { interval: 5, timeout: 5000 }).toBe(2);
+    expect(fit.starts).toHaveLength(1);
+  });
+
+  it('is never handed over between equal nodes', async () => {
+    const store = new SharedStore();
+    const first = await startLeader(store, 'a', UNFIT);
+    for (const name of ['b', 'c', 'd']) {
+      new Candidate(store, name, UNFIT);
+    }
+    await delay(3 * HEARTBEAT_TIMEOUT_MS);
+    expect(currentLeaders()).toEqual([first]);
+    expect(countTerms()).toBe(1);
+    expect(store.jobs.records.filter((record) => record.key === 'leader-request')).toEqual([]);
+  });
+
+  it('is handed over once when two fit nodes request it at the same time', async () => {
+    const store = new SharedStore();
+    await startLeader(store, 'a', UNFIT);
+    await delay(SUCCESSION.minTermMs);
+    for (const node of ['b', 'c']) {
+      new Candidate(store, node, FIT);
+      const request = { epoch: 1, fitness: FIT, isRequest: true, kind: JOB_RECORD.leader, node } as const;
+      for (const record of encodeJobRecord(request)) {
+        store.jobs.records.push({ ...record, offset: store.jobs.records.length });
+      }
+    }
+    await expect.poll(countTerms, { timeout: 5000 }).toBe(2);
+    await delay(2 * HEARTBEAT_TIMEOUT_MS);
+    expect(currentLeaders()).toHaveLength(1);
+    expect(countTerms()).toBe(2);
+    const releases = store.jobs.records.filter(
+      (record) => record.value?.includes('"released":true') === true,
+    );
+    expect(releases).toHaveLength(1);
+  });
+
+  it('goes to another node soon when the named successor is gone', async () => {
+    const store = new SharedStore();
+    const unfit = await startLeader(store, 'a', UNFIT);
+    await delay(SUCCESSION.minTermMs);
+    const request = { epoch: 1, fitness: FIT, isRequest: true, kind: JOB_RECORD.leader, node: 'z' } as const;
+    unfit.leadership.onRecord(request);
+    const requestedAt = performance.now();
+    await expect.poll(countTerms, { interval: 5, timeout: 5000 }).toBe(2);
+    expect(performance.now() - requestedAt).toBeLessThan(2 * HEARTBEAT_TIMEOUT_MS);
+  });
+
+  it('is released only once the term has stored its records', async () => {
+    const store = new SharedStore();
+    const unfit = await startLeader(store, 'a', UNFIT);
+    const fit = new Candidate(store, 'b', FIT);
+    const order: string[] = [];
+    unfit.onRetire = async () => {
+      order.push('retired');
+      await delay(100);
+      expect(fit.starts).toEqual([]);
+      order.push('stored');
+    };
+    await expect.poll(() => fit.starts.length, { interval: 5, timeout: 5000 }).toBe(1);
+    expect(order).toEqual(['retired', 'stored']);
+  });
+
+  it('is released after a limit when the records of the term cannot be stored', async () => {
+    const store = new SharedStore();
+    const unfit = await startLeader(store, 'a', UNFIT);
+    const fit = new Candidate(store, 'b', FIT);
+    unfit.onRetire = () => new Promise(() => undefined);
+    await expect.poll(() => fit.starts.length, { interval: 5, timeout: 5000 }).toBe(1);
+    expect(unfit.endedTerms).toEqual(['a']);
+    expect(fit.starts[0]?.lastHeartbeat.released).toBe(true);
+  });
+});
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -3,7 +3,8 @@
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { AppendRequest, StoreError } from '../src/ports/keyed-stream';
 import type { ReportCall, StartCall, WorkerLink } from '../src/ports/worker-link';
 import type { TermContext } from '../src/term';
 import { JobWriter } from '../src/job-writer';
@@ -49,13 +50,65 @@
   }
 }
 
-const stop = new AbortController();
+/** Time that an append takes, in ms. */
+const APPEND_MS = 150;
+
+/** Stream whose appends take some time, and succeed even if they are aborted. */
+class SlowStream extends MemoryStream {
+  isAppending = false;
+
+  override append(req: AppendRequest): ReturnType<MemoryStream['append']> {
+    this.isAppending = true;
+    return ResultAsync.fromSafePromise<undefined, StoreError>(delay(APPEND_MS)).andThen(() => {
+      this.isAppending = false;
+      return super.append(req);
+    });
+  }
+}
+
+/** Workers that record all calls, those with an aborted signal too. */
+class RecordingLink implements WorkerLink {
+  readonly calls: string[] = [];
+
+  disconnect(): void {
+    // There are no connections to close.
+  }
+
+  throttle(): ReturnType<WorkerLink['throttle']> {
+    this.calls.push('throttle');
+    return okAsync(undefined);
+  }
+
+  report(call: ReportCall): ReturnType<WorkerLink['report']> {
+    this.calls.push('report');
+    return ResultAsync.fromSafePromise(
+      delay(call.waitMs / 100 + 5, { bornAt: 1, clockMs: 1000, ended: [], running: [] }),
+    );
+  }
+
+  start(): ReturnType<WorkerLink['start']> {
+    this.calls.push('start');
+    return Promise.resolve('started');
+  }
+
+  stop(): ReturnType<WorkerLink['stop']> {
+    this.calls.push('stop');
+    return okAsync(undefined);
+  }
+}
+
+let stop = new AbortController();
+const neverAborted = new AbortController().signal;
+
+beforeEach(() => {
+  stop = new AbortController();
+});
 
 afterEach(() => {
   stop.abort();
 });
 
-function contextOf(link: WorkerLink): TermContext {
+function contextOf(link: WorkerLink, runs = new MemoryStream()): TermContext {
   const timers = new SystemTimerService();
   const jobsStream = new MemoryStream();
   const registry = new MemoryStream();
@@ -78,7 +131,7 @@
       link,
       operators: new MemoryStream(),
       registry,
-      runs: new MemoryStream(),
+      runs,
       status: new MemoryStream(),
       vms: undefined,
     },
@@ -104,10 +157,41 @@
         { checkpoint: '', failures: 0, run: 1, state: 'assigned' as const, task: TASK, workerId: 'w1' },
       ],
     };
-    const term = new Term(contextOf(link), start, () => undefined, stop.signal);
+    const term = new Term(contextOf(link), start, () => undefined, stop.signal, neverAborted);
     void term.run();
     await expect.poll(() => link.started.length, { timeout: 3000 }).toBeGreaterThan(0);
     await expect.poll(() => link.storedUpTo, { timeout: 3000 }).toBe(1);
     expect(link.started).toEqual([{ run: 1, task: `${JOB.id}.0.0.1` }]);
   });
+
+  describe.each(['released', 'retired'] as const)('that is %s while an append is in flight', (end) => {
+    // Guards against an order of the old leader after its successor counts on the end of its leases.
+    it('sends nothing to workers after its end and plans nothing more', async () => {
+      const link = new RecordingLink();
+      const runs = new SlowStream();
+      const over = new AbortController();
+      const retire = new AbortController();
+      const start = {
+        epoch: 1,
+        lastHeartbeat: { at: -Infinity, released: true },
+        otherRecords: [],
+        runsEnd: 0,
+        tasks: [],
+      };
+      const term = new Term(contextOf(link, runs), start, () => undefined, over.signal, retire.signal);
+      const ended = term.run();
+      await expect.poll(() => runs.isAppending, { interval: 1, timeout: 3000 }).toBe(true);
+      (end === 'released' ? over : retire).abort();
+      if (end === 'retired') {
+        await ended;
+        expect(runs.isAppending).toBe(false);
+        over.abort();
+      }
+      const sent = link.calls.length;
+      const stored = runs.records.length;
+      await delay(2 * APPEND_MS + 300);
+      expect(link.calls.slice(sent)).toEqual([]);
+      expect(runs.records.length - stored).toBeLessThanOrEqual(end === 'released' ? 2 : 0);
+    });
+  });
 });
