feat(node): bound the start orders in flight by the capacity of the link

Cause: the leader sends every start order at once; on a full link reports, which extend leases, and orders to stop wait behind them. Change: OrderWindow bounds the bytes of start orders without an answer to what the link carries in 0.2 s; the others wait in the order of the plan and are dropped at the end of the term. Without a stated capacity nothing is bounded. Conclusion: reports and stops no longer wait behind more than 0.2 s of orders.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -11,6 +11,7 @@
 export * from './job-spec';
 export * from './job-table';
 export * from './leader-fitness';
+export * from './order-window';
 export * from './succession';
 export * from './throttle';
 export * from './parse-json';
--- a/packages/node/src/node-settings.ts
+++ b/packages/node/src/node-settings.ts
@@ -49,3 +49,11 @@
 
 /** Settings of a node. */
 export type NodeSettings = z.infer<typeof nodeSettingsSchema>;
+
+const BYTES_PER_MBIT = 125_000;
+
+/** Returns the capacity of the machine's link in each direction, in bytes a second; undefined if not known. */
+export function linkBytesPerS(settings: NodeSettings): number | undefined {
+  const { linkMbps = 0 } = settings;
+  return linkMbps > 0 ? linkMbps * BYTES_PER_MBIT : undefined;
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -11,6 +11,7 @@
 import { EventLoopMonitor } from './event-loop-monitor';
 import { JobWriter } from './job-writer';
 import { Leadership } from './leadership';
+import { linkBytesPerS } from './node-settings';
 import { OverloadMonitor } from './overload-monitor';
 import { StreamTail } from './stream-tail';
 import { Term } from './term';
@@ -28,8 +29,6 @@
 /** Age of the job table above which a node reports that it is not ready, in ms. */
 const MAX_READY_STATE_AGE_MS = 2500;
 
-const BYTES_PER_MBIT = 125_000;
-
 const LEADERSHIP_SETTINGS = {
   heartbeatIntervalMs: 500,
   heartbeatTimeoutMs: 1600,
@@ -77,8 +76,7 @@
     const { signal } = this.#abort;
     setMaxListeners(0, signal);
     this.#eventLoop = new EventLoopMonitor(metrics, timers);
-    const linkBytesPerS = (cfg.linkMbps ?? 0) > 0 ? (cfg.linkMbps ?? 0) * BYTES_PER_MBIT : undefined;
-    this.#overload = new OverloadMonitor(linkBytesPerS, this.#eventLoop, metrics, timers, log);
+    this.#overload = new OverloadMonitor(linkBytesPerS(cfg), this.#eventLoop, metrics, timers, log);
     const tail = { retryDelayMs: TAIL_RETRY_DELAY_MS, waitMs: TAIL_WAIT_MS };
     const isLeader = (): boolean => this.#term !== undefined;
     this.#jobsTail = new StreamTail(
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -1,6 +1,6 @@
 import type { Scheduler, StartOrder, StopOrder, ThrottleOrder, Worker } from '@sequoiaquay/core/jobs';
 import type { TimerService } from '@sequoiaquay/runtime';
-import { START_ANSWER } from '@sequoiaquay/core/jobs';
+import { OrderWindow, START_ANSWER } from '@sequoiaquay/core/jobs';
 import type { NodeMetrics } from './node-metrics';
 import type { WorkerLink } from './ports/worker-link';
 
@@ -11,6 +11,8 @@
   /** Duration of the lease that a start order extends, in ms. */
   leaseMs: number;
   link: WorkerLink;
+  /** Capacity of the node's link, in bytes a second; undefined if not known. */
+  linkBytesPerS: number | undefined;
   metrics: NodeMetrics;
   /** Called after a worker's answer to a start or stop order has been handled. */
   onAnswer: (worker: Worker) => void;
@@ -28,19 +30,55 @@
 /** Percentage that the scheduler never orders; marks a run whose percentage on the worker is not known. */
 const UNKNOWN_PERCENT = 1;
 
+/** Size of a start order without its job and checkpoint, with headers, in bytes. */
+const ORDER_OVERHEAD_BYTES = 600;
+
+/**
+ * Longest time, in seconds, that the start orders in flight may occupy the link: a fraction of the timeout of
+ * reports, which extend leases, and of orders to stop.
+ */
+const MAX_LINK_OCCUPANCY_S = 0.2;
+
+interface PendingStart {
+  bytes: number;
+  id: number;
+  order: StartOrder;
+}
+
 /** Sends the orders of a term to the workers and passes their answers to the scheduler. */
 export class OrderSender {
+  readonly #window: OrderWindow<PendingStart>;
+
   constructor(
     private readonly ctx: OrderSenderContext,
     private readonly signal: AbortSignal,
-  ) {}
+  ) {
+    this.#window = new OrderWindow((ctx.linkBytesPerS ?? Infinity) * MAX_LINK_OCCUPANCY_S);
+  }
 
-  /** Orders a run to start, unless the order has been superseded since it was planned, at `plannedAt` in ms. */
-  async start(order: StartOrder, plannedAt: number): Promise<void> {
-    const { metrics, timers } = this.ctx;
-    const id = metrics.orders.add(plannedAt);
-    await this.#start(order);
-    metrics.recordOrderAnswer(id, timers.mono());
+  /**
+   * Orders a run, planned at `plannedAt` in ms, to start once the link has room, unless the order has been
+   * superseded by then.
+   */
+  start(order: StartOrder, plannedAt: number): void {
+    const { checkpoint, job } = order.task;
+    const bytes = ORDER_OVERHEAD_BYTES + job.job.spec.body.length + checkpoint.length;
+    const id = this.ctx.metrics.orders.add(plannedAt);
+    this.#sendStarts(this.#window.add({ bytes, id, order }, bytes));
+  }
+
+  #sendStarts(starts: readonly PendingStart[]): void {
+    for (const start of starts) {
+      void this.#sendStart(start);
+    }
+  }
+
+  async #sendStart({ bytes, id, order }: PendingStart): Promise<void> {
+    if (!this.signal.aborted) {
+      await this.#start(order);
+    }
+    this.ctx.metrics.recordOrderAnswer(id, this.ctx.timers.mono());
+    this.#sendStarts(this.#window.release(bytes));
   }
 
   async #start(order: StartOrder): Promise<void> {
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -19,6 +19,7 @@
 import { WRITE_OUTCOME } from './job-writer';
 import { earlierLeasesEndAt, LEASE_MS, MAX_HEARTBEAT_AGE_MS } from './lease-times';
 import { MaintenanceLoop } from './maintenance-loop';
+import { linkBytesPerS } from './node-settings';
 import { OrderSender } from './order-sender';
 import { PermitCache } from './permit-cache';
 import { TermLog } from './term-log';
@@ -120,6 +121,7 @@
         epoch: start.epoch,
         leaseMs: this.#leaseMs,
         link: ports.link,
+        linkBytesPerS: linkBytesPerS(ctx.settings),
         metrics: ctx.metrics,
         onAnswer: (worker) => {
           this.#workerLoops.wakeUp(worker);
@@ -368,7 +370,7 @@
       void this.#writeState(state);
     }
     for (const order of plan.starts) {
-      void this.#sender.start(order, plannedAt);
+      this.#sender.start(order, plannedAt);
     }
   }
 
--- /dev/null
+++ b/packages/node/tests/order-sender.test.ts
@@ -0,0 +1,125 @@
+import type { Scheduler, StartOrder } from '@sequoiaquay/core/jobs';
+import { SystemTimerService } from '@sequoiaquay/runtime';
+import { okAsync } from 'neverthrow';
+import { describe, expect, it } from 'vitest';
+import type { WorkerLink } from '../src/ports/worker-link';
+import { NodeMetrics } from '../src/node-metrics';
+import { OrderSender } from '../src/order-sender';
+import { WORKER } from './support/sample-job';
+
+const BODY = 'x'.repeat(1400);
+
+/** Orders of a size of 2000 bytes that the link may carry at a time, given its capacity. */
+const ORDERS_PER_WINDOW = 5;
+const LINK_BYTES_PER_S = (ORDERS_PER_WINDOW * 2000) / 0.2;
+
+/** Workers that answer orders to start only when told to. */
+class HoldingLink implements WorkerLink {
+  readonly answers: (() => void)[] = [];
+  readonly started: string[] = [];
+  readonly stopped: string[] = [];
+
+  disconnect(): void {
+    // There are no connections to close.
+  }
+
+  throttle(): ReturnType<WorkerLink['throttle']> {
+    return okAsync(undefined);
+  }
+
+  report(): ReturnType<WorkerLink['report']> {
+    return okAsync({ bornAt: 1, clockMs: 1000, ended: [], running: [] });
+  }
+
+  start(call: { task: string }): ReturnType<WorkerLink['start']> {
+    this.started.push(call.task);
+    return new Promise((resolve) => {
+      this.answers.push(() => {
+        resolve('started');
+      });
+    });
+  }
+
+  stop(call: { task: string }): ReturnType<WorkerLink['stop']> {
+    this.stopped.push(call.task);
+    return okAsync(undefined);
+  }
+}
+
+const worker = { extendLease: () => 5000, info: WORKER };
+
+function orderOf(index: number): StartOrder {
+  const task = { checkpoint: '', job: { job: { spec: { body: BODY } } }, name: `t${index}` };
+  return { run: 1, task, worker } as unknown as StartOrder;
+}
+
+interface Started {
+  link: HoldingLink;
+  metrics: NodeMetrics;
+  sender: OrderSender;
+  stop: AbortController;
+}
+
+function startAll(count: number, linkBytesPerS: number | undefined): Started {
+  const link = new HoldingLink();
+  const metrics = new NodeMetrics();
+  const stop = new AbortController();
+  const scheduler = {
+    isStartPending: () => true,
+    onStartAnswer: () => undefined,
+    onStopAcknowledged: () => undefined,
+  } as unknown as Scheduler;
+  const sender = new OrderSender(
+    {
+      epoch: 1,
+      leaseMs: 4000,
+      link,
+      linkBytesPerS,
+      metrics,
+      onAnswer: () => undefined,
+      onFenced: () => undefined,
+      permitFor: () => '',
+      scheduler,
+      timers: new SystemTimerService(),
+    },
+    stop.signal,
+  );
+  for (let index = 0; index < count; index += 1) {
+    sender.start(orderOf(index), 0);
+  }
+  return { link, metrics, sender, stop };
+}
+
+// Guards against reports and orders to stop that time out behind start orders on a narrow link.
+describe('OrderSender', () => {
+  it('keeps the start orders in flight within a part of a narrow link and sends the others in order', async () => {
+    const { link, metrics, sender } = startAll(12, LINK_BYTES_PER_S);
+    expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
+    await sender.stop({ run: 1, task: 'other', worker } as unknown as Parameters<OrderSender['stop']>[0]);
+    expect(link.stopped).toEqual(['other']);
+    link.answers[0]?.();
+    await expect.poll(() => link.started.length).toBe(ORDERS_PER_WINDOW + 1);
+    expect(metrics.orders.count).toBe(11);
+    for (let index = 1; index < 12; index += 1) {
+      await expect.poll(() => link.answers.length).toBeGreaterThan(index);
+      link.answers[index]?.();
+    }
+    expect(link.started).toEqual(Array.from({ length: 12 }, (_, index) => `t${index}`));
+    await expect.poll(() => metrics.orders.count).toBe(0);
+  });
+
+  it('sends all start orders at once over a link of unknown or large capacity', () => {
+    expect(startAll(200, undefined).link.started).toHaveLength(200);
+    expect(startAll(200, 100 * LINK_BYTES_PER_S).link.started).toHaveLength(200);
+  });
+
+  it('sends no waiting order after the end of its term', async () => {
+    const { link, metrics, stop } = startAll(12, LINK_BYTES_PER_S);
+    stop.abort();
+    link.answers.forEach((answer) => {
+      answer();
+    });
+    await expect.poll(() => metrics.orders.count).toBe(0);
+    expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
+  });
+});
