--- a/packages/node/tests/node.test.ts
+++ b/packages/node/tests/node.test.ts
@@ -100,4 +100,38 @@
     operators.first = operators.records.length;
     await expect.poll(() => started.callers.cfg?.version, { timeout: MAX_CONFIG_DELAY_MS }).toBe(5);
   });
+
+  it('hands leadership over to a node whose settings state a much wider link, and does not get it back', async () => {
+    const shared = { jobs: new MemoryStream(), runs: new MemoryStream() };
+    const stop = new AbortController();
+    const startCandidate = (name: string, linkMbps: number): (() => number | undefined) => {
+      const others = {
+        operators: new MemoryStream(),
+        registry: new MemoryStream(),
+        status: new MemoryStream(),
+      };
+      const ports = {
+        advice: undefined,
+        codec: CODEC,
+        link: NO_WORKERS,
+        vms: undefined,
+        ...shared,
+        ...others,
+      };
+      const settings = { ...SETTINGS, linkMbps, name };
+      const started = new Node(settings, ports, new SystemTimerService(), quietLog, new NodeMetrics());
+      void started.run(stop.signal);
+      stop.signal.addEventListener('abort', () => {
+        started.close();
+      });
+      return started.gauges(() => 0).ownEpoch;
+    };
+    const narrow = startCandidate('narrow', 7);
+    await expect.poll(narrow, { timeout: 5000 }).toBe(1);
+    const wide = startCandidate('wide', 140);
+    await expect.poll(wide, { timeout: 10_000 }).toBe(2);
+    await delay(1000);
+    expect(narrow()).toBeUndefined();
+    stop.abort();
+  }, 20_000);
 });
