--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -56,15 +56,38 @@
 export interface LeaderRecord {
   /** Fencing token of the leader's term. */
   epoch: number;
+  /** Fitness of the node as leader; undefined in records of versions that do not state it. */
+  fitness?: number | undefined;
+  isRequest?: undefined;
   kind: typeof JOB_RECORD.leader;
   node: string;
   /** Whether the leader steps down. */
   released: boolean;
+  /** Node that is to take over; only if the leader steps down at its request. */
+  successor?: string | undefined;
+}
+
+/** Request of a node to take over from the leader of a term. */
+export interface LeaderRequestRecord {
+  /** Fencing token of the leader's term. */
+  epoch: number;
+  /** Fitness of the node as leader. */
+  fitness: number;
+  isRequest: true;
+  kind: typeof JOB_RECORD.leader;
+  /** Node that makes the request. */
+  node: string;
 }
 
 /** Record in the stream of jobs. */
 export type JobRecord =
-  CancelRecord | DeleteRecord | ForgetRecord | LeaderRecord | StateRecord | SubmitRecord;
+  | CancelRecord
+  | DeleteRecord
+  | ForgetRecord
+  | LeaderRecord
+  | LeaderRequestRecord
+  | StateRecord
+  | SubmitRecord;
 
 /** Record as a key-value pair; the store keeps the newest value of each key. */
 export interface KeyedRecord {
@@ -105,9 +128,18 @@
 
 const stateSchema = z.enum(['completed', 'failed', 'running']);
 
-const leaderSchema = z.object({ epoch: z.int(), node: z.string(), released: z.boolean() });
+const leaderSchema = z.object({
+  epoch: z.int(),
+  fitness: z.number().optional(),
+  node: z.string(),
+  released: z.boolean(),
+  successor: z.string().optional(),
+});
+
+const leaderRequestSchema = z.object({ epoch: z.int(), fitness: z.number(), node: z.string() });
 
 const LEADER_KEY = 'leader';
+const LEADER_REQUEST_KEY = 'leader-request';
 
 /**
  * Encodes a record as one or more key-value pairs, in the order in which they must be stored. The end of a
@@ -125,7 +157,9 @@
     case JOB_RECORD.forget:
       return deletions(record.id, submitted, cancelled, running, ended);
     case JOB_RECORD.leader:
-      return [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
+      return record.isRequest === true
+        ? [{ key: LEADER_REQUEST_KEY, value: JSON.stringify(leaderRequestSchema.parse(record)) }]
+        : [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
     case JOB_RECORD.state:
       return record.state === 'running'
         ? [{ key: `${running}.${record.id}`, value: record.state }]
@@ -148,6 +182,13 @@
   if (key === LEADER_KEY && value !== undefined) {
     return parseJson(value, leaderSchema).map((leader) => ({ kind: JOB_RECORD.leader, ...leader }));
   }
+  if (key === LEADER_REQUEST_KEY && value !== undefined) {
+    return parseJson(value, leaderRequestSchema).map((request) => ({
+      isRequest: true,
+      kind: JOB_RECORD.leader,
+      ...request,
+    }));
+  }
   const prefix = Object.values(JOB_KEY_PREFIX).find((known) => key.startsWith(`${known}.`));
   if (prefix === undefined) {
     return err(`record key ${key} has an unknown prefix`);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,6 @@
 import type { FleetConfig, JobRecord, Wave } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { decodeJobRecord, JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
+import { decodeJobRecord, JOB_RECORD, JobTable, leaderFitness } from '@sequoiaquay/core/jobs';
 import { setMaxListeners } from 'node:events';
 import type { NodeGauges, NodeMetrics } from './node-metrics';
 import type { NodePorts } from './node-ports';
@@ -8,8 +8,11 @@
 import type { StoredRecord } from './ports/keyed-stream';
 import type { RequestedWave, TermContext } from './term';
 import { CallerService } from './caller-service';
+import { EventLoopMonitor } from './event-loop-monitor';
 import { JobWriter } from './job-writer';
 import { Leadership } from './leadership';
+import { linkBytesPerS } from './node-settings';
+import { OverloadMonitor } from './overload-monitor';
 import { StreamTail } from './stream-tail';
 import { Term } from './term';
 
@@ -33,14 +36,31 @@
   storeTimeoutMs: 1000,
 };
 
+/**
+ * Times of the succession, in ms. A node that waits longest, for a fitter one and for a named successor, takes
+ * over long before the leases of runs end.
+ */
+const SUCCESSION_TIMES = {
+  handoverIntervalMs: 15_000,
+  holdBackMs: 500,
+  maxRequestDelayMs: 1000,
+  maxUnfitDelayMs: 600,
+  minReachableMs: 3000,
+  minTermMs: 3000,
+  quietAfterLossMs: 30_000,
+  requestIntervalMs: 5000,
+};
+
 /** Node process: serves callers, and is a candidate for the leadership of all nodes. */
 export class Node {
   readonly #abort = new AbortController();
   readonly callers: CallerService;
+  readonly #eventLoop: EventLoopMonitor;
   readonly #jobs = new JobTable();
   readonly #jobsTail: StreamTail;
   readonly #leadership: Leadership;
   readonly #operatorsTail: StreamTail;
+  readonly #overload: OverloadMonitor;
   #isStopRequested = false;
   #term: Term | undefined;
   readonly #waves = new Map<number, RequestedWave>();
@@ -55,6 +75,8 @@
   ) {
     const { signal } = this.#abort;
     setMaxListeners(0, signal);
+    this.#eventLoop = new EventLoopMonitor(metrics, timers);
+    this.#overload = new OverloadMonitor(linkBytesPerS(cfg), this.#eventLoop, metrics, timers, log);
     const tail = { retryDelayMs: TAIL_RETRY_DELAY_MS, waitMs: TAIL_WAIT_MS };
     const isLeader = (): boolean => this.#term !== undefined;
     this.#jobsTail = new StreamTail(
@@ -90,11 +112,18 @@
     );
     this.callers = new CallerService(this.#jobs, this.#jobsTail, this.#writer, timers, log, metrics, signal);
     this.#leadership = new Leadership(
-      { ...LEADERSHIP_SETTINGS, node: cfg.name },
+      {
+        ...LEADERSHIP_SETTINGS,
+        node: cfg.name,
+        succession: { ...SUCCESSION_TIMES, fitness: leaderFitness(cfg), node: cfg.name },
+      },
       ports.runs,
       this.#jobsTail,
       this.#writer,
-      (start, onLost, termSignal) => this.#runTerm(new Term(this.#termContext(), start, onLost, termSignal)),
+      (start, onLost, termSignal, retire) => {
+        this.#overload.run(termSignal);
+        return this.#runTerm(new Term(this.#termContext(), start, onLost, termSignal, retire));
+      },
       timers,
       log,
     );
@@ -135,6 +164,7 @@
     stop.addEventListener('abort', () => {
       this.#isStopRequested = true;
     });
+    void this.#eventLoop.run(signal);
     void this.#jobsTail.run(signal);
     void this.#operatorsTail.run(signal);
     await this.#leadership.run(stop);
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { TermStart } from '../src/leadership';
+import type { AppendRequest, StoreError } from '../src/ports/keyed-stream';
 import type { ReportCall, StartCall, WorkerLink } from '../src/ports/worker-link';
 import type { TermContext } from '../src/term';
 import { JobWriter } from '../src/job-writer';
@@ -80,7 +81,55 @@
   }
 }
 
+/** Time that an append takes, in ms. */
+const APPEND_MS = 150;
+
+/** Stream whose appends take some time, and succeed even if they are aborted. */
+class SlowStream extends MemoryStream {
+  isAppending = false;
+
+  override append(req: AppendRequest): ReturnType<MemoryStream['append']> {
+    this.isAppending = true;
+    return ResultAsync.fromSafePromise<undefined, StoreError>(delay(APPEND_MS)).andThen(() => {
+      this.isAppending = false;
+      return super.append(req);
+    });
+  }
+}
+
+/** Workers that record all calls, those with an aborted signal too. */
+class RecordingLink implements WorkerLink {
+  readonly calls: string[] = [];
+
+  disconnect(): void {
+    // There are no connections to close.
+  }
+
+  throttle(): ReturnType<WorkerLink['throttle']> {
+    this.calls.push('throttle');
+    return okAsync(undefined);
+  }
+
+  report(call: ReportCall): ReturnType<WorkerLink['report']> {
+    this.calls.push('report');
+    return ResultAsync.fromSafePromise(
+      delay(call.waitMs / 100 + 5, { bornAt: 1, clockMs: 1000, ended: [], running: [] }),
+    );
+  }
+
+  start(): ReturnType<WorkerLink['start']> {
+    this.calls.push('start');
+    return Promise.resolve('started');
+  }
+
+  stop(): ReturnType<WorkerLink['stop']> {
+    this.calls.push('stop');
+    return okAsync(undefined);
+  }
+}
+
 let stop = new AbortController();
+const neverAborted = new AbortController().signal;
 
 beforeEach(() => {
   stop = new AbortController();
@@ -95,7 +144,7 @@
   return { epoch: 1, lastHeartbeat, otherRecords: [], runsEnd: 0, tasks };
 }
 
-function contextOf(link: WorkerLink, jobs = new JobTable()): TermContext {
+function contextOf(link: WorkerLink, jobs = new JobTable(), runs = new MemoryStream()): TermContext {
   const timers = new SystemTimerService();
   const jobsStream = new MemoryStream();
   const registry = new MemoryStream();
@@ -117,7 +166,7 @@
       link,
       operators: new MemoryStream(),
       registry,
-      runs: new MemoryStream(),
+      runs,
       status: new MemoryStream(),
       vms: undefined,
     },
@@ -134,7 +183,7 @@
   // the earlier term were restored made the worker drop the end.
   it('does not repeat a task whose end a worker reports while the term starts', async () => {
     const link = new EndReportingWorker();
-    const term = new Term(contextOf(link), startWith(ASSIGNED), () => undefined, stop.signal);
+    const term = new Term(contextOf(link), startWith(ASSIGNED), () => undefined, stop.signal, neverAborted);
     void term.run();
     await expect.poll(() => link.started.length, { timeout: 3000 }).toBeGreaterThan(0);
     await expect.poll(() => link.storedUpTo, { timeout: 3000 }).toBe(1);
@@ -145,7 +194,13 @@
     const link = new RunningWorker();
     const jobs = new JobTable();
     jobs.apply({ id: JOB.id, kind: JOB_RECORD.cancel });
-    const term = new Term(contextOf(link, jobs), startWith(ASSIGNED), () => undefined, stop.signal);
+    const term = new Term(
+      contextOf(link, jobs),
+      startWith(ASSIGNED),
+      () => undefined,
+      stop.signal,
+      neverAborted,
+    );
     void term.run();
     await expect.poll(() => [...link.stoppedTasks], { timeout: MAX_STOP_DELAY_MS }).toEqual([TASK]);
     expect(link.started).toEqual([]);
@@ -154,7 +209,13 @@
   it('stops the runs of a job that is cancelled, and starts none for a submission stored late', async () => {
     const link = new RunningWorker();
     const jobs = new JobTable();
-    const term = new Term(contextOf(link, jobs), startWith(ASSIGNED), () => undefined, stop.signal);
+    const term = new Term(
+      contextOf(link, jobs),
+      startWith(ASSIGNED),
+      () => undefined,
+      stop.signal,
+      neverAborted,
+    );
     void term.run();
     await expect.poll(() => link.started.length, { timeout: 3000 }).toBe(1);
     const records: JobRecord[] = [
@@ -172,4 +233,34 @@
     await delay(QUIET_MS);
     expect(link.started).toHaveLength(1);
   });
+
+  describe.each(['released', 'retired'] as const)('that is %s while an append is in flight', (end) => {
+    // Guards against an order of the old leader after its successor counts on the end of its leases.
+    it('sends nothing to workers after its end and plans nothing more', async () => {
+      const link = new RecordingLink();
+      const runs = new SlowStream();
+      const over = new AbortController();
+      const retire = new AbortController();
+      const term = new Term(
+        contextOf(link, new JobTable(), runs),
+        startWith(),
+        () => undefined,
+        over.signal,
+        retire.signal,
+      );
+      const ended = term.run();
+      await expect.poll(() => runs.isAppending, { interval: 1, timeout: 3000 }).toBe(true);
+      (end === 'released' ? over : retire).abort();
+      if (end === 'retired') {
+        await ended;
+        expect(runs.isAppending).toBe(false);
+        over.abort();
+      }
+      const sent = link.calls.length;
+      const stored = runs.records.length;
+      await delay(2 * APPEND_MS + 300);
+      expect(link.calls.slice(sent)).toEqual([]);
+      expect(runs.records.length - stored).toBeLessThanOrEqual(end === 'released' ? 2 : 0);
+    });
+  });
 });
