feat(bench): measure the processor time of a leader's decisions

`--load` multiplies the arrivals, `--pause` delays the next report after one with ends.

Not covered: VMs do not move, and calls cost nothing.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,15 @@
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { cac } from 'cac';
 import { runFailingPool } from './failing-pool';
+import { measureLeader } from './leader-suite';
 import { measurePathLatency } from './path-suite';
 import { comparePolicies, DEPLOYMENTS } from './pool-suite';
 import { formatTable } from './table';
 
 const cli = cac('bench');
+cli.option('--leader', 'measure the processor time of a leader instead of the pool model');
+cli.option('--load <factor>', 'load of the leader as a multiple of the usual one', { default: 1 });
+cli.option('--pause <ms>', 'pause of a leader after a report with ends', { default: 0 });
 cli.option('--path', 'measure with real processes instead of the pool model');
 cli.option('--peak <factor>', 'load of a peak as a multiple of the capacity', { default: 1.5 });
 cli.option('--seconds <seconds>', 'length of the trace', { default: 1200 });
@@ -16,6 +20,10 @@
 const seed = Number(options.seed);
 if (options.path === true) {
   print(await measurePathLatency());
+} else if (options.leader === true) {
+  const durationMs = Number(options.seconds) * 1000;
+  const load = Number(options.load);
+  print(measureLeader({ durationMs, load, pauseAfterEndsMs: Number(options.pause), seed }));
 } else if (options.help !== true) {
   comparePools();
 }
--- /dev/null
+++ b/packages/bench/tests/leader-simulation.test.ts
@@ -0,0 +1,16 @@
+import { describe, expect, it } from 'vitest';
+import { LeaderSimulation } from '../src/leader-simulation';
+
+function simulate(seed: number): ReturnType<LeaderSimulation['run']> {
+  return new LeaderSimulation({ durationMs: 3000, load: 1, pauseAfterEndsMs: 0, seed }).run();
+}
+
+// Guards against figures that cannot be compared between two versions of the decisions.
+describe('LeaderSimulation', () => {
+  it('makes the same decisions for the same seed and others for another seed', () => {
+    const first = simulate(1);
+    expect(first.jobsDone).toBeGreaterThan(20);
+    expect(simulate(1).decisions).toBe(first.decisions);
+    expect(simulate(2).decisions).not.toBe(first.decisions);
+  });
+});
