perf(core): rank and try only jobs for which a worker may have room

Cause: each plan ranked all waiting jobs of a pool and tried a task of each ready step on every worker, though in a peak nothing has room.

Change: the largest free capacity of each resource over the assignable workers rules out steps that fit on none; only jobs with another step are ranked and tried. Queues with advice are still asked for, as before. Ready steps are collected once instead of read from a generator.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -6,6 +6,7 @@
 import type { SchedulerContext } from './scheduler-context';
 import type { Task } from './task';
 import type { Worker } from './worker';
+import { FreeCapacity } from './free-capacity';
 import { chooseWorker, chooseWorkersForGang } from './placement';
 import { DECISION } from './scheduler-output';
 
@@ -29,10 +30,17 @@
     if (workers.length === 0) {
       return;
     }
+    const free = new FreeCapacity(workers);
     const queueOf = (run: JobRun): QueueConfig | undefined => this.ctx.getQueueConfig(run);
-    for (const run of pool.rankWaitingJobs(queueOf, this.ctx.runTimes, wallNow)) {
-      for (const step of run.readySteps()) {
-        this.#assignStep(run, step, workers, now);
+    // Advice is asked for before there is room.
+    const mayAssign = (run: JobRun, step: StepRun): boolean =>
+      free.mayFit(step.spec) || queueOf(run)?.advice !== undefined;
+    for (const { run, steps } of pool.rankWaitingJobs(mayAssign, queueOf, this.ctx.runTimes, wallNow)) {
+      for (const step of steps) {
+        if (mayAssign(run, step)) {
+          this.#assignStep(run, step, workers, now);
+          free.update();
+        }
       }
     }
   }
--- a/packages/core/src/jobs/job-run.ts
+++ b/packages/core/src/jobs/job-run.ts
@@ -66,6 +66,8 @@
   hasEnded = false;
   /** Whether the end of the job is stored. */
   isEndStored = false;
+  /** Whether any step runs until the job is cancelled. */
+  readonly isLongRunning: boolean;
   readonly job: Job;
   /** Occurrences that are due. */
   readonly occurrences: OccurrenceRun[] = [];
@@ -73,6 +75,7 @@
   runningReported = false;
 
   constructor(job: Job) {
+    this.isLongRunning = job.spec.steps.some((step) => step.longRunning);
     this.job = job;
     if (job.spec.schedule === undefined) {
       this.#addOccurrence();
@@ -104,20 +107,17 @@
     return this.nextDueAt === undefined && this.occurrences.every((occurrence) => occurrence.isDone);
   }
 
-  /** Whether any step runs until the job is cancelled. */
-  get isLongRunning(): boolean {
-    return this.job.spec.steps.some((step) => step.longRunning);
-  }
-
-  /** Yields the steps whose dependencies are done and that have tasks to assign. */
-  *readySteps(): Generator<StepRun> {
+  /** Returns the steps whose dependencies are done and that have tasks to assign. */
+  readySteps(): StepRun[] {
+    const ready: StepRun[] = [];
     for (const occurrence of this.occurrences) {
       for (const step of occurrence.steps) {
         if (step.waitingCount > 0 && step.isReady) {
-          yield step;
+          ready.push(step);
         }
       }
     }
+    return ready;
   }
 
   /** Yields all tasks of the occurrences that are due. */
--- a/packages/core/src/jobs/pool-state.ts
+++ b/packages/core/src/jobs/pool-state.ts
@@ -1,9 +1,18 @@
 import type { QueueConfig } from './fleet-config';
-import type { JobRun } from './job-run';
+import type { JobRank } from './job-rank';
+import type { JobRun, StepRun } from './job-run';
 import type { RunTimeEstimator } from './run-time-estimator';
 import type { Worker } from './worker';
 import { compareRanks, rankJob } from './job-rank';
 
+/** Job of which tasks may be assigned. */
+export interface WaitingJob {
+  rank: JobRank;
+  run: JobRun;
+  /** Its ready steps whose tasks may be assigned. */
+  steps: StepRun[];
+}
+
 /** Workers and jobs of one pool, as tracked by the leader. */
 export class PoolState {
   /** Whether anything changed since tasks were last assigned. */
@@ -16,15 +25,20 @@
     return [...this.workers].filter((worker) => worker.isAssignable(now));
   }
 
-  /** Returns the jobs that have tasks to assign, in scheduling order. */
+  /** Returns the jobs with ready steps that `mayAssign` accepts, in scheduling order. */
   rankWaitingJobs(
+    mayAssign: (run: JobRun, step: StepRun) => boolean,
     queueOf: (run: JobRun) => QueueConfig | undefined,
     times: RunTimeEstimator,
     wallNow: number,
-  ): JobRun[] {
-    const waiting = [...this.jobs].filter((run) => !run.readySteps().next().done);
-    const ranked = waiting.map((run) => ({ rank: rankJob(run, queueOf(run), times, wallNow), run }));
-    ranked.sort((a, b) => compareRanks(a.rank, b.rank));
-    return ranked.map((item) => item.run);
+  ): WaitingJob[] {
+    const ranked: WaitingJob[] = [];
+    for (const run of this.jobs) {
+      const steps = run.readySteps().filter((step) => mayAssign(run, step));
+      if (steps.length > 0) {
+        ranked.push({ rank: rankJob(run, queueOf(run), times, wallNow), run, steps });
+      }
+    }
+    return ranked.sort((a, b) => compareRanks(a.rank, b.rank));
   }
 }
