perf(core): compute the parts of a job's rank once

Cause: after the jobs without room are left out, ranking the others is most of the planning time: logarithms for each step, a search for the queue's configuration, and arrays for the critical path.

Change: expected run times are kept by declared estimate until the next sample of the queue; queues are found by name in a map; the critical path is computed in a loop and long-running jobs are marked once.

--- a/packages/core/src/jobs/job-rank.ts
+++ b/packages/core/src/jobs/job-rank.ts
@@ -32,7 +32,8 @@
   times: RunTimeEstimator,
   wallNow: number,
 ): JobRank {
-  const base = { longRunning: run.isLongRunning, priority: queue?.priority ?? 0 };
+  const longRunning = run.isLongRunning;
+  const priority = queue?.priority ?? 0;
   const { acceptedAt, spec } = run.job;
   const releasedAt =
     spec.schedule === undefined
@@ -42,13 +43,14 @@
   const remainingMs = times.criticalPathMs(run, (step) => step.unfinishedCount > 0);
   const latestOnTimeStart = releasedAt + expectedMs - remainingMs;
   if (wallNow <= latestOnTimeStart) {
-    return { ...base, deadlineStatus: DEADLINE_STATUS.onTime, latestStart: latestOnTimeStart };
+    return { deadlineStatus: DEADLINE_STATUS.onTime, latestStart: latestOnTimeStart, longRunning, priority };
   }
   const latestUsefulStart = releasedAt + LATE_FACTOR * expectedMs - remainingMs;
   return {
-    ...base,
     deadlineStatus: wallNow <= latestUsefulStart ? DEADLINE_STATUS.late : DEADLINE_STATUS.missed,
     latestStart: latestUsefulStart,
+    longRunning,
+    priority,
   };
 }
 
--- a/packages/core/src/jobs/run-time-estimator.ts
+++ b/packages/core/src/jobs/run-time-estimator.ts
@@ -12,6 +12,8 @@
 
 /** Statistics of the completed runs of a queue. */
 interface QueueStats {
+  /** Expected run times by declared estimate, in ms, computed since the last sample. */
+  expectedMs: Map<number, number>;
   /** Moving mean of the natural logarithms of the durations in ms. */
   meanLogMs: number;
   samples: number;
@@ -29,9 +31,10 @@
     const logMs = Math.log(Math.max(1, durationMs));
     const stats = this.#statsByQueue.get(queue);
     if (stats === undefined) {
-      this.#statsByQueue.set(queue, { meanLogMs: logMs, samples: 1 });
+      this.#statsByQueue.set(queue, { expectedMs: new Map(), meanLogMs: logMs, samples: 1 });
       return;
     }
+    stats.expectedMs.clear();
     stats.samples += 1;
     stats.meanLogMs += Math.max(MIN_SAMPLE_WEIGHT, 1 / stats.samples) * (logMs - stats.meanLogMs);
   }
@@ -43,9 +46,15 @@
     if (stats === undefined || stats.samples < MIN_SAMPLES) {
       return estimateMs;
     }
-    return Math.exp(
+    const known = stats.expectedMs.get(estimateMs);
+    if (known !== undefined) {
+      return known;
+    }
+    const expectedMs = Math.exp(
       (1 - DECLARED_ESTIMATE_WEIGHT) * stats.meanLogMs + DECLARED_ESTIMATE_WEIGHT * Math.log(estimateMs),
     );
+    stats.expectedMs.set(estimateMs, expectedMs);
+    return expectedMs;
   }
 
   /**
@@ -54,10 +63,16 @@
    */
   criticalPathMs(run: JobRun, matches: (step: StepRun) => boolean): number {
     const endsAtMs: number[] = [];
+    let longestMs = 0;
     for (const step of run.occurrences.at(-1)?.steps ?? []) {
-      const startsAtMs = Math.max(0, ...step.spec.after.map((index) => endsAtMs[index] ?? 0));
-      endsAtMs.push(startsAtMs + (matches(step) ? this.expectedMs(run.job.queue, step.spec) : 0));
+      let endMs = 0;
+      for (const index of step.spec.after) {
+        endMs = Math.max(endMs, endsAtMs[index] ?? 0);
+      }
+      endMs += matches(step) ? this.expectedMs(run.job.queue, step.spec) : 0;
+      endsAtMs.push(endMs);
+      longestMs = Math.max(longestMs, endMs);
     }
-    return Math.max(0, ...endsAtMs);
+    return longestMs;
   }
 }
--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -21,12 +21,13 @@
 
 /** State that the components of the scheduler share. */
 export class SchedulerContext {
-  cfg: FleetConfig | undefined;
+  #cfg: FleetConfig | undefined;
   /** Jobs that have not ended, and ended jobs whose end is not stored or whose runs are still being stopped. */
   readonly jobs = new Map<string, JobRun>();
   /** Plan in preparation, to which records and orders are added until the next `takePlan`. */
   pending: Plan = emptyPlan();
   readonly pools = new Map<string, PoolState>();
+  #queues: ReadonlyMap<string, QueueConfig> = new Map();
   readonly runTimes = new RunTimeEstimator();
   /** Known workers, including deregistered ones that may still run tasks. */
   readonly workers = new Map<string, Worker>();
@@ -36,6 +37,17 @@
     readonly log: DecisionLog,
   ) {}
 
+  /** Configuration in force; undefined until there is one. */
+  get cfg(): FleetConfig | undefined {
+    return this.#cfg;
+  }
+
+  set cfg(cfg: FleetConfig | undefined) {
+    this.#cfg = cfg;
+    // Of several queues with one name the first counts.
+    this.#queues = new Map((cfg?.queues ?? []).map((queue) => [queue.name, queue] as const).reverse());
+  }
+
   /** Adds the ends that were read from a worker to those that are stored with the next plan. */
   addReadEnds(worker: Worker): void {
     const { bornAt } = worker.info;
@@ -60,7 +72,7 @@
 
   /** Returns the configuration of the queue that accepted a job; undefined if it is not configured. */
   getQueueConfig(run: JobRun): QueueConfig | undefined {
-    return this.cfg?.queues.find((queue) => queue.name === run.job.queue);
+    return this.#queues.get(run.job.queue);
   }
 
   /** Returns the pending plan and replaces it by an empty one. */
