--- a/packages/stand-ins/src/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy.ts
@@ -1,6 +1,8 @@
 import type { Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 import * as z from 'zod';
+import type { NarrowLink } from './narrow-link';
+import { LINK_PIECE_BYTES } from './narrow-link';
 
 /** Schema of the faults that a route of the proxy injects. Times in ms, sizes in bytes. */
 export const routeFaultsSchema = z.strictObject({
@@ -28,7 +30,11 @@
   #lastPort = 0;
   readonly #server: Server;
 
-  constructor(private readonly target: { host: string; port: number }) {
+  /** `link` limits the rate of all connections of this route, and of other routes with the same link. */
+  constructor(
+    private readonly target: { host: string; port: number },
+    private readonly link?: NarrowLink,
+  ) {
     this.#server = createServer((client) => {
       this.#handleConnection(client);
     });
@@ -114,10 +120,16 @@
         close();
       }
     };
-    upstream.on('error', closeUnlessDropping).on('close', closeUnlessDropping);
+    upstream.on('error', closeUnlessDropping).on('close', () => {
+      void lastResponseChunk().then(() => {
+        if (!this.#faults.dropAnswers) {
+          client.destroySoon();
+        }
+      });
+    });
     let responseBytes = 0;
-    this.#pipe(client, upstream, () => true);
-    this.#pipe(upstream, client, (chunk) => {
+    this.#pipe(client, upstream, 'up', () => true);
+    const lastResponseChunk = this.#pipe(upstream, client, 'down', (chunk) => {
       responseBytes += chunk.length;
       const maxResponseBytes = this.#faults.cutAnswerAfterBytes;
       if (maxResponseBytes > 0 && responseBytes > maxResponseBytes) {
@@ -133,14 +145,22 @@
     });
   }
 
-  // Each chunk waits for the preceding one, so that delays don't reorder the chunks of a direction.
-  #pipe(from: Socket, to: Socket, shouldForward: (chunk: Buffer) => boolean): void {
+  // Each chunk waits for the preceding one, so that delays don't reorder the chunks of a direction. Returns a
+  // function whose result resolves when all chunks received so far have been forwarded.
+  #pipe(
+    from: Socket,
+    to: Socket,
+    direction: 'down' | 'up',
+    shouldForward: (chunk: Buffer) => boolean,
+  ): () => Promise<void> {
     let lastChunk = Promise.resolve();
     from.on('data', (chunk: Buffer) => {
       lastChunk = lastChunk.then(async () => {
         await this.#applyDelays();
-        if (shouldForward(chunk) && !to.destroyed) {
-          to.write(chunk);
+        if (this.link?.bytesPerS !== undefined) {
+          await this.#carryPieces(this.link, chunk, from, to, direction, shouldForward);
+        } else {
+          forward(chunk, to, shouldForward);
         }
       });
     });
@@ -151,6 +171,26 @@
         }
       });
     });
+    return () => lastChunk;
+  }
+
+  // The sender is paused meanwhile, so that a connection that its receiver closes leaves little to carry.
+  async #carryPieces(
+    link: NarrowLink,
+    chunk: Buffer,
+    from: Socket,
+    to: Socket,
+    direction: 'down' | 'up',
+    shouldForward: (chunk: Buffer) => boolean,
+  ): Promise<void> {
+    from.pause();
+    for (let start = 0; start < chunk.length && !to.destroyed; start += LINK_PIECE_BYTES) {
+      const piece = chunk.subarray(start, start + LINK_PIECE_BYTES);
+      await link.carry(piece.length, direction);
+      await this.#applyDelays();
+      forward(piece, to, shouldForward);
+    }
+    from.resume();
   }
 
   async #applyDelays(): Promise<void> {
@@ -163,6 +203,12 @@
   }
 }
 
+function forward(chunk: Buffer, to: Socket, shouldForward: (chunk: Buffer) => boolean): void {
+  if (shouldForward(chunk) && !to.destroyed) {
+    to.write(chunk);
+  }
+}
+
 function sleep(delayMs: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, delayMs);
--- a/packages/stand-ins/tests/fault-proxy.test.ts
+++ b/packages/stand-ins/tests/fault-proxy.test.ts
@@ -3,6 +3,7 @@
 import { request } from 'node:http';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { FaultRoute } from '../src/fault-proxy';
+import { NarrowLink } from '../src/narrow-link';
 
 const RESPONSE_BODY = 'x'.repeat(1000);
 
@@ -82,4 +83,24 @@
     expect(await requestPath(path, 300)).toBe(expected);
     expect(requestCounts.get(path) ?? 0).toBe(reachesUpstream ? 1 : 0);
   });
+
+  // Guards against a limit for each connection, which a node would exceed by opening several.
+  it('shares the rate of a link between the connections of all its routes', async () => {
+    route.close();
+    const link = new NarrowLink(undefined);
+    route = new FaultRoute(target, link);
+    port = await route.listenOnFreePort();
+    const readAll = async (): Promise<number> => {
+      const startedAt = performance.now();
+      const paths = Array.from({ length: 10 }, (_, index) => requestPath(`/shared-${index}`, 5000));
+      expect(new Set(await Promise.all(paths))).toEqual(new Set([RESPONSE_BODY]));
+      return performance.now() - startedAt;
+    };
+    const unlimitedMs = await readAll();
+    link.bytesPerS = 20_000;
+    // Ten responses of 1,000 bytes and their headers.
+    const limitedMs = await readAll();
+    expect(limitedMs).toBeGreaterThan(450);
+    expect(unlimitedMs).toBeLessThan(limitedMs);
+  });
 });
