--- a/tests/support/process.ts
+++ b/tests/support/process.ts
@@ -13,9 +13,11 @@
   /** Exit code of the process once it has ended; null if a signal ended it. */
   readonly exited: Promise<number | null>;
 
-  constructor(binary: string, args: readonly string[], logFile: string) {
+  /** `nodeFlags` are flags of the JavaScript runtime. */
+  constructor(binary: string, args: readonly string[], logFile: string, nodeFlags: readonly string[] = []) {
     const output = openSync(logFile, 'a');
     this.#child = spawn(`${DIST_DIRECTORY}${binary}.mjs`, args, {
+      env: nodeFlags.length > 0 ? { ...process.env, NODE_OPTIONS: nodeFlags.join(' ') } : process.env,
       stdio: ['ignore', output, output],
     });
     closeSync(output);
