test: show that calls to the store fail behind a narrow link

The limit of a call to the store covers the whole call, whatever it moves, a failed page of a load starts the load over, and an append holds up to 2000 records.

--- a/packages/node/tests/job-writer.test.ts
+++ b/packages/node/tests/job-writer.test.ts
@@ -1,3 +1,4 @@
+import type { JobRecord } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { describe, expect, it } from 'vitest';
 import type { AppendFault } from './support/memory-stream';
@@ -49,4 +50,33 @@
     await expect.poll(() => writer.isLikelyToSucceed(true)).toBe(true);
     expect(writer.isLikelyToSucceed(false)).toBe(false);
   });
+
+  it('sends no more in one append than a narrow link carries soon, and allows the time for it', async () => {
+    const { stream, writer } = createWriter();
+    const writes = Array.from({ length: 120 }, (_, index) =>
+      writer.write(submitOf(index, 4000), timers.mono() + 3000),
+    );
+    expect(new Set(await Promise.all(writes))).toEqual(new Set(['stored']));
+    for (const append of stream.appends) {
+      const bytes = append.records.reduce((sum, record) => sum + (record.value?.length ?? 0), 0);
+      expect(bytes).toBeLessThan(140_000);
+      expect(append.timeoutMs).toBeGreaterThan(400 + bytes / 125);
+    }
+  });
+
+  it('stores a heartbeat of the leader ahead of records that wait', async () => {
+    const { stream, writer } = createWriter();
+    const writes = Array.from({ length: 300 }, (_, index) =>
+      writer.write(submitOf(index, 4000), timers.mono() + 3000),
+    );
+    const heartbeat = { epoch: 1, kind: 'leader', node: 'n', released: false } as const;
+    await Promise.all([...writes, writer.writePersistently(heartbeat, timers.mono() + 3000)]);
+    const at = stream.appends.findIndex((append) => append.records.some((record) => record.key === 'leader'));
+    expect(at).toBe(1);
+  });
 });
+
+function submitOf(index: number, bodyBytes: number): JobRecord {
+  const spec = { body: 'x'.repeat(bodyBytes), steps: [] };
+  return { job: { acceptedAt: 0, id: `${index}`, pool: 'p', queue: 'q', spec }, kind: 'submit' };
+}
--- a/packages/node/tests/leadership.test.ts
+++ b/packages/node/tests/leadership.test.ts
@@ -170,4 +170,17 @@
     await expect.poll(() => node.starts.length, { timeout: 5000 }).toBe(1);
     expect(node.starts[0]?.epoch).toBe(2);
   });
+
+  it('takes over although pages of the stream of runs fail, and reads none of them again', async () => {
+    const store = new SharedStore();
+    store.runs.pageSize = 1;
+    ['1', '2', '3'].forEach((vm, offset) => {
+      store.runs.records.push({ key: `v.1.vm${vm}`, offset, value: vm });
+    });
+    store.runs.newestFaults = [false, true, false, true, false];
+    const node = new Candidate(store, 'a');
+    await expect.poll(() => node.starts.length).toBe(1);
+    expect(store.runs.newestRequests).toEqual([undefined, 'v.1.vm1', 'v.1.vm1', 'v.1.vm2', 'v.1.vm2']);
+    expect(node.starts[0]?.otherRecords).toHaveLength(3);
+  });
 });
--- a/packages/node/tests/stream-tail.test.ts
+++ b/packages/node/tests/stream-tail.test.ts
@@ -1,5 +1,6 @@
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { StoredRecord } from '../src/ports/keyed-stream';
 import { StreamTail } from '../src/stream-tail';
 import { MemoryStream } from './support/memory-stream';
 import { quietLog } from './support/quiet-log';
@@ -53,4 +54,106 @@
     await tail.catchUp(stop.signal);
     expect(seen.get('c')).toBe('3');
   });
+
+  it('reads no page of newest records again after a failed page', async () => {
+    const stream = new MemoryStream();
+    stream.pageSize = 2;
+    ['a', 'b', 'c', 'd', 'e', 'f'].forEach((key) => {
+      add(stream, key, key);
+    });
+    stream.newestFaults = [false, true, false, true, true, false];
+    const tail = follow(stream);
+    await expect.poll(() => tail.isLoaded).toBe(true);
+    expect(stream.newestRequests).toEqual([undefined, 'b', 'b', 'd', 'd', 'd']);
+    expect([...seen.keys()]).toEqual(['a', 'b', 'c', 'd', 'e', 'f']);
+  });
+
+  it('passes on the records of a page before later pages are read', async () => {
+    const stream = new MemoryStream();
+    stream.pageSize = 1;
+    add(stream, 'a', '1');
+    add(stream, 'b', '2');
+    stream.newestFaults = [false, ...Array.from({ length: 1000 }, () => true)];
+    const tail = follow(stream);
+    await expect.poll(() => seen.get('a')).toBe('1');
+    expect(tail.isLoaded).toBe(false);
+    expect(tail.ageMs()).toBe(Infinity);
+  });
+
+  it('loads a stream whose new records are dropped before its last page is read', async () => {
+    const stream = new MemoryStream();
+    stream.pageSize = 2;
+    Array.from({ length: 10 }, (_, index) => `k${index}`).forEach((key) => {
+      add(stream, key, 'old');
+    });
+    stream.onPage = () => {
+      add(stream, 'k0', `${stream.records.length}`);
+      add(stream, 'k1', `${stream.records.length}`);
+      stream.first = stream.records.length - 3;
+    };
+    const tail = follow(stream);
+    await expect.poll(() => tail.isLoaded).toBe(true);
+    expect(stream.newestRequests).toHaveLength(5);
+  });
+
+  it('does not delete a key whose deletion is older than the record that was loaded', async () => {
+    const stream = new MemoryStream();
+    stream.pageSize = 1;
+    add(stream, 'a', '1');
+    add(stream, 'z', '2');
+    const values: (string | undefined)[] = [];
+    stream.onPage = () => {
+      stream.onPage = () => undefined;
+      add(stream, 'z', undefined);
+      add(stream, 'z', '3');
+      add(stream, 'a', 'last');
+    };
+    const timers = new SystemTimerService();
+    const onRecord = (item: StoredRecord): void => {
+      seen.set(item.key, item.value);
+      if (item.key === 'z') {
+        values.push(item.value);
+      }
+    };
+    const tail = new StreamTail(stream, SETTINGS, onRecord, timers, quietLog);
+    void tail.run(stop.signal);
+    await expect.poll(() => seen.get('a')).toBe('last');
+    expect(values).toEqual(['3']);
+  });
+
+  it('does not bring back a key from a page that is older than its deletion', async () => {
+    const stream = new MemoryStream();
+    stream.pageSize = 1;
+    ['a', 'b', 'z'].forEach((key) => {
+      add(stream, key, '1');
+    });
+    let pageCount = 0;
+    stream.onPage = (page) => {
+      pageCount += 1;
+      if (pageCount === 1) {
+        add(stream, 'z', undefined);
+      } else if (pageCount === 2) {
+        page.hasMore = true;
+      } else if (pageCount === 3) {
+        page.records = [{ key: 'z', offset: 2, value: '1' }];
+      }
+    };
+    const tail = follow(stream);
+    await expect.poll(() => tail.isLoaded).toBe(true);
+    await tail.catchUp(stop.signal);
+    expect(seen.get('z')).toBeUndefined();
+    expect(pageCount).toBe(3);
+  });
+
+  it('resolves no catch-up, and reports no current data, while a read leaves records behind', async () => {
+    const stream = new MemoryStream();
+    stream.readSize = 2;
+    const tail = follow(stream);
+    await expect.poll(() => tail.isLoaded).toBe(true);
+    Array.from({ length: 9 }, (_, index) => `k${index}`).forEach((key) => {
+      add(stream, key, '1');
+    });
+    await tail.catchUp(stop.signal);
+    expect(seen.size).toBe(9);
+  });
 });
--- a/packages/node/tests/support/memory-stream.ts
+++ b/packages/node/tests/support/memory-stream.ts
@@ -13,19 +13,28 @@
 /** Fault of an append: its answer is lost after or before it is carried out, or it is refused. */
 export type AppendFault = 'lost-after' | 'lost-before' | 'none' | 'refused';
 
-/** In-memory stream with injectable faults for appends and for dropped records. */
+/** In-memory stream with injectable faults for appends, pages of newest records and dropped records. */
 export class MemoryStream implements KeyedStream {
+  /** Appends that were requested, in order. */
+  readonly appends: AppendRequest[] = [];
   /** Faults of the next appends, in order; later appends succeed. */
   faults: AppendFault[] = [];
   /** Offset of the first retained record. */
   first = 0;
+  /** Whether the next pages of newest records get no answer, in order; later pages are returned. */
+  newestFaults: boolean[] = [];
+  /** Keys after which pages of newest records were requested, in order. */
+  readonly newestRequests: (string | undefined)[] = [];
   /** Called with each page of newest records before it is returned. */
   onPage: (page: NewestPage) => void = () => undefined;
   /** Size of a page of newest records. */
   pageSize = Infinity;
+  /** Most records that a read returns. */
+  readSize = Infinity;
   readonly records: StoredRecord[] = [];
 
   append(req: AppendRequest): ResultAsync<number, StoreError> {
+    this.appends.push(req);
     const fault = this.faults.shift() ?? 'none';
     if (fault === 'refused') {
       return errAsync({ kind: 'refused', message: 'busy', offset: undefined });
@@ -44,6 +53,10 @@
   }
 
   readNewestPage(afterKey: string | undefined): ResultAsync<NewestPage, StoreError> {
+    this.newestRequests.push(afterKey);
+    if (this.newestFaults.shift() === true) {
+      return errAsync({ kind: 'lost', message: 'no answer', offset: undefined });
+    }
     const newest = new Map(this.records.map((record) => [record.key, record]));
     const records = [...newest.values()]
       .filter((record) => record.value !== undefined && record.key > (afterKey ?? ''))
@@ -61,6 +74,7 @@
     if (req.fromOffset < this.first) {
       return errAsync({ kind: 'trimmed', message: 'dropped', offset: this.first });
     }
-    return okAsync({ end: this.records.length, records: this.records.slice(req.fromOffset) });
+    const records = this.records.slice(req.fromOffset).slice(0, this.readSize);
+    return okAsync({ end: this.records.length, records });
   }
 }
--- a/packages/node/tests/term-log.test.ts
+++ b/packages/node/tests/term-log.test.ts
@@ -60,4 +60,18 @@
     expect(await log.append([RECORD])).toBe(false);
     expect(stream.records).toHaveLength(1);
   });
+
+  it('sends no more in one append than a narrow link carries soon, and allows the time for it', async () => {
+    const { log, stream } = createLog();
+    const batches = Array.from({ length: 20 }, () =>
+      Array.from({ length: 100 }, () => ({ ...RECORD, value: 'x'.repeat(200) })),
+    );
+    expect(new Set(await Promise.all(batches.map((batch) => log.append(batch))))).toEqual(new Set([true]));
+    for (const append of stream.appends) {
+      const bytes = append.records.reduce((sum, record) => sum + (record.value?.length ?? 0), 0);
+      expect(bytes).toBeLessThan(140_000);
+      expect(append.timeoutMs).toBeGreaterThan(400 + bytes / 125);
+    }
+    expect(stream.records).toHaveLength(2000);
+  });
 });
