feat(node): log the progress of loads and count the bytes of calls to the store

A load now logs its first, second, fourth, eighth page and failure, with keys and bytes so far, and sequoiaquay_store_bytes_total counts keys and values by stream and call.

readNewest takes the cursor instead of the stream; its tests changed in that argument only.

--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -7,6 +7,7 @@
 import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
 import type { StreamTail } from './stream-tail';
 import { WRITE_OUTCOME } from './job-writer';
+import { NewestPages } from './newest-pages';
 import { readNewest } from './newest-records';
 import { STORE_FAILURE } from './ports/keyed-stream';
 
@@ -272,7 +273,8 @@
   }
 
   async #loadRuns(signal: AbortSignal): Promise<LoadedRuns | undefined> {
-    const newest = await readNewest(this.runs, () => this.settings.storeTimeoutMs, signal);
+    const pages = new NewestPages(this.runs, 'runs', this.timers, this.log);
+    const newest = await readNewest(pages, () => this.settings.storeTimeoutMs, signal);
     // If the stream changed between two pages, the conditional append would fail.
     if (newest.isErr() || newest.value.hasChanged) {
       return undefined;
--- a/packages/node/src/newest-records.ts
+++ b/packages/node/src/newest-records.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import type { KeyedStream, StoredRecord, StoreError } from './ports/keyed-stream';
+import type { NewestPages } from './newest-pages';
+import type { StoredRecord, StoreError } from './ports/keyed-stream';
 
 /** Newest record of each key of a stream. */
 export interface NewestRecords {
@@ -11,27 +12,23 @@
   records: StoredRecord[];
 }
 
-/** Reads the newest record of each key, page by page; `timeoutMs` returns the timeout of the next page. */
+/** Reads the newest record of each key from all pages; `timeoutMs` returns the timeout of the next page. */
 export async function readNewest(
-  stream: KeyedStream,
+  pages: NewestPages,
   timeoutMs: () => number,
   signal: AbortSignal,
 ): Promise<Result<NewestRecords, StoreError>> {
   const records: StoredRecord[] = [];
   let hasChanged = false;
   let end: number | undefined;
-  let afterKey: string | undefined;
-  let hasMore = true;
-  while (hasMore) {
-    const page = await stream.readNewestPage(afterKey, timeoutMs(), signal);
+  while (pages.hasMore) {
+    const page = await pages.readNext(timeoutMs(), signal);
     if (page.isErr()) {
       return err(page.error);
     }
     records.push(...page.value.records);
     end ??= page.value.end;
     hasChanged ||= page.value.end !== end;
-    afterKey = page.value.records.at(-1)?.key;
-    hasMore = page.value.hasMore && afterKey !== undefined;
   }
   return ok({ end: end ?? 0, hasChanged, records });
 }
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -26,13 +26,13 @@
 class LabelledCounter {
   readonly #counts = new Map<string, LabelledCount>();
 
-  increment(labels: Record<string, string>): void {
+  increment(labels: Record<string, string>, by = 1): void {
     const key = Object.values(labels).join('\n');
     const count = this.#counts.get(key);
     if (count === undefined) {
-      this.#counts.set(key, { labels, value: 1 });
+      this.#counts.set(key, { labels, value: by });
     } else {
-      count.value += 1;
+      count.value += by;
     }
   }
 
@@ -46,6 +46,7 @@
   readonly #decisions = new LabelledCounter();
   readonly #requestTimes = new LatencyHistograms();
   readonly #requests = new LabelledCounter();
+  readonly #storeBytes = new LabelledCounter();
   readonly #storeCalls = new LabelledCounter();
   readonly #storeTimes = new LatencyHistograms();
   readonly #firstRunWaits = new LatencyHistograms();
@@ -62,6 +63,11 @@
     this.#requestTimes.record({ call }, latencyMs);
   }
 
+  /** Counts the keys and values that a call to the store appended or returned, in bytes. */
+  recordStoreBytes(stream: string, call: string, bytes: number): void {
+    this.#storeBytes.increment({ call, stream }, bytes);
+  }
+
   /** Records a call to the store and its latency, in ms; for reads that includes the wait for a record. */
   recordStoreCall(stream: string, call: string, outcome: string, latencyMs: number): void {
     this.#storeCalls.increment({ call, outcome, stream });
@@ -89,6 +95,10 @@
     metrics.registerCounter({ ...calls, name: 'sequoiaquay_store_calls_total' }, () =>
       this.#storeCalls.samples(),
     );
+    const bytes = { help: 'Bytes of the keys and values moved by calls', labels: ['stream', 'call'] };
+    metrics.registerCounter({ ...bytes, name: 'sequoiaquay_store_bytes_total' }, () =>
+      this.#storeBytes.samples(),
+    );
     const decisions = { help: 'Decisions of the leader', labels: ['decision', 'detail'] };
     metrics.registerCounter({ ...decisions, name: 'sequoiaquay_decisions_total' }, () =>
       this.#decisions.samples(),
--- a/packages/node/src/stream-tail.ts
+++ b/packages/node/src/stream-tail.ts
@@ -3,6 +3,7 @@
 import { err, ok } from 'neverthrow';
 import type { KeyedStream, StoredRecord, StoreError } from './ports/keyed-stream';
 import { AdaptiveTimeout } from './adaptive-timeout';
+import { NewestPages } from './newest-pages';
 import { readNewest } from './newest-records';
 import { STORE_FAILURE } from './ports/keyed-stream';
 
@@ -84,10 +85,12 @@
   }
 
   async #load(signal: AbortSignal): Promise<Result<number, StoreError>> {
-    const newest = await readNewest(this.stream, () => this.#readTimeout.currentMs, signal);
+    const pages = new NewestPages(this.stream, this.settings.name, this.timers, this.log);
+    const newest = await readNewest(pages, () => this.#readTimeout.currentMs, signal);
     // Records that were appended between two pages are read again, from the end at the first page.
     return newest.map(({ end, records }) => {
       this.#applySnapshot(records, end);
+      this.log.info({ end, ...pages.progress, stream: this.settings.name }, 'stream loaded');
       return records.length;
     });
   }
@@ -102,7 +105,6 @@
     }
     this.#nextOffset = Math.max(end, 0);
     this.#isLoaded = true;
-    this.log.info({ end, keys: records.length, stream: this.settings.name }, 'stream loaded');
   }
 
   async #read(signal: AbortSignal): Promise<Result<number, StoreError>> {
--- a/packages/node/tests/newest-records.test.ts
+++ b/packages/node/tests/newest-records.test.ts
@@ -1,6 +1,9 @@
+import { SystemTimerService } from '@sequoiaquay/runtime';
 import { describe, expect, it } from 'vitest';
+import { NewestPages } from '../src/newest-pages';
 import { readNewest } from '../src/newest-records';
 import { MemoryStream } from './support/memory-stream';
+import { quietLog } from './support/quiet-log';
 
 const { signal } = new AbortController();
 
@@ -11,12 +14,16 @@
   return stream;
 }
 
+function pagesOf(stream: MemoryStream): NewestPages {
+  return new NewestPages(stream, 'test', new SystemTimerService(), quietLog);
+}
+
 // Guards against keys that are missed at a page boundary, and against treating pages read at different times
 // as a consistent snapshot.
 describe('readNewest', () => {
   it('returns the newest record of each key from all pages', async () => {
     const stream = streamOf('a', 'b', 'c', 'd', 'e', 'b');
-    const newest = (await readNewest(stream, () => 100, signal))._unsafeUnwrap();
+    const newest = (await readNewest(pagesOf(stream), () => 100, signal))._unsafeUnwrap();
     expect(newest.records.map(({ key, value }) => [key, value])).toEqual([
       ['a', '0'],
       ['b', '5'],
@@ -33,12 +40,12 @@
       stream.onPage = () => undefined;
       stream.records.push({ key: 'a', offset: 3, value: 'late' });
     };
-    const newest = (await readNewest(stream, () => 100, signal))._unsafeUnwrap();
+    const newest = (await readNewest(pagesOf(stream), () => 100, signal))._unsafeUnwrap();
     expect(newest).toMatchObject({ end: 3, hasChanged: true });
   });
 
   it('returns no records for an empty stream', async () => {
-    const newest = await readNewest(streamOf(), () => 100, signal);
+    const newest = await readNewest(pagesOf(streamOf()), () => 100, signal);
     expect(newest._unsafeUnwrap()).toEqual({ end: 0, hasChanged: false, records: [] });
   });
 });
--- a/packages/node/tests/node-metrics.test.ts
+++ b/packages/node/tests/node-metrics.test.ts
@@ -16,11 +16,14 @@
     });
     nodeMetrics.recordRequest('submit', 'not-run', 12);
     nodeMetrics.recordStoreCall('jobs', 'append', 'lost', 400);
+    nodeMetrics.recordStoreBytes('jobs', 'newest', 1000);
+    nodeMetrics.recordStoreBytes('jobs', 'newest', 500);
     nodeMetrics.recordDecision('run-ended', { end: 'failed' });
     nodeMetrics.recordFirstRun('quick', 250);
     const text = await metrics.renderText();
     expect(text).toContain('sequoiaquay_requests_total{answer="not-run",call="submit"} 1');
     expect(text).toContain('sequoiaquay_store_calls_total{call="append",outcome="lost",stream="jobs"} 1');
+    expect(text).toContain('sequoiaquay_store_bytes_total{call="newest",stream="jobs"} 1500');
     expect(text).toContain('sequoiaquay_decisions_total{decision="run-ended",detail="failed"} 1');
     expect(text).toContain('sequoiaquay_first_run_wait_seconds{queue="quick",quantile="0.5"} 0.25');
     expect(text).toContain('sequoiaquay_config_version 7');
