fix(platform): let a call to the store go on while its response arrives

Cause: the limit of 0.4 to 0.9 s covered the whole call. At 7 Mbit/s a page of 1 MB takes more, so that it was given up and asked for again for ever.

The limit now covers the time to the first byte; after that a call ends when nothing arrives for 2 s, or after 30 s. Calls to workers keep a limit for the whole call. The 2 s are longer than the limit to the first byte, since several responses share a link.

--- a/packages/node/src/ports/keyed-stream.ts
+++ b/packages/node/src/ports/keyed-stream.ts
@@ -52,7 +52,7 @@
   /** Offset of the first record to read. */
   fromOffset: number;
   signal: AbortSignal;
-  /** Timeout of the call, in ms, to which `waitMs` is added. */
+  /** Longest time until the response begins, in ms, to which `waitMs` is added. */
   timeoutMs: number;
   /** Longest time for which the store holds the read open until a record is appended, in ms. */
   waitMs: number;
@@ -69,7 +69,8 @@
   read: (req: ReadRequest) => ResultAsync<StreamPage, StoreError>;
   /**
    * Reads one page of the newest record of each key, ordered by key, beginning after `afterKey`. The pages
-   * are not a consistent snapshot: the stream can change between two calls.
+   * are not a consistent snapshot: the stream can change between two calls. `timeoutMs` limits the time
+   * until the response begins; the call goes on while data arrives.
    */
   readNewestPage: (
     afterKey: string | undefined,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -16,3 +16,4 @@
 export * from './settings-watcher';
 export * from './latency-histograms';
 export * from './request-start-interceptor';
+export * from './progress-timeout';
