fix(node): let a load go on after a failed page, and pass on records as they arrive

Cause: the tail applied the pages of a load after the last one, and began at the first page again after any failure or when the store had dropped records in the meantime.

A load now keeps the last key, reads a failed page again from there, and reads all new records after each page, so that it may take longer than the store keeps history. A deletion that is older than a known record changes nothing, and a key whose deletion was read does not come back from an old page. A read that leaves records behind no longer counts as current: it resolves no catch-up and does not renew the age of the data. While a load is in progress callers are told an end of a job, and a repeated submit is accepted; any other state is not current, and an unknown job is never reported as gone.

--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -188,9 +188,13 @@
   }
 
   // Another node may have just accepted a job that is unknown here, so the tail first catches up with the
-  // stream, unless it is too far behind.
+  // stream, unless it is too far behind. While the tail loads, later records of a job may not be read yet, so
+  // only an end is certain.
   async #currentState(id: string, req: CallerRequest): Promise<JobState | undefined> {
     const known = this.jobs.stateOf(id);
+    if (!this.tail.isLoaded) {
+      return known === JOB_STATE.completed || known === JOB_STATE.failed ? known : undefined;
+    }
     if (known !== undefined || this.tail.ageMs() > MAX_STATE_AGE_MS) {
       return known;
     }
@@ -207,7 +211,7 @@
   }
 
   #unknownJobAnswer(): CallerAnswer {
-    return this.tail.ageMs() > MAX_STATE_AGE_MS
+    return !this.tail.isLoaded || this.tail.ageMs() > MAX_STATE_AGE_MS
       ? {
           kind: CALLER_ANSWER.notRun,
           reason: REFUSAL_REASON.stateNotCurrent,
--- a/packages/node/src/stream-tail.ts
+++ b/packages/node/src/stream-tail.ts
@@ -4,8 +4,8 @@
 import type { KeyedStream, StoredRecord, StoreError } from './ports/keyed-stream';
 import { AdaptiveTimeout } from './adaptive-timeout';
 import { NewestPages } from './newest-pages';
-import { readNewest } from './newest-records';
 import { STORE_FAILURE } from './ports/keyed-stream';
+import { StreamLoad } from './stream-load';
 
 /** Settings of a tail. */
 export interface TailSettings {
@@ -22,9 +22,26 @@
 /** Handles a record of a stream; a record without a value deletes its key. */
 export type RecordHandler = (record: StoredRecord) => void;
 
+/** Time of a call by both clocks, in ms. */
+interface Instant {
+  mono: number;
+  wall: number;
+}
+
+/** Result of a call to the store while following a stream. */
+interface ReadStep {
+  /** Time as of which all records of the stream are known; undefined if the store holds more of them. */
+  currentAt: Instant | undefined;
+  recordCount: number;
+}
+
+/** Most doublings of the timeout of a page that fails several times in a row. */
+const MAX_DOUBLINGS = 2;
+
 /**
- * Follows a stream: loads the newest record of each key, then reads every new record. Loads again if the
- * store has dropped records that were not yet read; keys that are missing then are reported as deleted.
+ * Follows a stream: loads the newest record of each key, then reads every new record. Records are passed on
+ * as they arrive. Loads again if the store has dropped records that were not yet read; keys that are missing
+ * then are reported as deleted.
  */
 export class StreamTail {
   readonly #catchUps: { requestedAt: number; resolve: () => void }[] = [];
@@ -34,6 +51,7 @@
   #reachableSince: number | undefined;
   #lastReadSentAt = -Infinity;
   #lastReadSentWallAt = -Infinity;
+  #load: StreamLoad | undefined;
   #nextOffset = 0;
 
   constructor(
@@ -49,7 +67,10 @@
     return this.#isLoaded;
   }
 
-  /** Monotonic time since which all reads have succeeded, in ms; undefined after a failure. */
+  /**
+   * Monotonic time since which all reads have succeeded and reached the end of the stream, in ms; undefined
+   * after a failure and until the stream is loaded.
+   */
   get reachableSince(): number | undefined {
     return this.#reachableSince;
   }
@@ -72,44 +93,74 @@
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const sentAt = this.timers.mono();
-      const sentWallAt = this.timers.now();
-      const recordCount = this.#isLoaded ? await this.#read(signal) : await this.#load(signal);
-      if (recordCount.isOk()) {
-        this.#onReadSuccess(sentAt, sentWallAt);
-        await this.timers.sleep(recordCount.value > 0 ? this.settings.readPauseMs() : 0, signal);
+      const step = this.#isLoaded ? await this.#read(signal) : await this.#continueLoad(signal);
+      if (step.isErr()) {
+        await this.#onReadFailure(step.error, signal);
       } else {
-        await this.#onReadFailure(recordCount.error, signal);
+        await this.#onStep(step.value, signal);
       }
     }
   }
 
-  async #load(signal: AbortSignal): Promise<Result<number, StoreError>> {
+  // After each page all new records are read, so that the store drops none of them before they are read.
+  async #continueLoad(signal: AbortSignal): Promise<Result<ReadStep, StoreError>> {
+    const load = (this.#load ??= this.#beginLoad());
+    if (load.mustReadNew) {
+      const step = await this.#read(signal);
+      return step.map(({ currentAt, recordCount }) => {
+        load.mustReadNew = currentAt === undefined;
+        const isComplete = this.#load === load && !load.mustReadNew && !load.pages.hasMore;
+        if (isComplete) {
+          this.#completeLoad(load);
+        }
+        return { currentAt: isComplete ? currentAt : undefined, recordCount };
+      });
+    }
+    return this.#readPage(load, signal);
+  }
+
+  #beginLoad(): StreamLoad {
     const pages = new NewestPages(this.stream, this.settings.name, this.timers, this.log);
-    const newest = await readNewest(pages, () => this.#readTimeout.currentMs, signal);
-    // Records that were appended between two pages are read again, from the end at the first page.
-    return newest.map(({ end, records }) => {
-      this.#applySnapshot(records, end);
-      this.log.info({ end, ...pages.progress, stream: this.settings.name }, 'stream loaded');
-      return records.length;
+    return new StreamLoad(pages, this.#offsetByKey.keys());
+  }
+
+  async #readPage(load: StreamLoad, signal: AbortSignal): Promise<Result<ReadStep, StoreError>> {
+    const isFirst = load.pages.progress.pages === 0;
+    // The first byte of a page may wait for responses to other calls on the same link.
+    const timeoutMs = this.#readTimeout.currentMs * 2 ** Math.min(load.pages.failuresInRow, MAX_DOUBLINGS);
+    const page = await load.pages.readNext(timeoutMs, signal);
+    return page.map(({ end, records }) => {
+      this.#nextOffset = isFirst ? Math.max(end, 0) : this.#nextOffset;
+      load.mustReadNew = true;
+      for (const record of [...records].sort((a, b) => a.offset - b.offset)) {
+        this.#applyRecord(record);
+      }
+      return { currentAt: undefined, recordCount: records.length };
     });
   }
 
-  #applySnapshot(records: StoredRecord[], end: number): void {
-    const present = new Set(records.map((record) => record.key));
-    for (const key of [...this.#offsetByKey.keys()].filter((known) => !present.has(known))) {
-      this.#applyRecord({ key, offset: end, value: undefined });
-    }
-    for (const record of records.sort((a, b) => a.offset - b.offset)) {
-      this.#applyRecord(record);
+  #completeLoad(load: StreamLoad): void {
+    for (const key of load.unseenKeys) {
+      this.#offsetByKey.delete(key);
+      this.onRecord({ key, offset: this.#nextOffset, value: undefined });
     }
-    this.#nextOffset = Math.max(end, 0);
+    this.#load = undefined;
     this.#isLoaded = true;
+    this.log.info(
+      { end: this.#nextOffset, ...load.pages.progress, stream: this.settings.name },
+      'stream loaded',
+    );
   }
 
-  async #read(signal: AbortSignal): Promise<Result<number, StoreError>> {
-    const startedAt = this.timers.mono();
-    const waitMs = this.#catchUps.length > 0 ? 0 : this.settings.waitMs;
+  #startOver(): void {
+    this.#isLoaded = false;
+    this.#load = undefined;
+  }
+
+  async #read(signal: AbortSignal): Promise<Result<ReadStep, StoreError>> {
+    const sentAt = this.#now();
+    const isUrgent = this.#catchUps.length > 0 || this.#load !== undefined;
+    const waitMs = isUrgent ? 0 : this.settings.waitMs;
     const page = await this.stream.read({
       fromOffset: this.#nextOffset,
       signal,
@@ -117,14 +168,12 @@
       waitMs,
     });
     if (page.isErr()) {
-      if (page.error.kind === STORE_FAILURE.lost) {
-        this.#readTimeout.recordTimeout();
-      }
       return err(page.error);
     }
     const { end, records } = page.value;
     if (records.length > 0 || waitMs === 0) {
-      this.#readTimeout.recordResponse(Math.min(this.timers.mono() - startedAt, this.#readTimeout.currentMs));
+      const elapsedMs = this.timers.mono() - sentAt.mono;
+      this.#readTimeout.recordResponse(Math.min(elapsedMs, this.#readTimeout.currentMs));
     }
     for (const record of records) {
       this.#applyRecord(record);
@@ -132,14 +181,16 @@
     this.#nextOffset += records.length;
     if (records.length === 0 && end < this.#nextOffset) {
       // The stream ends before the next offset, so it has been replaced by another one: load it again.
-      this.#isLoaded = false;
+      this.#startOver();
     }
-    return ok(records.length);
+    return ok({ currentAt: this.#nextOffset >= end ? sentAt : undefined, recordCount: records.length });
   }
 
   #applyRecord(record: StoredRecord): void {
     const known = this.#offsetByKey.get(record.key);
-    if (known !== undefined && known >= record.offset && record.value !== undefined) {
+    const isOld = known !== undefined && known >= record.offset;
+    this.#load?.onRecord(record);
+    if (isOld || (record.value !== undefined && this.#load?.isDeleted(record) === true)) {
       return;
     }
     if (record.value === undefined) {
@@ -150,14 +201,32 @@
     this.onRecord(record);
   }
 
-  #onReadSuccess(sentAt: number, sentWallAt: number): void {
+  #now(): Instant {
+    return { mono: this.timers.mono(), wall: this.timers.now() };
+  }
+
+  async #onStep({ currentAt, recordCount }: ReadStep, signal: AbortSignal): Promise<void> {
+    if (currentAt !== undefined) {
+      this.#onCurrent(currentAt);
+      await this.timers.sleep(recordCount > 0 ? this.settings.readPauseMs() : 0, signal);
+      return;
+    }
+    if (this.#reachableSince !== undefined) {
+      this.#reachableSince = this.timers.mono();
+    }
+    if (recordCount === 0) {
+      await this.timers.sleep(this.settings.retryDelayMs, signal);
+    }
+  }
+
+  #onCurrent(sentAt: Instant): void {
     if (this.#reachableSince === undefined) {
       this.#reachableSince = this.timers.mono();
       this.log.info({ position: this.#nextOffset, stream: this.settings.name }, 'stream reachable');
     }
-    this.#lastReadSentAt = sentAt;
-    this.#lastReadSentWallAt = sentWallAt;
-    const caughtUp = this.#catchUps.filter((item) => item.requestedAt <= sentAt);
+    this.#lastReadSentAt = sentAt.mono;
+    this.#lastReadSentWallAt = sentAt.wall;
+    const caughtUp = this.#catchUps.filter((item) => item.requestedAt <= sentAt.mono);
     for (const item of caughtUp) {
       this.#catchUps.splice(this.#catchUps.indexOf(item), 1);
       item.resolve();
@@ -168,12 +237,15 @@
     if (signal.aborted) {
       return;
     }
+    if (error.kind === STORE_FAILURE.lost) {
+      this.#readTimeout.recordTimeout();
+    }
     if (this.#reachableSince !== undefined) {
       this.#reachableSince = undefined;
       this.log.warn({ error: error.message, stream: this.settings.name }, 'stream unreachable');
     }
     if (error.kind === STORE_FAILURE.trimmed) {
-      this.#isLoaded = false;
+      this.#startOver();
       return;
     }
     await this.timers.sleep(this.settings.retryDelayMs, signal);
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -98,4 +98,32 @@
     }
     expect(await callers.show(REQ)).toEqual({ kind: 'state', state: 'queued' });
   });
+
+  it('answers only what is certain of a job while the tail has read a part of the stream', async () => {
+    const otherId = '00000bb87a21d94c';
+    stream.pageSize = 1;
+    stream.newestFaults = [false, false, false, ...Array.from({ length: 1000 }, () => true)];
+    const record = {
+      job: { acceptedAt: 0, id: ID, pool: 'p', queue: 'quick', spec: SPEC },
+      kind: 'submit',
+    } as const;
+    const other = { ...record, job: { ...record.job, id: otherId } };
+    const end = { id: otherId, kind: 'state', state: 'completed' } as const;
+    const running = { id: ID, kind: 'state', state: 'running' } as const;
+    [record, other, end, running].flatMap(encodeJobRecord).forEach((item, offset) => {
+      stream.records.push({ ...item, offset });
+    });
+    const callers = createService();
+    await expect.poll(() => jobs.size).toBe(2);
+    await expect.poll(() => jobs.stateOf(otherId)).toBe('completed');
+    expect(await callers.show({ ...REQ, path: `/q/${otherId}` })).toEqual({
+      kind: 'state',
+      state: 'completed',
+    });
+    expect(jobs.stateOf(ID)).toBe('queued');
+    const notCurrent = { kind: 'not-run', reason: 'state-not-current' };
+    expect(await callers.show(REQ)).toMatchObject(notCurrent);
+    expect(await callers.show({ ...REQ, path: '/q/00000bb87a21d94d' })).toMatchObject(notCurrent);
+    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('accepted');
+  });
 });
