fix(node): let a candidate read a failed page of the runs again

Cause: one failed page ended the candidacy, and the next one read all pages again. A page is now read up to three times in a row. The records are still given up when the end of the stream differs between two pages, now at once, and the term still begins with a conditional append.

--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -274,7 +274,7 @@
 
   async #loadRuns(signal: AbortSignal): Promise<LoadedRuns | undefined> {
     const pages = new NewestPages(this.runs, 'runs', this.timers, this.log);
-    const newest = await readNewest(pages, () => this.settings.storeTimeoutMs, signal);
+    const newest = await readNewest(pages, this.settings.storeTimeoutMs, this.timers, signal);
     // If the stream changed between two pages, the conditional append would fail.
     if (newest.isErr() || newest.value.hasChanged) {
       return undefined;
--- a/packages/node/src/newest-records.ts
+++ b/packages/node/src/newest-records.ts
@@ -1,3 +1,4 @@
+import type { TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { NewestPages } from './newest-pages';
@@ -12,19 +13,33 @@
   records: StoredRecord[];
 }
 
-/** Reads the newest record of each key from all pages; `timeoutMs` returns the timeout of the next page. */
+/** Delay before a failed page is read again, in ms. */
+const RETRY_DELAY_MS = 60;
+
+/** Failures of a page in a row after which the records are given up. */
+const MAX_FAILURES_IN_ROW = 3;
+
+/**
+ * Reads the newest record of each key from all pages, and a failed page again; `timeoutMs` is the timeout of
+ * a page, in ms. Stops at the first page that shows that the stream has changed.
+ */
 export async function readNewest(
   pages: NewestPages,
-  timeoutMs: () => number,
+  timeoutMs: number,
+  timers: TimerService,
   signal: AbortSignal,
 ): Promise<Result<NewestRecords, StoreError>> {
   const records: StoredRecord[] = [];
   let hasChanged = false;
   let end: number | undefined;
-  while (pages.hasMore) {
-    const page = await pages.readNext(timeoutMs(), signal);
+  while (pages.hasMore && !hasChanged) {
+    const page = await pages.readNext(timeoutMs, signal);
     if (page.isErr()) {
-      return err(page.error);
+      if (pages.failuresInRow >= MAX_FAILURES_IN_ROW || signal.aborted) {
+        return err(page.error);
+      }
+      await timers.sleep(RETRY_DELAY_MS, signal);
+      continue;
     }
     records.push(...page.value.records);
     end ??= page.value.end;
--- a/packages/node/tests/newest-records.test.ts
+++ b/packages/node/tests/newest-records.test.ts
@@ -5,6 +5,7 @@
 import { MemoryStream } from './support/memory-stream';
 import { quietLog } from './support/quiet-log';
 
+const timers = new SystemTimerService();
 const { signal } = new AbortController();
 
 function streamOf(...keys: string[]): MemoryStream {
@@ -15,7 +16,7 @@
 }
 
 function pagesOf(stream: MemoryStream): NewestPages {
-  return new NewestPages(stream, 'test', new SystemTimerService(), quietLog);
+  return new NewestPages(stream, 'test', timers, quietLog);
 }
 
 // Guards against keys that are missed at a page boundary, and against treating pages read at different times
@@ -23,7 +24,7 @@
 describe('readNewest', () => {
   it('returns the newest record of each key from all pages', async () => {
     const stream = streamOf('a', 'b', 'c', 'd', 'e', 'b');
-    const newest = (await readNewest(pagesOf(stream), () => 100, signal))._unsafeUnwrap();
+    const newest = (await readNewest(pagesOf(stream), 100, timers, signal))._unsafeUnwrap();
     expect(newest.records.map(({ key, value }) => [key, value])).toEqual([
       ['a', '0'],
       ['b', '5'],
@@ -40,12 +41,20 @@
       stream.onPage = () => undefined;
       stream.records.push({ key: 'a', offset: 3, value: 'late' });
     };
-    const newest = (await readNewest(pagesOf(stream), () => 100, signal))._unsafeUnwrap();
+    const newest = (await readNewest(pagesOf(stream), 100, timers, signal))._unsafeUnwrap();
     expect(newest).toMatchObject({ end: 3, hasChanged: true });
   });
 
   it('returns no records for an empty stream', async () => {
-    const newest = await readNewest(pagesOf(streamOf()), () => 100, signal);
+    const newest = await readNewest(pagesOf(streamOf()), 100, timers, signal);
     expect(newest._unsafeUnwrap()).toEqual({ end: 0, hasChanged: false, records: [] });
   });
+
+  it('reads a failed page again, and gives up after three failures in a row', async () => {
+    const stream = streamOf('a', 'b', 'c', 'd', 'e');
+    stream.newestFaults = [false, true, true, false, true, true, true];
+    const newest = await readNewest(pagesOf(stream), 100, timers, signal);
+    expect(newest._unsafeUnwrapErr()).toMatchObject({ kind: 'lost' });
+    expect(stream.newestRequests).toEqual([undefined, 'b', 'b', 'b', 'd', 'd', 'd']);
+  });
 });
