fix(node): limit appends by bytes, and allow time for sending them

Cause: an append held up to 200 jobs or 2000 assignments, whatever their size, and its limit of 0.4 to 0.9 s covered sending them. A heartbeat of the leader waited behind them.

Appends are now combined up to 100 KB of keys and values, their limit grows with their bytes at 100 KB/s, and a heartbeat goes ahead of records that wait; a release of leadership keeps its place. The records of one call to the term log still go into one append, however large, since they are all or nothing.

--- /dev/null
+++ b/packages/node/src/append-limits.ts
@@ -0,0 +1,16 @@
+import type { KeyedRecord } from '@sequoiaquay/core/jobs';
+import { contentBytes } from './record-bytes';
+
+/**
+ * Most bytes of keys and values that are combined in one append: a narrow link carries them within about a
+ * second, so that a heartbeat does not wait longer behind them.
+ */
+export const MAX_APPEND_BYTES = 100_000;
+
+/** Lowest rate at which an append is expected to be sent, in bytes per ms. */
+const MIN_BYTES_PER_MS = 100;
+
+/** Returns the time allowed for sending the records of an append, in ms. */
+export function sendAllowanceMs(records: readonly KeyedRecord[]): number {
+  return contentBytes(records) / MIN_BYTES_PER_MS;
+}
--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -1,9 +1,11 @@
-import type { JobRecord } from '@sequoiaquay/core/jobs';
+import type { JobRecord, KeyedRecord } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { encodeJobRecord } from '@sequoiaquay/core/jobs';
+import { encodeJobRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
 import type { KeyedStream } from './ports/keyed-stream';
 import { AdaptiveTimeout } from './adaptive-timeout';
+import { MAX_APPEND_BYTES, sendAllowanceMs } from './append-limits';
 import { STORE_FAILURE } from './ports/keyed-stream';
+import { contentBytes } from './record-bytes';
 
 /** Possible outcomes of writing a record. */
 export const WRITE_OUTCOME = {
@@ -18,6 +20,8 @@
 export type WriteOutcome = (typeof WRITE_OUTCOME)[keyof typeof WRITE_OUTCOME];
 
 interface PendingWrite {
+  /** Size of the keys and values to store, in bytes. */
+  bytes: number;
   /** Monotonic time after which the writer stops trying, in ms. */
   deadline: number;
   /** Number of failed appends of the record. */
@@ -28,6 +32,8 @@
   isPossiblyStored: boolean;
   record: JobRecord;
   settle: (outcome: WriteOutcome) => void;
+  /** The record as it is stored. */
+  stored: readonly KeyedRecord[];
 }
 
 /** Longest time for which a caller waits for a write, in ms: it can retry on a node that reaches the store. */
@@ -87,13 +93,16 @@
 
   #enqueue(record: JobRecord, deadline: number, isPersistent: boolean): Promise<WriteOutcome> {
     return new Promise((resolve) => {
+      const stored = encodeJobRecord(record);
       this.#queue.push({
+        bytes: contentBytes(stored),
         deadline,
         failures: 0,
         isPersistent,
         isPossiblyStored: false,
         record,
         settle: resolve,
+        stored,
       });
       if (!this.#isWriting) {
         this.#isWriting = true;
@@ -104,7 +113,7 @@
 
   async #drainQueue(): Promise<void> {
     while (this.#queue.length > 0 && !this.signal.aborted) {
-      const batch = this.#queue.splice(0, MAX_BATCH_SIZE);
+      const batch = this.#dequeueBatch();
       const unstored = await this.#append(batch);
       if (unstored.length > 0) {
         this.#queue.unshift(...unstored);
@@ -115,13 +124,21 @@
     this.#isWriting = false;
   }
 
+  #dequeueBatch(): PendingWrite[] {
+    this.#queue.sort((a, b) => Number(isHeartbeat(b.record)) - Number(isHeartbeat(a.record)));
+    let bytes = 0;
+    const fitting = this.#queue.findIndex((item) => (bytes += item.bytes) > MAX_APPEND_BYTES);
+    const size = fitting === -1 ? MAX_BATCH_SIZE : Math.max(1, fitting);
+    return this.#queue.splice(0, Math.min(size, MAX_BATCH_SIZE));
+  }
+
   // Returns the writes to retry.
   async #append(batch: PendingWrite[]): Promise<PendingWrite[]> {
     const startedAt = this.timers.mono();
     this.#lastAppendAt = startedAt;
-    const records = batch.flatMap((item) => encodeJobRecord(item.record));
+    const records = batch.flatMap((item) => item.stored);
     const appended = await this.stream.append({
-      timeoutMs: this.#appendTimeout.currentMs,
+      timeoutMs: this.#appendTimeout.currentMs + sendAllowanceMs(records),
       records,
       signal: this.signal,
     });
@@ -167,3 +184,8 @@
     }
   }
 }
+
+// A heartbeat goes ahead of records that wait. A release keeps its place behind the last records of a term.
+function isHeartbeat(record: JobRecord): boolean {
+  return record.kind === JOB_RECORD.leader && !record.released;
+}
--- a/packages/node/src/term-log.ts
+++ b/packages/node/src/term-log.ts
@@ -2,7 +2,9 @@
 import type { TimerService } from '@sequoiaquay/runtime';
 import type { KeyedStream, StoreError } from './ports/keyed-stream';
 import { AdaptiveTimeout } from './adaptive-timeout';
+import { MAX_APPEND_BYTES, sendAllowanceMs } from './append-limits';
 import { STORE_FAILURE } from './ports/keyed-stream';
+import { contentBytes } from './record-bytes';
 
 interface PendingAppend {
   records: readonly KeyedRecord[];
@@ -74,10 +76,13 @@
   }
 
   #dequeueBatch(): PendingAppend[] {
+    let bytes = 0;
     let recordCount = 0;
-    const batchSize = this.#queue.findIndex(
-      (pending) => (recordCount += pending.records.length) > MAX_APPEND_RECORDS,
-    );
+    const batchSize = this.#queue.findIndex(({ records }) => {
+      bytes += contentBytes(records);
+      recordCount += records.length;
+      return bytes > MAX_APPEND_BYTES || recordCount > MAX_APPEND_RECORDS;
+    });
     return this.#queue.splice(0, batchSize === -1 ? this.#queue.length : Math.max(1, batchSize));
   }
 
@@ -86,6 +91,7 @@
       return !this.signal.aborted;
     }
     this.#inFlightSince = this.timers.mono();
+    const allowanceMs = sendAllowanceMs(records);
     let isPossiblyStored = false;
     while (!this.signal.aborted) {
       const startedAt = this.timers.mono();
@@ -93,7 +99,7 @@
         expectedEnd: this.#end,
         records,
         signal: this.signal,
-        timeoutMs: this.#storeTimeout.currentMs,
+        timeoutMs: this.#storeTimeout.currentMs + allowanceMs,
       };
       const appended = await this.stream.append(req);
       if (appended.isOk()) {
