fix(node): read new records in pages of 256 KB

A read of a backlog returned up to 1 MB in one response. The tail now asks for 256 KB and reads on at once while the store holds more, so that a narrow link delivers the first records soon and a wide one loses no time. Reads that look up a leader's own append keep the store's limit, since they compare all records of the append.

--- a/packages/node/src/ports/keyed-stream.ts
+++ b/packages/node/src/ports/keyed-stream.ts
@@ -51,6 +51,8 @@
 export interface ReadRequest {
   /** Offset of the first record to read. */
   fromOffset: number;
+  /** Most bytes of records to return; without it the store decides. */
+  maxBytes?: number;
   signal: AbortSignal;
   /** Longest time until the response begins, in ms, to which `waitMs` is added. */
   timeoutMs: number;
--- a/packages/node/src/stream-tail.ts
+++ b/packages/node/src/stream-tail.ts
@@ -35,6 +35,9 @@
   recordCount: number;
 }
 
+/** Most bytes of new records in one read; small, so that a narrow link delivers the first of them soon. */
+const MAX_READ_BYTES = 262_144;
+
 /** Most doublings of the timeout of a page that fails several times in a row. */
 const MAX_DOUBLINGS = 2;
 
@@ -163,6 +166,7 @@
     const waitMs = isUrgent ? 0 : this.settings.waitMs;
     const page = await this.stream.read({
       fromOffset: this.#nextOffset,
+      maxBytes: MAX_READ_BYTES,
       signal,
       timeoutMs: this.#readTimeout.currentMs,
       waitMs,
