--- a/packages/node/src/newest-records.ts
+++ b/packages/node/src/newest-records.ts
@@ -1,6 +1,8 @@
+import type { TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import type { KeyedStream, StoredRecord, StoreError } from './ports/keyed-stream';
+import type { NewestPages } from './newest-pages';
+import type { StoredRecord, StoreError } from './ports/keyed-stream';
 
 /** Newest record of each key of a stream. */
 export interface NewestRecords {
@@ -11,27 +13,37 @@
   records: StoredRecord[];
 }
 
-/** Reads the newest record of each key, page by page; `timeoutMs` returns the timeout of the next page. */
+/** Delay before a failed page is read again, in ms. */
+const RETRY_DELAY_MS = 60;
+
+/** Failures of a page in a row after which the records are given up. */
+const MAX_FAILURES_IN_ROW = 3;
+
+/**
+ * Reads the newest record of each key from all pages, and a failed page again; `timeoutMs` is the timeout of
+ * a page, in ms. Stops at the first page that shows that the stream has changed.
+ */
 export async function readNewest(
-  stream: KeyedStream,
-  timeoutMs: () => number,
+  pages: NewestPages,
+  timeoutMs: number,
+  timers: TimerService,
   signal: AbortSignal,
 ): Promise<Result<NewestRecords, StoreError>> {
   const records: StoredRecord[] = [];
   let hasChanged = false;
   let end: number | undefined;
-  let afterKey: string | undefined;
-  let hasMore = true;
-  while (hasMore) {
-    const page = await stream.readNewestPage(afterKey, timeoutMs(), signal);
+  while (pages.hasMore && !hasChanged) {
+    const page = await pages.readNext(timeoutMs, signal);
     if (page.isErr()) {
-      return err(page.error);
+      if (pages.failuresInRow >= MAX_FAILURES_IN_ROW || signal.aborted) {
+        return err(page.error);
+      }
+      await timers.sleep(RETRY_DELAY_MS, signal);
+      continue;
     }
     records.push(...page.value.records);
     end ??= page.value.end;
     hasChanged ||= page.value.end !== end;
-    afterKey = page.value.records.at(-1)?.key;
-    hasMore = page.value.hasMore && afterKey !== undefined;
   }
   return ok({ end: end ?? 0, hasChanged, records });
 }
