--- a/tests/node-load.test.ts
+++ b/tests/node-load.test.ts
@@ -2,13 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import type { NodeAnswer } from './support/node-cluster';
-import {
-  createCompletedJobs,
-  createJobId,
-  createText,
-  JOBS_TOPIC,
-  NodeCluster,
-} from './support/node-cluster';
+import { createJobId, createRunningJobs, createText, JOBS_TOPIC, NodeCluster } from './support/node-cluster';
 
 const SEED = 31;
 const NODE_COUNT = 4;
@@ -37,7 +31,7 @@
 let jobCount = 0;
 
 beforeAll(async () => {
-  const earlierJobs = createCompletedJobs(EARLIER_JOBS, BODY_BYTES, SEED);
+  const earlierJobs = createRunningJobs(EARLIER_JOBS, BODY_BYTES, SEED);
   cluster = await NodeCluster.start({ nodes: NODE_COUNT }, earlierJobs);
   loadMs = (cluster.store.newestBytes(JOBS_TOPIC) / NARROW_BYTES_PER_S) * 1000;
 });
@@ -169,7 +163,7 @@
   let shortCluster: NodeCluster;
 
   beforeAll(async () => {
-    const earlierJobs = createCompletedJobs(SHORT_JOBS, SHORT_BODY_BYTES, SEED);
+    const earlierJobs = createRunningJobs(SHORT_JOBS, SHORT_BODY_BYTES, SEED);
     shortCluster = await NodeCluster.start({ historyMs: HISTORY_MS, nodes: 2 }, earlierJobs);
   });
 
--- a/tests/support/node-cluster.ts
+++ b/tests/support/node-cluster.ts
@@ -175,10 +175,10 @@
 }
 
 /**
- * Returns the records of completed jobs, three for each: the acceptance, the start and the end. The texts of
- * the jobs have `bodyBytes` on average.
+ * Returns the records of running jobs, two for each: the acceptance and the start. The texts of the jobs have
+ * `bodyBytes` on average.
  */
-export function createCompletedJobs(count: number, bodyBytes: number, seed: number): JobRecord[] {
+export function createRunningJobs(count: number, bodyBytes: number, seed: number): JobRecord[] {
   const random = seededRandom(seed);
   return Array.from({ length: count }, (_, number) => {
     const body = createText(Math.round(2 * bodyBytes * random()), random);
@@ -186,7 +186,6 @@
     return [
       { job: createJob(id, body), kind: JOB_RECORD.submit },
       { id, kind: JOB_RECORD.state, state: 'running' as const },
-      { id, kind: JOB_RECORD.state, state: 'completed' as const },
     ];
   }).flat();
 }
