fix(node): read a new record that is larger than a read

Cause: a read asks for 256 KB, and a store may answer a read whose first record is larger with no record, for ever: a node would never get a large configuration. Change: a read without records before the end is repeated without the bound. Evidence: narrow-link.test.ts 'reads a new record that is larger than a read' fails without the change (1 of 2 records after 3 s) and passes with it.

--- a/packages/node/src/stream-tail.ts
+++ b/packages/node/src/stream-tail.ts
@@ -55,6 +55,7 @@
   #lastReadSentAt = -Infinity;
   #lastReadSentWallAt = -Infinity;
   #load: StreamLoad | undefined;
+  #isNextRecordLarge = false;
   #nextOffset = 0;
 
   constructor(
@@ -166,7 +167,7 @@
     const waitMs = isUrgent ? 0 : this.settings.waitMs;
     const page = await this.stream.read({
       fromOffset: this.#nextOffset,
-      maxBytes: MAX_READ_BYTES,
+      maxBytes: this.#isNextRecordLarge ? undefined : MAX_READ_BYTES,
       signal,
       timeoutMs: this.#readTimeout.currentMs,
       waitMs,
@@ -183,6 +184,7 @@
       this.#applyRecord(record);
     }
     this.#nextOffset += records.length;
+    this.#isNextRecordLarge = records.length === 0 && end > this.#nextOffset;
     if (records.length === 0 && end < this.#nextOffset) {
       // The stream ends before the next offset, so it has been replaced by another one: load it again.
       this.#startOver();
