fix(node): check leases and the worker again when a waiting order is sent

Cause: orders wait for room on a narrow link, so leadership, which the append before proved, or the worker may be lost when they are sent; a lease extended then may outlast what the next leader waits for. Orders to a silent worker held the window for 0.8 s each, and several thousand waiting orders overflowed the stack at the end of a term. Evidence: three tests of order-sender.test.ts fail without the change (no order refused, RangeError) and pass with it.

--- a/packages/core/src/jobs/order-window.ts
+++ b/packages/core/src/jobs/order-window.ts
@@ -25,6 +25,13 @@
     return this.#takeSendable();
   }
 
+  /** Removes and returns the items that wait. */
+  takeWaiting(): T[] {
+    const waiting = this.#waiting.map(({ item }) => item);
+    this.#waiting = [];
+    return waiting;
+  }
+
   #takeSendable(): T[] {
     const sendable: T[] = [];
     for (const { bytes, item } of this.#waiting) {
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -6,6 +6,8 @@
 
 /** Dependencies of the sender on its term. */
 export interface OrderSenderContext {
+  /** Returns whether this node may still extend the leases of runs. */
+  canExtendLeases: () => boolean;
   /** Fencing token of the term. */
   epoch: number;
   /** Duration of the lease that a start order extends, in ms. */
@@ -54,6 +56,11 @@
     private readonly signal: AbortSignal,
   ) {
     this.#window = new OrderWindow((ctx.linkBytesPerS ?? Infinity) * MAX_LINK_OCCUPANCY_S);
+    signal.addEventListener('abort', () => {
+      for (const { id } of this.#window.takeWaiting()) {
+        ctx.metrics.recordOrderAnswer(id, ctx.timers.mono());
+      }
+    });
   }
 
   /**
@@ -61,6 +68,9 @@
    * superseded by then.
    */
   start(order: StartOrder, plannedAt: number): void {
+    if (this.signal.aborted) {
+      return;
+    }
     const { checkpoint, job } = order.task;
     const bytes = ORDER_OVERHEAD_BYTES + job.job.spec.body.length + checkpoint.length;
     const id = this.ctx.metrics.orders.add(plannedAt);
@@ -74,11 +84,11 @@
   }
 
   async #sendStart({ bytes, id, order }: PendingStart): Promise<void> {
+    await this.#start(order);
+    this.ctx.metrics.recordOrderAnswer(id, this.ctx.timers.mono());
     if (!this.signal.aborted) {
-      await this.#start(order);
+      this.#sendStarts(this.#window.release(bytes));
     }
-    this.ctx.metrics.recordOrderAnswer(id, this.ctx.timers.mono());
-    this.#sendStarts(this.#window.release(bytes));
   }
 
   async #start(order: StartOrder): Promise<void> {
@@ -87,7 +97,9 @@
     if (!this.ctx.scheduler.isStartPending(order)) {
       return;
     }
-    const deadline = worker.extendLease(timers.mono(), this.ctx.leaseMs);
+    // Leadership or the worker may have been lost while the order waited.
+    const canSend = this.ctx.canExtendLeases() && !worker.isUnresponsive;
+    const deadline = canSend ? worker.extendLease(timers.mono(), this.ctx.leaseMs) : undefined;
     if (deadline === undefined) {
       this.ctx.scheduler.onStartAnswer(order, START_ANSWER.refused, timers.mono());
       return;
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -116,8 +116,10 @@
       (queue, step, workers) => this.#permitCache.allowedWorkers(queue, step, workers),
     );
     this.#retention = new JobRetention(ctx.settings.bounds.stateKeptS * MS_PER_SECOND);
+    const canExtendLeases = (): boolean => ctx.ownHeartbeatAgeMs() < MAX_HEARTBEAT_AGE_MS;
     this.#sender = new OrderSender(
       {
+        canExtendLeases,
         epoch: start.epoch,
         leaseMs: this.#leaseMs,
         link: ports.link,
@@ -136,7 +138,7 @@
     );
     this.#workerLoops = new WorkerLoops(
       {
-        canExtendLeases: () => ctx.ownHeartbeatAgeMs() < MAX_HEARTBEAT_AGE_MS,
+        canExtendLeases,
         epoch: start.epoch,
         leaseMs: this.#leaseMs,
         link: ports.link,
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -46,31 +46,40 @@
   }
 }
 
-const worker = { extendLease: () => 5000, info: WORKER };
+const worker = { extendLease: () => 5000, info: WORKER, isUnresponsive: false };
 
 function orderOf(index: number): StartOrder {
   const task = { checkpoint: '', job: { job: { spec: { body: BODY } } }, name: `t${index}` };
   return { run: 1, task, worker } as unknown as StartOrder;
 }
 
+/** State that decides whether an order is sent. */
+interface SenderState {
+  answers: string[];
+  canExtendLeases: boolean;
+}
+
 interface Started {
   link: HoldingLink;
   metrics: NodeMetrics;
   sender: OrderSender;
+  state: SenderState;
   stop: AbortController;
 }
 
 function startAll(count: number, linkBytesPerS: number | undefined): Started {
+  const state: SenderState = { answers: [], canExtendLeases: true };
   const link = new HoldingLink();
   const metrics = new NodeMetrics();
   const stop = new AbortController();
   const scheduler = {
     isStartPending: () => true,
-    onStartAnswer: () => undefined,
+    onStartAnswer: (_order: StartOrder, answer: string) => state.answers.push(answer),
     onStopAcknowledged: () => undefined,
   } as unknown as Scheduler;
   const sender = new OrderSender(
     {
+      canExtendLeases: () => state.canExtendLeases,
       epoch: 1,
       leaseMs: 4000,
       link,
@@ -87,7 +96,7 @@
   for (let index = 0; index < count; index += 1) {
     sender.start(orderOf(index), 0);
   }
-  return { link, metrics, sender, stop };
+  return { link, metrics, sender, state, stop };
 }
 
 // Guards against reports and orders to stop that time out behind start orders on a narrow link.
@@ -122,4 +131,31 @@
     await expect.poll(() => metrics.orders.count).toBe(0);
     expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
   });
+
+  it('refuses waiting orders to a worker that has become unresponsive without extending its lease', async () => {
+    const { link, state } = startAll(12, LINK_BYTES_PER_S);
+    worker.isUnresponsive = true;
+    link.answers[0]?.();
+    await expect.poll(() => state.answers.filter((answer) => answer === 'refused')).toHaveLength(7);
+    worker.isUnresponsive = false;
+    expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
+  });
+
+  it('sends no waiting order once the node may no longer extend leases', async () => {
+    const { link, state } = startAll(12, LINK_BYTES_PER_S);
+    state.canExtendLeases = false;
+    link.answers[0]?.();
+    await expect.poll(() => state.answers.filter((answer) => answer === 'refused')).toHaveLength(7);
+    expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
+  });
+
+  it('drops thousands of waiting orders at the end of its term', async () => {
+    const { link, metrics, stop } = startAll(8000, LINK_BYTES_PER_S);
+    stop.abort();
+    link.answers.forEach((answer) => {
+      answer();
+    });
+    await expect.poll(() => metrics.orders.count).toBe(0);
+    expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
+  });
 });
