refactor(node): count the bytes of the streams of the store once

Cause: sequoiaquay_traffic_bytes_total and sequoiaquay_store_bytes_total both counted what a node moves to and from the store. The traffic metric covers the store, workers and callers, and the line on an overloaded leader reads its totals as before. It counts whole bodies by stream and direction; the shares by call are no longer published.

--- a/packages/node/src/instrumented-stream.ts
+++ b/packages/node/src/instrumented-stream.ts
@@ -1,4 +1,3 @@
-import type { KeyedRecord } from '@sequoiaquay/core/jobs';
 import type { TimerService } from '@sequoiaquay/runtime';
 import type { ResultAsync } from 'neverthrow';
 import type { NodeMetrics } from './node-metrics';
@@ -10,7 +9,6 @@
   StoreError,
   StreamPage,
 } from './ports/keyed-stream';
-import { contentBytes } from './record-bytes';
 
 /** Stream that counts and times the calls to another stream. */
 export class InstrumentedStream implements KeyedStream {
@@ -22,7 +20,7 @@
   ) {}
 
   append(req: AppendRequest): ResultAsync<number, StoreError> {
-    return this.#recordCall('append', this.stream.append(req), () => req.records);
+    return this.#recordCall('append', this.stream.append(req));
   }
 
   readNewestPage(
@@ -30,30 +28,21 @@
     timeoutMs: number,
     signal: AbortSignal,
   ): ResultAsync<NewestPage, StoreError> {
-    return this.#recordCall(
-      'newest',
-      this.stream.readNewestPage(afterKey, timeoutMs, signal),
-      (page) => page.records,
-    );
+    return this.#recordCall('newest', this.stream.readNewestPage(afterKey, timeoutMs, signal));
   }
 
   read(req: ReadRequest): ResultAsync<StreamPage, StoreError> {
-    return this.#recordCall('read', this.stream.read(req), (page) => page.records);
+    return this.#recordCall('read', this.stream.read(req));
   }
 
-  #recordCall<T>(
-    call: string,
-    result: ResultAsync<T, StoreError>,
-    recordsOf: (value: T) => readonly KeyedRecord[],
-  ): ResultAsync<T, StoreError> {
+  #recordCall<T>(call: string, result: ResultAsync<T, StoreError>): ResultAsync<T, StoreError> {
     const startedAt = this.timers.mono();
     const record = (outcome: string): void => {
       this.metrics.recordStoreCall(this.name, call, outcome, this.timers.mono() - startedAt);
     };
     return result
-      .andTee((value) => {
+      .andTee(() => {
         record('done');
-        this.metrics.recordStoreBytes(this.name, call, contentBytes(recordsOf(value)));
       })
       .orTee((error) => {
         record(error.kind);
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -67,7 +67,6 @@
   readonly #orderTimes = new LatencyHistograms();
   readonly #requestTimes = new LatencyHistograms();
   readonly #requests = new LabelledCounter();
-  readonly #storeBytes = new LabelledCounter();
   readonly #storeCalls = new LabelledCounter();
   readonly #storeTimes = new LatencyHistograms();
   readonly #firstRunWaits = new LatencyHistograms();
@@ -107,11 +106,6 @@
     this.#requestTimes.record({ call }, latencyMs);
   }
 
-  /** Counts the keys and values that a call to the store appended or returned, in bytes. */
-  recordStoreBytes(stream: string, call: string, bytes: number): void {
-    this.#storeBytes.increment({ call, stream }, bytes);
-  }
-
   /** Records a call to the store and its latency, in ms; for reads that includes the wait for a record. */
   recordStoreCall(stream: string, call: string, outcome: string, latencyMs: number): void {
     this.#storeCalls.increment({ call, outcome, stream });
@@ -139,10 +133,6 @@
     metrics.registerCounter({ ...calls, name: 'sequoiaquay_store_calls_total' }, () =>
       this.#storeCalls.samples(),
     );
-    const bytes = { help: 'Bytes of the keys and values moved by calls', labels: ['stream', 'call'] };
-    metrics.registerCounter({ ...bytes, name: 'sequoiaquay_store_bytes_total' }, () =>
-      this.#storeBytes.samples(),
-    );
     const decisions = { help: 'Decisions of the leader', labels: ['decision', 'detail'] };
     metrics.registerCounter({ ...decisions, name: 'sequoiaquay_decisions_total' }, () =>
       this.#decisions.samples(),
