--- a/packages/node/src/ports/vm-service.ts
+++ b/packages/node/src/ports/vm-service.ts
@@ -30,7 +30,7 @@
 
 /** Service of the platform that manages the VMs of the pools. */
 export interface VmService {
-  /** Lists the VMs of all pools. */
+  /** Lists the VMs of all pools; `timeoutMs` limits the time to the first byte of each page. */
   listVms: (timeoutMs: number, signal: AbortSignal) => ResultAsync<VmInfo[], string>;
   /** Moves a VM to another pool. */
   moveToPool: (order: VmOrder, pool: string) => Promise<VmOrderOutcome>;
