--- a/packages/bench/src/leader-load.ts
+++ b/packages/bench/src/leader-load.ts
@@ -1,5 +1,6 @@
 import type { FleetConfig, Job, StepSpec, WorkerInfo } from '@sequoiaquay/core/jobs';
 import { seededRandom } from '@sequoiaquay/stand-ins';
+import { step } from '../../core/tests/jobs/support/jobs';
 
 /** Kind of the jobs of one queue. */
 interface QueueLoad {
@@ -115,8 +116,10 @@
 function longRunningJobs(): JobArrival[] {
   const pool = WORKERS_BY_POOL.length - 1;
   return Array.from({ length: LONG_RUNNING_JOBS }, (_, index) => {
-    const step = { ...createStep(2000, 1000), count: LONG_RUNNING_TASKS, longRunning: true, maxPerWorker: 2 };
-    return { at: 0, job: createJob(`long-${index}`, pool, [step], 0), taskMs: Infinity };
+    const steps = [
+      { ...createStep(2000, 1000), count: LONG_RUNNING_TASKS, longRunning: true, maxPerWorker: 2 },
+    ];
+    return { at: 0, job: createJob(`long-${index}`, pool, steps, 0), taskMs: Infinity };
   });
 }
 
@@ -134,22 +137,5 @@
 }
 
 function createStep(cpuMilli: number, estimatedMs: number): StepSpec {
-  return {
-    after: [],
-    checkpointable: false,
-    count: TASKS_PER_STEP,
-    demand: { cpuMilli, gpus: 0, memoryMb: 500 },
-    estimatedMs,
-    fillsIdle: false,
-    gang: false,
-    image: '',
-    longRunning: false,
-    maxPerWorker: 0,
-    mayMiss: 0,
-    preferredRack: '',
-    rackSensitive: false,
-    requiredLabel: '',
-    speculative: false,
-    tailTargetMs: 0,
-  };
+  return step({ count: TASKS_PER_STEP, demand: { cpuMilli, gpus: 0, memoryMb: 500 }, estimatedMs });
 }
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -178,13 +178,18 @@
   };
 }
 
+function runTerm(context: TermContext): Term {
+  const term = new Term(context, startWith(ASSIGNED), () => undefined, stop.signal, neverAborted);
+  void term.run();
+  return term;
+}
+
 describe('Term', () => {
   // Guards against repeating a run whose end was reported: a report that was requested before the records of
   // the earlier term were restored made the worker drop the end.
   it('does not repeat a task whose end a worker reports while the term starts', async () => {
     const link = new EndReportingWorker();
-    const term = new Term(contextOf(link), startWith(ASSIGNED), () => undefined, stop.signal, neverAborted);
-    void term.run();
+    runTerm(contextOf(link));
     await expect.poll(() => link.started.length, { timeout: 3000 }).toBeGreaterThan(0);
     await expect.poll(() => link.storedUpTo, { timeout: 3000 }).toBe(1);
     expect(link.started).toEqual([{ run: 1, task: `${JOB.id}.0.0.1` }]);
@@ -194,14 +199,7 @@
     const link = new RunningWorker();
     const jobs = new JobTable();
     jobs.apply({ id: JOB.id, kind: JOB_RECORD.cancel });
-    const term = new Term(
-      contextOf(link, jobs),
-      startWith(ASSIGNED),
-      () => undefined,
-      stop.signal,
-      neverAborted,
-    );
-    void term.run();
+    runTerm(contextOf(link, jobs));
     await expect.poll(() => [...link.stoppedTasks], { timeout: MAX_STOP_DELAY_MS }).toEqual([TASK]);
     expect(link.started).toEqual([]);
   });
@@ -209,14 +207,7 @@
   it('stops the runs of a job that is cancelled, and starts none for a submission stored late', async () => {
     const link = new RunningWorker();
     const jobs = new JobTable();
-    const term = new Term(
-      contextOf(link, jobs),
-      startWith(ASSIGNED),
-      () => undefined,
-      stop.signal,
-      neverAborted,
-    );
-    void term.run();
+    const term = runTerm(contextOf(link, jobs));
     await expect.poll(() => link.started.length, { timeout: 3000 }).toBe(1);
     const records: JobRecord[] = [
       { id: JOB.id, kind: JOB_RECORD.cancel },
--- a/tests/support/node-cluster.ts
+++ b/tests/support/node-cluster.ts
@@ -5,6 +5,7 @@
 import { request } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { step } from '../../packages/core/tests/jobs/support/jobs';
 import { findFreePorts } from './ports';
 import { BinaryProcess } from './process';
 import { waitFor } from './wait-for';
@@ -207,25 +208,9 @@
 }
 
 function createJob(id: string, body: string): Job {
-  const step = {
-    after: [],
-    checkpointable: false,
-    count: 1,
-    demand: { cpuMilli: 500, gpus: 0, memoryMb: 256 },
-    estimatedMs: 900,
-    fillsIdle: false,
-    gang: false,
-    image: '',
-    longRunning: false,
-    maxPerWorker: 0,
-    mayMiss: 0,
-    preferredRack: '',
-    rackSensitive: false,
-    requiredLabel: '',
-    speculative: false,
-    tailTargetMs: 0,
-  };
-  return { acceptedAt: Date.now(), id, pool: POOL, queue: QUEUE, spec: { body, steps: [step] } };
+  const demand = { cpuMilli: 500, gpus: 0, memoryMb: 256 };
+  const steps = [step({ demand, estimatedMs: 900 })];
+  return { acceptedAt: Date.now(), id, pool: POOL, queue: QUEUE, spec: { body, steps } };
 }
 
 function createConfig(): unknown {
