refactor(core): give requests for the leadership a kind of record

Cause: a request shared the kind of a heartbeat and differed by a flag, so that the writer had to exclude it by that flag. Change: kind leader-request, and isLeadershipRecord for the places that handle both. Keys and values in the stream are the same. Tests build the records in the new form; their expectations are the same.

--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -10,6 +10,7 @@
   delete: 'delete',
   forget: 'forget',
   leader: 'leader',
+  leaderRequest: 'leader-request',
   state: 'state',
   submit: 'submit',
 } as const;
@@ -58,7 +59,6 @@
   epoch: number;
   /** Fitness of the node as leader; undefined in records of versions that do not state it. */
   fitness?: number | undefined;
-  isRequest?: undefined;
   kind: typeof JOB_RECORD.leader;
   node: string;
   /** Whether the leader steps down. */
@@ -73,21 +73,17 @@
   epoch: number;
   /** Fitness of the node as leader. */
   fitness: number;
-  isRequest: true;
-  kind: typeof JOB_RECORD.leader;
+  kind: typeof JOB_RECORD.leaderRequest;
   /** Node that makes the request. */
   node: string;
 }
 
+/** Record about the leadership. */
+export type LeadershipRecord = LeaderRecord | LeaderRequestRecord;
+
 /** Record in the stream of jobs. */
 export type JobRecord =
-  | CancelRecord
-  | DeleteRecord
-  | ForgetRecord
-  | LeaderRecord
-  | LeaderRequestRecord
-  | StateRecord
-  | SubmitRecord;
+  CancelRecord | DeleteRecord | ForgetRecord | LeadershipRecord | StateRecord | SubmitRecord;
 
 /** Record as a key-value pair; the store keeps the newest value of each key. */
 export interface KeyedRecord {
@@ -141,6 +137,11 @@
 const LEADER_KEY = 'leader';
 const LEADER_REQUEST_KEY = 'leader-request';
 
+/** Returns whether a record is about the leadership, and so about no job. */
+export function isLeadershipRecord(record: JobRecord): record is LeadershipRecord {
+  return record.kind === JOB_RECORD.leader || record.kind === JOB_RECORD.leaderRequest;
+}
+
 /**
  * Encodes a record as one or more key-value pairs, in the order in which they must be stored. The end of a
  * job has its own key: the store keeps only the newest value of a key, and a leader that was partitioned may
@@ -157,9 +158,9 @@
     case JOB_RECORD.forget:
       return deletions(record.id, submitted, cancelled, running, ended);
     case JOB_RECORD.leader:
-      return record.isRequest === true
-        ? [{ key: LEADER_REQUEST_KEY, value: JSON.stringify(leaderRequestSchema.parse(record)) }]
-        : [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
+      return [{ key: LEADER_KEY, value: JSON.stringify(leaderSchema.parse(record)) }];
+    case JOB_RECORD.leaderRequest:
+      return [{ key: LEADER_REQUEST_KEY, value: JSON.stringify(leaderRequestSchema.parse(record)) }];
     case JOB_RECORD.state:
       return record.state === 'running'
         ? [{ key: `${running}.${record.id}`, value: record.state }]
@@ -184,8 +185,7 @@
   }
   if (key === LEADER_REQUEST_KEY && value !== undefined) {
     return parseJson(value, leaderRequestSchema).map((request) => ({
-      isRequest: true,
-      kind: JOB_RECORD.leader,
+      kind: JOB_RECORD.leaderRequest,
       ...request,
     }));
   }
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -1,6 +1,6 @@
 import type { DeleteRecord, JobRecord } from './job-record';
 import type { Job, JobState } from './job-spec';
-import { JOB_KEY_PREFIX, JOB_RECORD } from './job-record';
+import { isLeadershipRecord, JOB_KEY_PREFIX, JOB_RECORD } from './job-record';
 import { JOB_STATE } from './job-spec';
 
 /** State of a job, as read from the stream of jobs. */
@@ -50,7 +50,7 @@
 
   /** Applies a record. Returns the entry of its job; undefined if the record does not concern a kept job. */
   apply(record: JobRecord): JobEntry | undefined {
-    if (record.kind === JOB_RECORD.leader) {
+    if (isLeadershipRecord(record)) {
       return undefined;
     }
     if (record.kind === JOB_RECORD.forget) {
--- a/packages/core/src/jobs/succession.ts
+++ b/packages/core/src/jobs/succession.ts
@@ -126,7 +126,7 @@
     this.#requestDueAt = undefined;
     this.#requestedAt = now;
     const { fitness, node } = this.settings;
-    return { epoch: leader.epoch, fitness, isRequest: true, kind: 'leader', node };
+    return { epoch: leader.epoch, fitness, kind: 'leader-request', node };
   }
 
   #mayRequest(leader: KnownLeader, now: number, reachableSince: number | undefined): boolean {
--- a/packages/core/tests/jobs/succession.test.ts
+++ b/packages/core/tests/jobs/succession.test.ts
@@ -23,7 +23,7 @@
 }
 
 function requestOf(node: string, fitness: number) {
-  return { epoch: 7, fitness, isRequest: true, kind: 'leader', node } as const;
+  return { epoch: 7, fitness, kind: 'leader-request', node } as const;
 }
 
 // Guards against leadership that stays with an unfit node, and against hand-overs without end.
--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -187,5 +187,5 @@
 
 // A heartbeat goes ahead of records that wait. A release keeps its place behind the last records of a term.
 function isHeartbeat(record: JobRecord): boolean {
-  return record.kind === JOB_RECORD.leader && record.isRequest !== true && !record.released;
+  return record.kind === JOB_RECORD.leader && !record.released;
 }
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -2,6 +2,7 @@
   KeyedRecord,
   LeaderRecord,
   LeaderRequestRecord,
+  LeadershipRecord,
   SuccessionSettings,
   TaskRecord,
 } from '@sequoiaquay/core/jobs';
@@ -119,8 +120,8 @@
   }
 
   /** Handles a leader's heartbeat, its release of leadership or a request for it from the stream of jobs. */
-  onRecord(record: LeaderRecord | LeaderRequestRecord): void {
-    if (record.isRequest === true) {
+  onRecord(record: LeadershipRecord): void {
+    if (record.kind === JOB_RECORD.leaderRequest) {
       this.#onRequest(record);
     } else {
       this.#onHeartbeat(record);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,12 @@
 import type { FleetConfig, JobRecord, Wave } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { decodeJobRecord, JOB_RECORD, JobTable, leaderFitness } from '@sequoiaquay/core/jobs';
+import {
+  decodeJobRecord,
+  isLeadershipRecord,
+  JOB_RECORD,
+  JobTable,
+  leaderFitness,
+} from '@sequoiaquay/core/jobs';
 import { setMaxListeners } from 'node:events';
 import type { NodeGauges, NodeMetrics } from './node-metrics';
 import type { NodePorts } from './node-ports';
@@ -209,7 +215,7 @@
   }
 
   #applyJobRecord(record: JobRecord): void {
-    if (record.kind === JOB_RECORD.leader) {
+    if (isLeadershipRecord(record)) {
       this.#leadership.onRecord(record);
       return;
     }
--- a/packages/node/tests/leadership.test.ts
+++ b/packages/node/tests/leadership.test.ts
@@ -1,4 +1,10 @@
-import { decodeJobRecord, encodeJobRecord, encodeTaskRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
+import {
+  decodeJobRecord,
+  encodeJobRecord,
+  encodeTaskRecord,
+  isLeadershipRecord,
+  JOB_RECORD,
+} from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -55,7 +61,7 @@
       TAIL_SETTINGS,
       (stored) => {
         const record = decodeJobRecord(stored.key, stored.value)._unsafeUnwrap();
-        if (record.kind === JOB_RECORD.leader) {
+        if (isLeadershipRecord(record)) {
           this.leadership.onRecord(record);
         }
       },
@@ -264,7 +270,7 @@
     await delay(SUCCESSION.minTermMs);
     for (const node of ['b', 'c']) {
       new Candidate(store, node, FIT);
-      const request = { epoch: 1, fitness: FIT, isRequest: true, kind: JOB_RECORD.leader, node } as const;
+      const request = { epoch: 1, fitness: FIT, kind: JOB_RECORD.leaderRequest, node } as const;
       for (const record of encodeJobRecord(request)) {
         store.jobs.records.push({ ...record, offset: store.jobs.records.length });
       }
@@ -283,7 +289,7 @@
     const store = new SharedStore();
     const unfit = await startLeader(store, 'a', UNFIT);
     await delay(SUCCESSION.minTermMs);
-    const request = { epoch: 1, fitness: FIT, isRequest: true, kind: JOB_RECORD.leader, node: 'z' } as const;
+    const request = { epoch: 1, fitness: FIT, kind: JOB_RECORD.leaderRequest, node: 'z' } as const;
     unfit.leadership.onRecord(request);
     const requestedAt = performance.now();
     await expect.poll(countTerms, { interval: 5, timeout: 5000 }).toBe(2);
