--- a/packages/stand-ins/src/record-log.ts
+++ b/packages/stand-ins/src/record-log.ts
@@ -66,14 +66,14 @@
     return offset;
   }
 
-  /** Returns encoded records from a retained offset on: at most `maxBytes`, but at least one if there is one. */
+  /** Returns encoded records from a retained offset on: at most `maxBytes`, so none if the first is larger. */
   read(from: number, maxBytes: number): Buffer {
     const encoded: Buffer[] = [];
     let bytes = 0;
     for (let index = from - this.#first; index < this.#records.length; index += 1) {
       const record = encodeLogRecord(this.#records[index] as LogRecord);
       bytes += record.length;
-      if (encoded.length > 0 && bytes > maxBytes) {
+      if (bytes > maxBytes) {
         break;
       }
       encoded.push(record);
