fix(core): release no run on the answer to an order for a VM

Cause: an order for a VM is repeated until it is answered, and the answer is also positive when the order was carried out before. By then another worker may run on the VM; its runs were released and started again. A refusal that followed an order without an answer reopened a worker whose VM was still taken later. Change: an answer concerns the worker that ran on the VM when it was first ordered, never one with runs; a refusal counts once no earlier order can be carried out. Three tests fail without the change ('new' ended; assignable; a second start) and pass with it.

--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -50,6 +50,7 @@
   orderRefused: 'order-refused',
   stopped: 'run-stop-ordered',
   workerFound: 'worker-found',
+  workerKept: 'worker-kept',
   workerQuarantined: 'worker-paused',
   workerRemoved: 'worker-removed',
   workerRestarted: 'worker-restarted',
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -111,13 +111,17 @@
     this.#removeIfIdle(worker);
   }
 
-  /** Handles the end of a worker's incarnation: releases its runs, since none of them is still running. */
-  onWorkerEnded(worker: Worker, now: number): void {
+  /**
+   * Handles the answer that the VM of an emptied worker was taken. A worker that has runs by then came to the
+   * VM later, so its own reports or the end of its lease decide about them.
+   */
+  onWorkerEnded(worker: Worker): void {
+    if (worker.runs.size > 0) {
+      this.#ctx.log(DECISION.workerKept, { runs: worker.runs.size, worker: worker.info.id });
+      return;
+    }
     worker.isEvacuating = true;
     worker.isDeregistered = true;
-    for (const task of [...worker.runs.values()]) {
-      this.#runControl.release(task, 'worker-ended', now);
-    }
     this.#removeIfIdle(worker);
   }
 
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -16,7 +16,7 @@
 export interface BalancerFleet {
   loads: (now: number) => PoolLoad[];
   /** Handles the end of a worker's incarnation: nothing runs on it any more. */
-  onWorkerEnded: (worker: Worker, now: number) => void;
+  onWorkerEnded: (worker: Worker) => void;
   workers: ReadonlyMap<string, Worker>;
 }
 
@@ -65,14 +65,11 @@
 
   /** Handles the answer to an order. */
   onAnswer(order: MoveOrder, answer: MoveAnswer, now: number): void {
-    const from = this.#moves.onAnswer(order, answer, now);
-    if (from === undefined) {
-      return;
-    }
-    this.log('move-answered', { answer, from, pool: order.pool, vm: order.vm });
-    const worker = this.#workerOf(order.vm);
+    const move = this.#moves.onAnswer(order, answer, now);
+    this.log('move-answered', { answer, from: move?.from, pool: order.pool, vm: order.vm });
+    const worker = move?.worker?.current();
     if (answer === 'moved' && worker !== undefined) {
-      this.fleet.onWorkerEnded(worker, now);
+      this.fleet.onWorkerEnded(worker);
     } else if (answer === 'refused' && worker !== undefined) {
       worker.isEvacuating = false;
     }
@@ -204,7 +201,7 @@
       worker.isEvacuating = true;
     }
     this.log('vm-moved', { from: vm.pool, pool, vm: vm.id });
-    return this.#moves.start(vm, pool, now);
+    return this.#moves.start(vm, pool, worker, now);
   }
 
   #isAvailable(vm: VmInfo, sparePools: ReadonlySet<string>, now: number): boolean {
@@ -223,10 +220,6 @@
       this.#idleSince.delete(id);
     }
   }
-
-  #workerOf(vm: string): Worker | undefined {
-    return this.fleet.workers.get(this.#vms.find((item) => item.id === vm)?.workerId ?? '');
-  }
 }
 
 // Called when no VM is suitable for a pool. Without a VM that has a missing label, other VMs may still run the
--- a/packages/core/src/maintenance/vm-moves.ts
+++ b/packages/core/src/maintenance/vm-moves.ts
@@ -1,5 +1,7 @@
+import type { Worker } from '../jobs/worker';
 import type { VmInfo } from './wave';
 import { VM_STATE } from './wave';
+import { LATE_VM_ORDER_WINDOW_MS, WorkerIncarnation } from './worker-incarnation';
 
 /** Order to move a VM to another pool. */
 export interface MoveOrder {
@@ -25,12 +27,20 @@
 /** Weight of the newest move in the moving average of move durations. */
 const NEWEST_MOVE_WEIGHT = 0.1;
 
-interface PendingMove extends MoveOrder {
+/** Move of a VM that an answer decided. */
+export interface AnsweredMove {
   from: string;
+  /** Worker that ran on the VM when the move was first ordered; undefined if there was none. */
+  worker: WorkerIncarnation | undefined;
+}
+
+interface PendingMove extends AnsweredMove, MoveOrder {
   orderedAt: number;
   /** Monotonic time of the last order, or of the answer that the VM moved, in ms. */
   since: number;
   stage: 'moved' | 'ordered';
+  /** Monotonic time at which an order was last given up without an answer, in ms. */
+  unansweredAt: number;
 }
 
 /** Tracks the VMs that are being moved from one pool to another. */
@@ -61,22 +71,41 @@
   }
 
   /** Records the start of a move at a monotonic time and returns the order for it. */
-  start(vm: VmInfo, pool: string, now: number): MoveOrder {
-    this.#moves.set(vm.id, { from: vm.pool, orderedAt: now, pool, since: now, stage: 'ordered', vm: vm.id });
+  start(vm: VmInfo, pool: string, worker: Worker | undefined, now: number): MoveOrder {
+    this.#moves.set(vm.id, {
+      from: vm.pool,
+      orderedAt: now,
+      pool,
+      since: now,
+      stage: 'ordered',
+      unansweredAt: -Infinity,
+      vm: vm.id,
+      worker: worker === undefined ? undefined : new WorkerIncarnation(worker),
+    });
     return { pool, vm: vm.id };
   }
 
-  /** Records the answer to an order; returns the donor pool, or undefined for an unknown order. */
-  onAnswer(order: MoveOrder, answer: MoveAnswer, now: number): string | undefined {
+  /**
+   * Records the answer to an order. Returns the move that it decided; undefined for an unknown order, and for
+   * a refusal while an earlier order without an answer may still be carried out.
+   */
+  onAnswer(order: MoveOrder, answer: MoveAnswer, now: number): AnsweredMove | undefined {
     const move = this.#moves.get(order.vm);
-    if (answer === 'moved' && move !== undefined) {
+    if (move?.pool !== order.pool || move.stage === 'moved') {
+      return undefined;
+    }
+    if (answer === 'unknown') {
+      move.unansweredAt = now;
+    } else if (answer === 'moved') {
       move.stage = 'moved';
       move.since = now;
-    } else if (answer === 'refused' && move !== undefined) {
+    } else if (now - move.unansweredAt < LATE_VM_ORDER_WINDOW_MS) {
+      return undefined;
+    } else {
       this.#moves.delete(order.vm);
       this.#backoffUntil.set(order.vm, now + REFUSAL_BACKOFF_MS);
     }
-    return move?.from;
+    return move;
   }
 
   /**
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -6,13 +6,14 @@
 import { selectTasksToMove } from './evacuation';
 import { VM_STATE } from './wave';
 import { WaveRun } from './wave-run';
+import { LATE_VM_ORDER_WINDOW_MS, WorkerIncarnation } from './worker-incarnation';
 
 /** Workers and operations that the wave planner uses. */
 export interface WaveFleet {
   /** Moves a task off its worker so that it continues on another one. */
   moveAway: (task: Task, reason: string, now: number) => void;
   /** Handles the end of a worker's incarnation: nothing runs on it any more. */
-  onWorkerEnded: (worker: Worker, now: number) => void;
+  onWorkerEnded: (worker: Worker) => void;
   workers: ReadonlyMap<string, Worker>;
 }
 
@@ -124,11 +125,13 @@
     if (answer === 'begun') {
       run.advance(vm, 'confirm', now);
       this.#records.push({ key: recordKey(run.wave.id, vm.id), value: '1' });
-      const worker = this.#workerOf(vm);
+      const worker = vm.worker?.current();
       if (worker !== undefined) {
-        this.fleet.onWorkerEnded(worker, now);
+        this.fleet.onWorkerEnded(worker);
       }
-    } else if (answer === 'refused') {
+    } else if (answer === 'unknown') {
+      vm.unansweredAt = now;
+    } else if (now - vm.unansweredAt >= LATE_VM_ORDER_WINDOW_MS) {
       run.advance(vm, 'refuse', now);
       vm.notBefore = now + REFUSAL_BACKOFF_MS;
       this.#setEvacuating(vm, false);
@@ -194,6 +197,8 @@
       const isOverdue = vm.stage === 'ordered' && now - vm.since > ORDER_RETRY_MS;
       if (isDue) {
         run.advance(vm, 'order', now);
+        const worker = this.#workerOf(vm);
+        vm.worker = worker === undefined ? undefined : new WorkerIncarnation(worker);
       }
       if (isDue || isOverdue) {
         vm.since = now;
--- a/packages/core/src/maintenance/wave-run.ts
+++ b/packages/core/src/maintenance/wave-run.ts
@@ -1,5 +1,6 @@
 import type { WaveEvent, WaveStage } from '../charts/wave-vm.chart';
 import type { Wave } from './wave';
+import type { WorkerIncarnation } from './worker-incarnation';
 import { transition } from '../charts/chart';
 import { waveVmChart } from '../charts/wave-vm.chart';
 
@@ -11,6 +12,10 @@
   /** Monotonic time at which the current stage began, in ms; an order that is repeated resets it. */
   since: number;
   stage: WaveStage;
+  /** Monotonic time at which an order was last given up without an answer, in ms. */
+  unansweredAt: number;
+  /** Worker that ran on the VM when its maintenance was first ordered. */
+  worker: WorkerIncarnation | undefined;
 }
 
 /** Stages in which a VM counts as down: its maintenance order may already have been carried out. */
@@ -28,7 +33,14 @@
     readonly deadline: number,
   ) {
     for (const id of wave.vms) {
-      this.vms.set(id, { id, notBefore: 0, since: 0, stage: waveVmChart.initial });
+      this.vms.set(id, {
+        id,
+        notBefore: 0,
+        since: 0,
+        stage: waveVmChart.initial,
+        unansweredAt: -Infinity,
+        worker: undefined,
+      });
     }
   }
 
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -346,6 +346,16 @@
     expect(harness.plan().throttles).toMatchObject([{ percent: 15 }]);
   });
 
+  it('runs no task beside its next run when an answer says late that the VM of its worker was taken', () => {
+    const harness = new Harness('w1', 'w2');
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    const [start] = harness.start();
+    const busy = start?.worker.info.id ?? '';
+    harness.scheduler.onWorkerEnded(harness.worker(busy));
+    expect(harness.plan().starts).toEqual([]);
+    expect(harness.worker(busy).runs.size).toBe(1);
+  });
+
   it('assigns no tasks to a draining worker', () => {
     const harness = new Harness('a');
     harness.scheduler.onWorkerRegistered(worker('a', { draining: true }), harness.now);
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -173,6 +173,35 @@
     expect(ordersAt(balancer, 1000)).toContainEqual(order);
   });
 
+  it('does not end the worker that came to a VM after an order which is answered late', () => {
+    const { balancer, fleet } = createBalancer();
+    fleet.waiting.set('busy', 4000);
+    const [order] = ordersAt(balancer, 10);
+    const id = order?.vm.slice('vm-'.length) ?? '';
+    balancer.onAnswer({ pool: 'busy', vm: `vm-${id}` }, 'unknown', 500);
+    fleet.workers.delete(id);
+    fleet.add('busy', 'new');
+    const vms = fleet.vms.filter((vm) => vm.id !== 'vm-new');
+    balancer.onVms(
+      vms.map((vm) => (vm.id === `vm-${id}` ? { ...vm, pool: 'busy', workerId: 'new' } : vm)),
+      2000,
+    );
+    balancer.onAnswer({ pool: 'busy', vm: `vm-${id}` }, 'moved', 2500);
+    expect(fleet.ended).not.toContain('new');
+  });
+
+  it('keeps a worker closed while an order without an answer may still be carried out', () => {
+    const { balancer, fleet } = createBalancer();
+    fleet.waiting.set('busy', 4000);
+    const [order] = ordersAt(balancer, 10);
+    const id = order?.vm.slice('vm-'.length) ?? '';
+    balancer.onAnswer({ pool: 'busy', vm: `vm-${id}` }, 'unknown', 500);
+    balancer.onAnswer({ pool: 'busy', vm: `vm-${id}` }, 'refused', 600);
+    expect(fleet.workers.get(id)?.isAssignable(700)).toBe(false);
+    balancer.onAnswer({ pool: 'busy', vm: `vm-${id}` }, 'refused', 16_000);
+    expect(fleet.workers.get(id)?.isAssignable(16_100)).toBe(true);
+  });
+
   it('parks VMs that no pool has needed for a while, and keeps one', () => {
     const { balancer } = createBalancer();
     expect(ordersAt(balancer, 10)).toEqual([]);
