feat(core): say in the log which ends count, and which task ended a failed job

`job-ended` with `failed` named neither the task nor its failures, and `run-ended` did not say whether the end was new to the leader, so a job that is given up too early could not be told from one that failed.

--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -18,12 +18,17 @@
     }
   }
 
-  /** Ends a job: its runs are stopped and none of its tasks starts again. */
-  endJob(run: JobRun, state: 'cancelled' | 'completed' | 'failed', now: number): void {
+  /** Ends a job: its runs are stopped and none of its tasks starts again. `cause` is added to the log line. */
+  endJob(
+    run: JobRun,
+    state: 'cancelled' | 'completed' | 'failed',
+    now: number,
+    cause: Readonly<Record<string, number | string>> = {},
+  ): void {
     run.hasEnded = true;
     // A cancellation is already stored when it arrives here.
     run.isEndStored = state === 'cancelled';
-    this.ctx.log(DECISION.jobEnded, { job: run.job.id, queue: run.job.queue, state });
+    this.ctx.log(DECISION.jobEnded, { job: run.job.id, queue: run.job.queue, state, ...cause });
     if (state !== 'cancelled') {
       this.ctx.pending.states.push({ id: run.job.id, kind: JOB_RECORD.state, state });
     }
@@ -54,6 +59,11 @@
     }
   }
 
+  /** Ends a job of which a task has failed as often as its queue allows. */
+  failJob(task: Task, limit: number, now: number): void {
+    this.endJob(task.job, 'failed', now, { failures: task.failures, limit, run: task.run, task: task.name });
+  }
+
   /** Orders the worker of a task to stop its run. */
   stop(task: Task, reason: string, now: number): void {
     const { worker } = task;
--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -19,15 +19,19 @@
     worker.endsRead = row.number;
     this.ctx.addReadEnds(worker);
     const task = this.#findTask(row.task);
+    const isNew = task !== undefined && this.#isNewest(task, worker, row);
     const { end, run } = row;
     this.ctx.log(DECISION.ended, {
+      counted: isNew,
       end,
+      failures: task?.failures,
       known: task !== undefined,
+      number: row.number,
       run,
       task: row.task,
       worker: worker.info.id,
     });
-    if (task === undefined || !this.#isNewest(task, worker, row)) {
+    if (task === undefined || !isNew) {
       return;
     }
     if (row.checkpoint !== '') {
@@ -90,7 +94,7 @@
     }
     const limit = this.ctx.getQueueConfig(task.job)?.maxAttempts ?? Infinity;
     if (!task.step.spec.longRunning && task.failures >= limit && !task.job.hasEnded) {
-      this.runControl.endJob(task.job, 'failed', now);
+      this.runControl.failJob(task, limit, now);
     }
   }
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -358,11 +358,11 @@
       run.runningReported = true;
     }
     const limit = this.#ctx.getQueueConfig(run)?.maxAttempts ?? Infinity;
-    const hasFailed = [...run.tasks()].some(
+    const failed = [...run.tasks()].find(
       (task) => !task.step.spec.longRunning && task.phase !== 'done' && task.failures >= limit,
     );
-    if (hasFailed) {
-      this.#runControl.endJob(run, 'failed', now);
+    if (failed !== undefined) {
+      this.#runControl.failJob(failed, limit, now);
     }
   }
 
