test(core): reproduce jobs that are given up too early after a change of leader

An end that was stored but not acknowledged is listed to the next leader again; if the task is still waiting then, because the store is too slow for new assignments or there is no room, the failure counts once more. In the simulated cluster leaders can now crash and the store can be slow.

--- a/packages/core/tests/jobs/scheduler-model.test.ts
+++ b/packages/core/tests/jobs/scheduler-model.test.ts
@@ -2,7 +2,15 @@
 import type { Faults } from './support/simulated-cluster';
 import { SimulatedCluster } from './support/simulated-cluster';
 
-const NONE: Faults = { partition: 0, delayedOrder: 0, leaderChange: 0, lostAnswer: 0, restart: 0 };
+const NONE: Faults = {
+  delayedOrder: 0,
+  leaderChange: 0,
+  leaderCrash: 0,
+  lostAnswer: 0,
+  partition: 0,
+  restart: 0,
+  slowStore: 0,
+};
 
 const SEEDS = 150;
 
@@ -17,9 +25,10 @@
   ['delayed orders', { ...NONE, delayedOrder: 0.2 }],
   ['partitioned workers', { ...NONE, partition: 0.02 }],
   ['leader changes', { ...NONE, leaderChange: 0.01 }],
+  ['leader crashes', { ...NONE, leaderCrash: 0.01 }],
   [
     'all faults except restarts',
-    { partition: 0.01, delayedOrder: 0.1, leaderChange: 0.01, lostAnswer: 0.1, restart: 0 },
+    { ...NONE, partition: 0.01, delayedOrder: 0.1, leaderChange: 0.01, lostAnswer: 0.1 },
   ],
 ];
 
@@ -34,10 +43,20 @@
     }
   });
 
+  it('gives up no job before a task has failed as often as its queue allows, when leaders crash while the store is slow', () => {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const cluster = new SimulatedCluster(seed, { ...NONE, leaderCrash: 0.02, slowStore: 0.05 }, 2);
+      cluster.run(FAULT_PHASE_MS, false);
+      cluster.run(RECOVERY_MS, true);
+      expect(cluster.violations, `seed ${seed}`).toEqual([]);
+      expect(cluster.ended.size, `seed ${seed}`).toBe(5);
+    }
+  });
+
   it('never runs a task on two workers at the same time, even when workers restart', () => {
     // Delayed orders are excluded: an order that reaches a new incarnation of its worker before any call of
     // the leader can't be revoked. docs/platform-design.md lists this as an open issue.
-    const faults = { delayedOrder: 0, leaderChange: 0.01, lostAnswer: 0.05, partition: 0.01, restart: 0.02 };
+    const faults = { ...NONE, leaderChange: 0.01, lostAnswer: 0.05, partition: 0.01, restart: 0.02 };
     for (let seed = 1; seed <= SEEDS; seed += 1) {
       const cluster = new SimulatedCluster(seed, faults);
       cluster.run(FAULT_PHASE_MS, false);
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import type { Plan, StartOrder, TaskRecord, Worker } from '../../src/jobs';
-import { Scheduler, START_ANSWER } from '../../src/jobs';
+import { decodeTaskRecord, Scheduler, START_ANSWER } from '../../src/jobs';
 import { canDisrupt } from '../../src/maintenance/disruption-budget';
 import { config, job, report, step, worker } from './support/jobs';
 
@@ -266,6 +266,33 @@
     expect(harness.plan().records).toEqual([{ key: 't.j.0.0.0', value: undefined }]);
   });
 
+  it('counts a failed run once when its worker lists the end to the next leader again', () => {
+    const harness = new Harness('a');
+    const record = { checkpoint: '', failures: 1, run: 1, task: 'j.0.0.0', workerId: '' };
+    harness.scheduler.onJob(job('j', [step()]), [{ ...record, state: 'waiting' }], harness.now, 0);
+    harness.report('a', report([], [[1, 'j.0.0.0', 1, 'failed']]));
+    const plan = harness.plan();
+    expect(plan.states).toEqual([]);
+    expect(names(plan.starts)).toEqual(['j.0.0.0']);
+  });
+
+  it('counts the end of a released run that its worker lists to the next leader', () => {
+    const harness = new Harness('a');
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    harness.start();
+    const { leaseEndsAt } = harness.worker('a');
+    harness.scheduler.onWorkerUnresponsive(harness.worker('a'));
+    harness.scheduler.tick(leaseEndsAt + 1, 0);
+    const records = harness.plan().records.flatMap(({ key, value = '' }) => {
+      const record = decodeTaskRecord(key, value)._unsafeUnwrap();
+      return record === undefined ? [] : [record];
+    });
+    const next = new Harness('a');
+    next.scheduler.onJob(job('j', [step()]), records, next.now, 0);
+    next.report('a', report([], [[1, 'j.0.0.0', 1, 'done']]));
+    expect(next.plan().states).toMatchObject([{ id: 'j', state: 'completed' }]);
+  });
+
   it('ends a job that failed before the term began instead of running it again', () => {
     const harness = new Harness('a');
     const record = { checkpoint: '', failures: 2, run: 2, task: 'j.0.0.0', workerId: '' };
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -7,14 +7,18 @@
 export interface Faults {
   /** An order is executed up to `MAX_ORDER_DELAY_MS` later and gets no answer. */
   delayedOrder: number;
-  /** Another leader takes over. */
+  /** Another leader takes over; the earlier one goes on until it learns of that. */
   leaderChange: number;
+  /** The leader ends at once, and another one takes over. */
+  leaderCrash: number;
   /** An order is executed, but its answer is lost. */
   lostAnswer: number;
   /** A worker is unreachable for up to `MAX_PARTITION_MS`. */
   partition: number;
   /** A worker restarts as a new incarnation. */
   restart: number;
+  /** The store is too slow for new assignments for up to `MAX_SLOW_STORE_MS`; ends are still stored. */
+  slowStore: number;
 }
 
 const TICK_MS = 20;
@@ -23,6 +27,7 @@
 const REPORT_PERIOD_MS = 100;
 const MAX_ORDER_DELAY_MS = 2500;
 const MAX_PARTITION_MS = 1800;
+const MAX_SLOW_STORE_MS = 1000;
 const WORKER_COUNT = 4;
 const RUNS_PER_WORKER = 3;
 
@@ -48,6 +53,7 @@
   readonly #doneTasks = new Set<string>();
   readonly #doneRuns = new Map<string, number[]>();
   readonly #ended = new Map<string, 'completed' | 'failed'>();
+  readonly #failedRuns = new Map<string, number>();
   #epoch = 0;
   readonly #jobs: Job[] = [];
   #leaders: Leader[] = [];
@@ -57,6 +63,7 @@
   readonly #rerunAfterDone = new Set<string>();
   readonly #running = new Map<string, string>();
   #randomState: number;
+  #storeSlowUntil = 0;
   /** Descriptions of the violated guarantees; empty if all held. */
   readonly violations: string[] = [];
   readonly #workers: SimulatedWorker[] = [];
@@ -64,6 +71,7 @@
   constructor(
     seed: number,
     private readonly faults: Faults,
+    private readonly maxAttempts = 50,
   ) {
     this.#randomState = seed;
     const observer = {
@@ -120,6 +128,13 @@
     if (this.#random() < this.faults.leaderChange) {
       this.#startLeader();
     }
+    if (this.faults.slowStore > 0 && this.#random() < this.faults.slowStore) {
+      this.#storeSlowUntil = this.#now + MAX_SLOW_STORE_MS * this.#random();
+    }
+    if (this.faults.leaderCrash > 0 && this.#random() < this.faults.leaderCrash) {
+      this.#leaders = [];
+      this.#startLeader();
+    }
   }
 
   #startLeader(): void {
@@ -137,7 +152,7 @@
     const scheduler = new Scheduler(settings, () => undefined);
     scheduler.onConfig({
       ...config(),
-      queues: config().queues.map((queue) => ({ ...queue, maxAttempts: 50 })),
+      queues: config().queues.map((queue) => ({ ...queue, maxAttempts: this.maxAttempts })),
     });
     for (const worker of this.#workers) {
       scheduler.onWorkerRegistered(worker.info, this.#now);
@@ -173,7 +188,7 @@
     }
     scheduler.tick(this.#now, 0);
     scheduler.requestAssignment();
-    const plan = scheduler.plan(this.#now, 0);
+    const plan = scheduler.plan(this.#now, 0, this.#now >= this.#storeSlowUntil);
     for (const stop of plan.stops) {
       this.#send(stop.worker, calm, (worker) => {
         const stopped = worker.stop(stop.task, stop.run, leader.epoch);
@@ -206,7 +221,7 @@
         }
       }
       for (const { id, state } of plan.states.filter((item) => item.state !== 'running')) {
-        this.#ended.set(id, state === 'completed' ? 'completed' : 'failed');
+        this.#onJobEnd(id, state === 'completed' ? 'completed' : 'failed');
         leader.scheduler.onEndStored(id);
       }
       for (const order of plan.starts) {
@@ -215,6 +230,16 @@
     });
   }
 
+  #onJobEnd(id: string, state: 'completed' | 'failed'): void {
+    const failures = [...this.#failedRuns]
+      .filter(([task]) => task.startsWith(`${id}.`))
+      .map(([, count]) => count);
+    if (state === 'failed' && Math.max(0, ...failures) < this.maxAttempts) {
+      this.violations.push(`${id} is given up after ${failures.join(', ')} failed runs of its tasks`);
+    }
+    this.#ended.set(id, state);
+  }
+
   #applyRecord(record: KeyedRecord): void {
     if (record.value === undefined) {
       this.#records.delete(record.key);
@@ -327,7 +352,9 @@
     if (end === 'done') {
       this.#doneTasks.add(task);
       this.#doneRuns.set(task, [...(this.#doneRuns.get(task) ?? []), run]);
-    } else if (end !== 'failed' && end !== 'stopped' && end !== 'lapsed') {
+    } else if (end === 'failed') {
+      this.#failedRuns.set(task, (this.#failedRuns.get(task) ?? 0) + 1);
+    } else if (end !== 'stopped' && end !== 'lapsed') {
       this.violations.push(`${task} run ${run} ended as ${end}`);
     }
   }
