fix(core): count the end of a run once, also after a change of leader

Callers saw accepted jobs that were given up although no task had failed as often as the queue allows, or, with the end not reported yet, tasks that were not started with room free.

Cause: an end is stored with its task and acknowledged to the worker with a later report. A leader that is lost in between leaves an end that the worker lists again. The next leader counted it as new while the task waited, that is while there was no room or the store was too slow for new assignments: one failed run counted once for each change of the leader.

A waiting task now keeps the id of the worker whose end is still missing, and its record holds that id; an end counts only if it is expected. The format of the record is unchanged. A record of an earlier version says nothing there, so an end that was still missing then is not counted.

--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -34,6 +34,7 @@
     if (task === undefined || !isNew) {
       return;
     }
+    task.endExpectedFrom = '';
     if (row.checkpoint !== '') {
       task.checkpoint = row.checkpoint;
     }
@@ -46,9 +47,9 @@
     this.runControl.completeIfDone(task.job, now);
   }
 
-  // The end of a run whose task was released still counts until a later run is assigned.
+  // The end of a run whose task was released still counts, once, until a later run is assigned.
   #isNewest(task: Task, worker: Worker, row: ReportedEnd): boolean {
-    return task.run === row.run && (task.worker === worker || task.phase === 'waiting');
+    return task.run === row.run && task.endExpectedFrom === worker.info.id;
   }
 
   #onDone(task: Task, worker: Worker, now: number): void {
--- a/packages/core/src/jobs/run-record.ts
+++ b/packages/core/src/jobs/run-record.ts
@@ -14,7 +14,7 @@
   run: number;
   state: 'assigned' | 'done' | 'waiting';
   task: string;
-  /** Worker of the newest run; empty before the first. */
+  /** Worker that runs the newest run, or may still list its end; empty before the first run and after its end. */
   workerId: string;
 }
 
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -12,6 +12,11 @@
 export class Task {
   /** Newest checkpoint; empty if there is none. */
   checkpoint = '';
+  /**
+   * Id of the worker that may still list the end of the newest run although the task was released; empty if that
+   * end has been read, so that it does not count again when the worker lists it to a later leader.
+   */
+  endExpectedFrom = '';
   /** Number of failed runs. */
   failures = 0;
   readonly job: JobRun;
@@ -67,6 +72,7 @@
   /** Assigns a run to a worker and reserves its capacity there. */
   assign(worker: Worker, run: number, now: number): void {
     this.applyEvent('assign', now);
+    this.endExpectedFrom = worker.info.id;
     this.isRestored = false;
     this.run = run;
     this.progressPercent = 0;
@@ -84,6 +90,8 @@
     this.run = record.run;
     if (record.state === 'done') {
       this.applyEvent('finish', now);
+    } else if (record.state === 'waiting') {
+      this.endExpectedFrom = record.workerId;
     } else if (record.state === 'assigned' && worker !== undefined) {
       this.assign(worker, record.run, now);
       this.isRestored = true;
@@ -105,9 +113,9 @@
 
   /** Returns the record that is stored for the task. */
   toRecord(): TaskRecord {
-    const { checkpoint, failures, name, phase, run } = this;
+    const { checkpoint, endExpectedFrom, failures, name, phase, run } = this;
     const state = phase === 'waiting' || phase === 'done' ? phase : 'assigned';
-    return { checkpoint, failures, run, state, task: name, workerId: this.worker?.info.id ?? '' };
+    return { checkpoint, failures, run, state, task: name, workerId: endExpectedFrom };
   }
 
   #detachFromWorker(): void {
