--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -92,7 +92,7 @@
       this.applyEvent('finish', now);
     } else if (record.state === 'waiting') {
       this.endExpectedFrom = record.workerId;
-    } else if (record.state === 'assigned' && worker !== undefined) {
+    } else if (worker !== undefined) {
       this.assign(worker, record.run, now);
       this.isRestored = true;
       this.applyEvent('lose', now);
