fix(node): acknowledge the last ends of a worker that becomes idle

A worker whose last run has ended got no further report request, so it was never told that the end is stored: it kept the end and listed it to every later leader, however long ago it was. Only a busy worker got the acknowledgement, with its next report.

A worker that has needed no report for a second is now sent one if an acknowledgement is missing; a worker that gets new work in that time still receives it with the report for that. The test failed before: the end was still listed after 3 s.

--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -43,6 +43,8 @@
 /** Worker, with the runs that the leader has assigned to it. */
 export class Worker {
   #clock: ClockReading | undefined;
+  /** Ends up to this sequence number have been acknowledged to the worker. */
+  endsAcknowledged = 0;
   /** Ends up to this sequence number are stored; the worker may remove them. */
   endsStored = 0;
   /** Ends up to this sequence number have been read from reports. */
@@ -139,6 +141,7 @@
   resetForRestart(info: WorkerInfo): void {
     this.info = info;
     this.#clock = undefined;
+    this.endsAcknowledged = 0;
     this.endsRead = 0;
     this.endsStored = 0;
     this.failuresInRow = 0;
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -63,8 +63,12 @@
   /** Runs until the signal aborts or the scheduler drops the worker. */
   async run(): Promise<void> {
     const { scheduler } = this.ctx;
+    let hasBeenIdle = false;
     while (!this.signal.aborted && scheduler.workers.get(this.worker.info.id) === this.worker) {
-      if (!this.#needsReport()) {
+      // Usually the next report of a busy worker carries the acknowledgement.
+      const needsReport: boolean = this.#needsReport() || (hasBeenIdle && this.#hasUnacknowledgedEnds());
+      hasBeenIdle = !needsReport;
+      if (!needsReport) {
         await this.#sleep(REPORT_WAIT_MS);
       } else if (this.ctx.canExtendLeases()) {
         await this.#requestReport();
@@ -85,12 +89,17 @@
     );
   }
 
+  #hasUnacknowledgedEnds(): boolean {
+    return this.worker.endsAcknowledged < this.worker.endsStored;
+  }
+
   async #requestReport(): Promise<void> {
     const { ctx, worker } = this;
+    const { endsStored } = worker;
     const requestedAt = ctx.timers.mono();
     const res = await ctx.link.report({
       deadline: this.#nextLeaseDeadline(requestedAt),
-      endsStored: worker.endsStored,
+      endsStored,
       epoch: ctx.epoch,
       limitMs: worker.isUnresponsive ? PROBE_TIMEOUT_MS : REPORT_TIMEOUT_MS,
       maySend: () => ctx.canExtendLeases(),
@@ -102,6 +111,7 @@
       return;
     }
     if (res.isOk()) {
+      worker.endsAcknowledged = endsStored;
       ctx.scheduler.onReport(worker, res.value, requestedAt, ctx.timers.mono());
       ctx.onChange();
       await this.#pauseAfterReport();
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -1,5 +1,5 @@
 import type { WorkerReport } from '@sequoiaquay/core/jobs';
-import { Scheduler } from '@sequoiaquay/core/jobs';
+import { RUN_END, Scheduler } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
@@ -156,3 +156,52 @@
     expect(await isRunKept(LEASE_MS + 1500)).toBe(false);
   });
 });
+
+/** Worker whose only run has ended, and which lists that end until it is acknowledged. */
+class IdleWorker extends SlowWorker {
+  isEndListed = true;
+
+  override report(call: ReportCall): ReturnType<WorkerLink['report']> {
+    this.isEndListed &&= call.endsStored < 1;
+    const ended = this.isEndListed
+      ? [{ checkpoint: '', end: RUN_END.done, number: 1, run: 1, task: TASK }]
+      : [];
+    return okAsync({ bornAt: WORKER.bornAt, clockMs: performance.now(), ended, running: [] });
+  }
+}
+
+describe('WorkerLoop of an idle worker', () => {
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  // Guards against ends that an idle worker lists to every later leader again.
+  it('acknowledges the last ends that were stored', async () => {
+    vi.useFakeTimers();
+    const stop = new AbortController();
+    const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+    scheduler.onWorkerRegistered({ ...WORKER, pool: 'p' }, 0);
+    const worker = scheduler.workers.get(WORKER.id);
+    if (worker === undefined) {
+      throw new Error('the worker is not known');
+    }
+    const link = new IdleWorker();
+    const ctx = {
+      canExtendLeases: () => true,
+      epoch: 1,
+      leaseMs: LEASE_MS,
+      link,
+      log: quietLog,
+      onChange: () => {
+        worker.endsStored = worker.endsRead;
+      },
+      onFenced: () => undefined,
+      scheduler,
+      timers: new SystemTimerService(),
+    };
+    void new WorkerLoop(worker, ctx, stop.signal).run();
+    await vi.advanceTimersByTimeAsync(3000);
+    expect(link.isEndListed).toBe(false);
+    stop.abort();
+  });
+});
