fix(core): give up tasks that crash the workers that start them

A crash is now taken from a connection that is closed and refused, never from a time-out. The tasks that were just being started are suspected, and a suspected task starts on a worker that starts nothing else at that time, so that the next crash shows the cause. After two crashes that a task has certainly caused its job is given up and its callers can be told. Crashes of neighbours that start nothing are an outage. The counts are stored with the task at once, with the run that they are for, so that they survive a change of leader and no crash counts twice. Runs are released when another worker answers at the address of a lost one, about a second before their lease ends.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -7,6 +7,7 @@
 import type { Task } from './task';
 import type { Worker } from './worker';
 import { FreeCapacity } from './free-capacity';
+import { IsolatedStarts } from './isolated-starts';
 import { chooseWorker, chooseWorkersForGang } from './placement';
 import { DECISION } from './scheduler-output';
 
@@ -16,6 +17,13 @@
  */
 export type AdviceLookup = (queue: QueueConfig, step: StepRun, workers: readonly Worker[]) => AllowedWorkers;
 
+/** Workers to which tasks of a pool can be assigned. */
+interface PoolWorkers {
+  /** Those on which suspected tasks start alone, and the others. */
+  starts: IsolatedStarts;
+  workers: readonly Worker[];
+}
+
 /** Assigns waiting tasks to workers with enough free capacity. */
 export class Assigner {
   constructor(
@@ -31,6 +39,7 @@
       return;
     }
     const free = new FreeCapacity(workers);
+    const starts = new IsolatedStarts(workers, now);
     const queueOf = (run: JobRun): QueueConfig | undefined => this.ctx.getQueueConfig(run);
     // Advice is asked for before there is room.
     const mayAssign = (run: JobRun, step: StepRun): boolean =>
@@ -38,35 +47,40 @@
     for (const { run, steps } of pool.rankWaitingJobs(mayAssign, queueOf, this.ctx.runTimes, wallNow)) {
       for (const step of steps) {
         if (mayAssign(run, step)) {
-          this.#assignStep(run, step, workers, now);
+          this.#assignStep(run, step, { starts, workers }, now);
           free.update();
         }
       }
     }
   }
 
-  #assignStep(run: JobRun, step: StepRun, workers: Worker[], now: number): void {
+  #assignStep(run: JobRun, step: StepRun, { starts, workers }: PoolWorkers, now: number): void {
     const queue = this.ctx.getQueueConfig(run);
     const allowed = queue?.advice === undefined ? undefined : this.findAllowedWorkers(queue, step, workers);
     if (allowed?.size === 0) {
       return;
     }
     if (step.spec.gang) {
-      this.#assignGang(step, workers, allowed, now);
+      this.#assignGang(step, starts.open, allowed, now);
       return;
     }
-    for (const task of step.tasks) {
-      if (task.phase === 'waiting') {
-        const worker = chooseWorker(task, workers, allowed);
-        if (worker === undefined) {
-          return;
-        }
+    const waiting = step.tasks.filter((task) => task.phase === 'waiting');
+    for (const task of waiting.filter((item) => item.crashes.suspected > 0)) {
+      const worker = starts.choose(task, allowed);
+      if (worker !== undefined) {
         this.#assign(task, worker, task.run + 1, now);
       }
     }
+    for (const task of waiting.filter((item) => item.crashes.suspected === 0)) {
+      const worker = chooseWorker(task, starts.open, allowed);
+      if (worker === undefined) {
+        return;
+      }
+      this.#assign(task, worker, task.run + 1, now);
+    }
   }
 
-  #assignGang(step: StepRun, workers: Worker[], allowed: AllowedWorkers, now: number): void {
+  #assignGang(step: StepRun, workers: readonly Worker[], allowed: AllowedWorkers, now: number): void {
     if (step.waitingCount < step.tasks.length) {
       return;
     }
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -7,6 +7,9 @@
 import { encodeTaskRecord, encodeTaskTombstone } from './run-record';
 import { DECISION } from './scheduler-output';
 
+/** Number of crashes of a worker that a task may certainly have caused before its job is given up. */
+const MAX_CRASHES_CAUSED = 2;
+
 /** Stops runs, releases tasks and ends jobs, and adds the records and orders for that to the plan. */
 export class RunControl {
   constructor(private readonly ctx: SchedulerContext) {}
@@ -59,9 +62,14 @@
     }
   }
 
-  /** Ends a job of which a task has failed as often as its queue allows. */
-  failJob(task: Task, limit: number, now: number): void {
-    this.endJob(task.job, 'failed', now, { failures: task.failures, limit, run: task.run, task: task.name });
+  /** Ends the job of a task as failed if the task has failed, or crashed workers, as often as it may. */
+  failIfExhausted(task: Task, now: number): void {
+    const { crashes, failures, job, name, phase, run, step } = task;
+    const limit = this.ctx.getQueueConfig(job)?.maxAttempts ?? Infinity;
+    const hasFailed = !step.spec.longRunning && failures >= limit;
+    if (!job.hasEnded && phase !== 'done' && (hasFailed || crashes.caused >= MAX_CRASHES_CAUSED)) {
+      this.endJob(job, 'failed', now, { crashesCaused: crashes.caused, failures, limit, run, task: name });
+    }
   }
 
   /** Orders the worker of a task to stop its run. */
--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -93,10 +93,7 @@
         worker: worker.info.id,
       });
     }
-    const limit = this.ctx.getQueueConfig(task.job)?.maxAttempts ?? Infinity;
-    if (!task.step.spec.longRunning && task.failures >= limit && !task.job.hasEnded) {
-      this.runControl.failJob(task, limit, now);
-    }
+    this.runControl.failIfExhausted(task, now);
   }
 
   #findTask(text: string): Task | undefined {
--- a/packages/core/src/jobs/run-record.ts
+++ b/packages/core/src/jobs/run-record.ts
@@ -4,10 +4,22 @@
 import type { KeyedRecord } from './job-record';
 import { parseJson } from './parse-json';
 
+/** Numbers of crashes of workers under a task. */
+export interface CrashCounts {
+  /** Crashes that the task has certainly caused. */
+  caused: number;
+  /** Last run that a crash was counted for; each counts once. */
+  lastRun: number;
+  /** Crashes that the task may have caused, including those that it has. */
+  suspected: number;
+}
+
 /** State of a task, as stored by the leader. */
 export interface TaskRecord {
   /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
+  /** Crashes of workers under the task; undefined if there were none. */
+  crashes?: CrashCounts | undefined;
   /** Number of failed runs. */
   failures: number;
   /** Number of the newest run; 0 before the first. */
@@ -18,10 +30,22 @@
   workerId: string;
 }
 
+/** Counts of a task that has not been suspected. */
+export const NO_CRASHES: Readonly<CrashCounts> = { caused: 0, lastRun: 0, suspected: 0 };
+
 /** Key of the record that starts a term. */
 export const TERM_KEY = 'leader';
 
-const recordSchema = z.tuple([z.enum(['a', 'd', 'w']), z.int(), z.string(), z.int(), z.string()]);
+const recordSchema = z.tuple([
+  z.enum(['a', 'd', 'w']),
+  z.int(),
+  z.string(),
+  z.int(),
+  z.string(),
+  z.int().default(0),
+  z.int().default(0),
+  z.int().default(0),
+]);
 
 const STATE_CODE = { assigned: 'a', done: 'd', waiting: 'w' } as const;
 
@@ -30,9 +54,11 @@
 /** Encodes the record of a task. */
 export function encodeTaskRecord(record: TaskRecord): KeyedRecord {
   const { checkpoint, failures, run, state, task, workerId } = record;
+  const { caused, lastRun, suspected } = record.crashes ?? NO_CRASHES;
+  const crashes = suspected > 0 ? [suspected, caused, lastRun] : [];
   return {
     key: `t.${task}`,
-    value: JSON.stringify([STATE_CODE[state], run, workerId, failures, checkpoint]),
+    value: JSON.stringify([STATE_CODE[state], run, workerId, failures, checkpoint, ...crashes]),
   };
 }
 
@@ -52,8 +78,9 @@
     return ok(undefined);
   }
   return parseJson(value, recordSchema)
-    .map(([code, run, workerId, failures, checkpoint]) => ({
+    .map(([code, run, workerId, failures, checkpoint, suspected, caused, lastRun]) => ({
       checkpoint,
+      crashes: suspected > 0 ? { caused, lastRun, suspected } : undefined,
       failures,
       run,
       state: STATE_BY_CODE[code],
--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -49,10 +49,12 @@
   throttled: 'run-paced',
   orderRefused: 'order-refused',
   stopped: 'run-stop-ordered',
+  workerCrashed: 'worker-crashed',
   workerFound: 'worker-found',
   workerKept: 'worker-kept',
   workerQuarantined: 'worker-paused',
   workerRemoved: 'worker-removed',
+  workerReplaced: 'worker-replaced',
   workerRestarted: 'worker-restarted',
 } as const;
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -21,6 +21,7 @@
 import { findRunsToMove, findStalledRuns } from './stalled-runs';
 import { throttleBestEffortTasks } from './throttle';
 import { Worker } from './worker';
+import { WorkerLossHandler } from './worker-loss-handler';
 import { START_ANSWER } from './worker-report';
 
 /** Placeholder for the `bornAt` of a worker that is known only from stored assignments. */
@@ -36,11 +37,13 @@
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
   readonly #runEnds: RunEndHandler;
+  readonly #workerLosses: WorkerLossHandler;
 
   constructor(settings: SchedulerSettings, log: DecisionLog, advice: AdviceLookup = () => new Set()) {
     this.#ctx = new SchedulerContext(settings, log);
     this.#runControl = new RunControl(this.#ctx);
     this.#runEnds = new RunEndHandler(this.#ctx, this.#runControl);
+    this.#workerLosses = new WorkerLossHandler(this.#ctx, this.#runControl);
     this.#assigner = new Assigner(this.#ctx, this.#runControl, advice);
   }
 
@@ -142,6 +145,8 @@
     }
     worker.updateClock(report.clockMs, now);
     worker.isUnresponsive = false;
+    worker.disconnection = undefined;
+    worker.isCrashRecorded = false;
     const findings = reconcile(worker, report, askedAt, now);
     worker.isFenced = true;
     for (const row of findings.newEnds) {
@@ -170,6 +175,20 @@
     worker.isUnresponsive = true;
   }
 
+  /** Marks a worker as unresponsive after its connection was closed or refused, as when its process ends. */
+  onWorkerDisconnected(worker: Worker, now: number): void {
+    worker.isUnresponsive = true;
+    this.#workerLosses.handleDisconnection(worker, now);
+  }
+
+  /** Handles that another worker answers at the address of a worker, whose process has therefore ended. */
+  onWorkerReplaced(worker: Worker, now: number): void {
+    this.#ctx.log(DECISION.workerReplaced, { runs: worker.runs.size, worker: worker.info.id });
+    worker.isDeregistered = true;
+    this.#workerLosses.releaseAll(worker, 'worker-replaced', now);
+    this.#removeIfIdle(worker);
+  }
+
   /** Whether an order to start a run still has to be sent. */
   isStartPending(order: StartOrder): boolean {
     const { task } = order;
@@ -235,7 +254,8 @@
     for (const worker of [...this.#ctx.workers.values()]) {
       // A responsive worker reports the outcome of its runs itself.
       if (now > worker.leaseEndsAt && (worker.isUnresponsive || worker.isDeregistered)) {
-        this.#releaseExpired(worker, now);
+        this.#workerLosses.releaseExpired(worker, now);
+        this.#removeIfIdle(worker);
       }
       this.#moveStalledAndLeaving(worker, now);
     }
@@ -289,16 +309,6 @@
     }
   }
 
-  #releaseExpired(worker: Worker, now: number): void {
-    for (const task of [...worker.runs.values()]) {
-      // A starting run is kept: if its order has not been sent yet, it has not extended the lease.
-      if (task.phase !== 'starting') {
-        this.#runControl.release(task, 'lease-ended', now);
-      }
-    }
-    this.#removeIfIdle(worker);
-  }
-
   #removeIfIdle(worker: Worker): void {
     if (worker.isDeregistered && worker.runs.size === 0) {
       this.#ctx.workers.delete(worker.info.id);
@@ -322,25 +332,13 @@
       return;
     }
     this.#ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
+    this.#workerLosses.releaseAfterRestart(worker, now);
     worker.resetForRestart(info);
     worker.isFenced = false;
     // The new incarnation has received no order to stop and would execute a delayed order to start.
     for (const order of worker.unansweredOrders(now)) {
       this.#ctx.pending.stops.push({ ...order, worker });
     }
-    this.#releaseAfterRestart(worker, now);
-  }
-
-  // The runs of the previous incarnation have ended. An order in flight may reach the new incarnation.
-  #releaseAfterRestart(worker: Worker, now: number): void {
-    for (const task of [...worker.runs.values()]) {
-      if (task.phase === 'running' || task.isRestored) {
-        this.#runControl.release(task, 'worker-restarted', now);
-      } else {
-        task.stopAcknowledgedAt = undefined;
-        task.applyEvent('lose', now);
-      }
-    }
   }
 
   #pauseAfterRefusal(worker: Worker, answer: StartAnswer, now: number): void {
@@ -357,12 +355,8 @@
       tasks.get(record.task)?.restore(record, this.#findOrAddWorker(record), now);
       run.runningReported = true;
     }
-    const limit = this.#ctx.getQueueConfig(run)?.maxAttempts ?? Infinity;
-    const failed = [...run.tasks()].find(
-      (task) => !task.step.spec.longRunning && task.phase !== 'done' && task.failures >= limit,
-    );
-    if (failed !== undefined) {
-      this.#runControl.failJob(failed, limit, now);
+    for (const task of run.tasks()) {
+      this.#runControl.failIfExhausted(task, now);
     }
   }
 
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -1,9 +1,10 @@
 import type { TaskEvent, TaskPhase } from '../charts/task-run.chart';
 import type { JobRun, StepRun } from './job-run';
-import type { TaskRecord } from './run-record';
+import type { CrashCounts, TaskRecord } from './run-record';
 import type { Worker } from './worker';
 import { transition } from '../charts/chart';
 import { taskRunChart } from '../charts/task-run.chart';
+import { NO_CRASHES } from './run-record';
 
 /** Maximum age of a worker's report for it to count as evidence that a task is active, in ms. */
 const MAX_REPORT_AGE_MS = 2500;
@@ -17,6 +18,8 @@
    * end has been read, so that it does not count again when the worker lists it to a later leader.
    */
   endExpectedFrom = '';
+  /** Crashes of workers under the task. */
+  crashes: CrashCounts = { ...NO_CRASHES };
   /** Number of failed runs. */
   failures = 0;
   readonly job: JobRun;
@@ -41,6 +44,8 @@
   isRestored = false;
   /** Number of the newest run; 0 before the first run. */
   run = 0;
+  /** Monotonic time at which the newest run was confirmed, in ms; long past for a run of an earlier term. */
+  runningSince = -Infinity;
   readonly step: StepRun;
   /** Monotonic time at which the worker acknowledged the order to stop, in ms; undefined before that. */
   stopAcknowledgedAt: number | undefined;
@@ -60,6 +65,7 @@
     }
     if (next !== this.phase) {
       this.phaseSince = now;
+      this.runningSince = next === 'running' && !this.isRestored ? now : this.runningSince;
       this.step.onPhaseChange(this.phase, next);
     }
     this.phase = next;
@@ -75,6 +81,7 @@
     this.endExpectedFrom = worker.info.id;
     this.isRestored = false;
     this.run = run;
+    this.runningSince = -Infinity;
     this.progressPercent = 0;
     this.cpuSharePercent = 100;
     this.progressChangedAt = now;
@@ -86,6 +93,7 @@
   /** Restores the state that an earlier term stored about the task. */
   restore(record: TaskRecord, worker: Worker | undefined, now: number): void {
     this.checkpoint = record.checkpoint;
+    this.crashes = { ...(record.crashes ?? this.crashes) };
     this.failures = record.failures;
     this.run = record.run;
     if (record.state === 'done') {
@@ -113,9 +121,17 @@
 
   /** Returns the record that is stored for the task. */
   toRecord(): TaskRecord {
-    const { checkpoint, endExpectedFrom, failures, name, phase, run } = this;
+    const { checkpoint, crashes, endExpectedFrom, failures, name, phase, run } = this;
     const state = phase === 'waiting' || phase === 'done' ? phase : 'assigned';
-    return { checkpoint, failures, run, state, task: name, workerId: endExpectedFrom };
+    return {
+      checkpoint,
+      crashes: { ...crashes },
+      failures,
+      run,
+      state,
+      task: name,
+      workerId: endExpectedFrom,
+    };
   }
 
   #detachFromWorker(): void {
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -33,6 +33,14 @@
 /** Time after which an unanswered order is no longer executed, in ms. */
 const LATE_ORDER_WINDOW_MS = 15_000;
 
+/** End of the connections to a worker, as when its process ends. */
+export interface Disconnection {
+  /** Monotonic time of the first call that found the connection closed or refused, in ms. */
+  at: number;
+  /** Whether the worker was starting tasks then. */
+  wasStarting: boolean;
+}
+
 interface ClockReading {
   /** Monotonic time at which the reading arrived, in ms. */
   at: number;
@@ -51,12 +59,20 @@
   endsRead = 0;
   /** Whether the worker is emptied for maintenance; no new tasks are assigned to it. */
   isEvacuating = false;
+  /** Set from a closed or refused connection until the next report. */
+  disconnection: Disconnection | undefined;
   /** Number of consecutive failed runs. */
   failuresInRow = 0;
+  /** Monotonic time until which no tasks start, so that a suspected task can start alone, in ms. */
+  heldUntil = 0;
+  /** Whether the tasks that may have crashed this incarnation have been recorded. */
+  isCrashRecorded = false;
   /** Whether the worker has answered a call of this term, so that it refuses orders of earlier terms. */
   isFenced = false;
   /** Whether the worker is no longer in the registry. */
   isDeregistered = false;
+  /** Task that was last started here alone because it is suspected of crashing workers. */
+  isolatedTask: Task | undefined;
   /** Monotonic time of the newest report, in ms. */
   lastReportAt = -Infinity;
   info: WorkerInfo;
@@ -141,6 +157,8 @@
   resetForRestart(info: WorkerInfo): void {
     this.info = info;
     this.#clock = undefined;
+    this.disconnection = undefined;
+    this.isCrashRecorded = false;
     this.endsAcknowledged = 0;
     this.endsRead = 0;
     this.endsStored = 0;
--- a/packages/node/src/ports/worker-link.ts
+++ b/packages/node/src/ports/worker-link.ts
@@ -3,9 +3,11 @@
 
 /** Kinds of failure of a call to a worker. */
 export const LINK_FAILURE = {
+  /** The connection was closed or refused, as when the worker's process ends. */
+  disconnected: 'disconnected',
   /** The worker has accepted orders with a higher fencing token. */
   fenced: 'fenced',
-  /** Another worker, or another incarnation of the worker, answered at the address. */
+  /** Another worker answered at the address, so that the process of the expected one has ended. */
   replaced: 'replaced',
   /** No usable answer: the order may have been carried out, or may still be. */
   unresponsive: 'silent',
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -1,6 +1,6 @@
 import type { Scheduler, Worker } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import type { WorkerLink } from './ports/worker-link';
+import type { LinkError, WorkerLink } from './ports/worker-link';
 import { LINK_FAILURE } from './ports/worker-link';
 
 /** Dependencies of a loop on its term. */
@@ -117,17 +117,28 @@
       await this.#pauseAfterReport();
       return;
     }
-    if (res.error.kind === LINK_FAILURE.fenced) {
+    await this.#handleFailure(res.error);
+  }
+
+  async #handleFailure({ kind, message }: LinkError): Promise<void> {
+    const { ctx, worker } = this;
+    if (kind === LINK_FAILURE.fenced) {
       ctx.onFenced(`worker ${worker.info.id} has accepted orders of a later term`);
       return;
     }
+    if (kind === LINK_FAILURE.replaced) {
+      ctx.scheduler.onWorkerReplaced(worker, ctx.timers.mono());
+      ctx.onChange();
+      return;
+    }
     if (!worker.isUnresponsive) {
-      ctx.log.warn(
-        { error: res.error.message, runs: worker.runs.size, worker: worker.info.id },
-        'worker silent',
-      );
+      ctx.log.warn({ error: message, kind, runs: worker.runs.size, worker: worker.info.id }, 'worker silent');
+    }
+    if (kind === LINK_FAILURE.disconnected) {
+      ctx.scheduler.onWorkerDisconnected(worker, ctx.timers.mono());
+    } else {
+      ctx.scheduler.onWorkerUnresponsive(worker);
     }
-    ctx.scheduler.onWorkerUnresponsive(worker);
     // Open connections may have gone silent while new ones work.
     ctx.link.disconnect(worker.info);
     await this.#sleep(RETRY_DELAY_MS);
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -1,4 +1,4 @@
-import type { WorkerReport } from '@sequoiaquay/core/jobs';
+import type { Worker, WorkerReport } from '@sequoiaquay/core/jobs';
 import { RUN_END, Scheduler } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
@@ -151,6 +151,15 @@
     expect(link.current.disconnects).toBeGreaterThan(0);
   });
 
+  it.each([
+    ['disconnected', (worker: Worker | undefined): boolean => worker?.disconnection !== undefined],
+    ['replaced', (worker: Worker | undefined): boolean => worker === undefined],
+  ] as const)('passes on that a worker is %s', async (kind, isHandled) => {
+    link.current.report = () => errAsync({ kind, message: kind });
+    await vi.advanceTimersByTimeAsync(1500);
+    expect(isHandled(scheduler.workers.get(WORKER.id))).toBe(true);
+  });
+
   it('extends no lease while it is not permitted to', async () => {
     mayExtend = false;
     expect(await isRunKept(LEASE_MS + 1500)).toBe(false);
