fix(core): count no end of a member of a gang that is done

A gang ends together, and one end stands for all its members. Since ends count by the worker that is expected to list them, the ends of the other members counted as well: a failed one was added to the failures of a task that is done, and each member stored the records of all again, 16 records instead of 4 for a gang of four. Found in a review. A task that is done expects no end.

--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -19,10 +19,10 @@
     worker.endsRead = row.number;
     this.ctx.addReadEnds(worker);
     const task = this.#findTask(row.task);
-    const isNew = task !== undefined && this.#isNewest(task, worker, row);
+    const isCounted = task !== undefined && this.#isExpected(task, worker, row);
     const { end, run } = row;
     this.ctx.log(DECISION.ended, {
-      counted: isNew,
+      counted: isCounted,
       end,
       failures: task?.failures,
       known: task !== undefined,
@@ -31,7 +31,7 @@
       task: row.task,
       worker: worker.info.id,
     });
-    if (task === undefined || !isNew) {
+    if (task === undefined || !isCounted) {
       return;
     }
     task.endExpectedFrom = '';
@@ -48,7 +48,7 @@
   }
 
   // The end of a run whose task was released still counts, once, until a later run is assigned.
-  #isNewest(task: Task, worker: Worker, row: ReportedEnd): boolean {
+  #isExpected(task: Task, worker: Worker, row: ReportedEnd): boolean {
     return task.run === row.run && task.endExpectedFrom === worker.info.id;
   }
 
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -14,8 +14,8 @@
   /** Newest checkpoint; empty if there is none. */
   checkpoint = '';
   /**
-   * Id of the worker that may still list the end of the newest run although the task was released; empty if that
-   * end has been read, so that it does not count again when the worker lists it to a later leader.
+   * Id of the worker that runs the newest run, or may still list its end although the task was released; empty once
+   * that end has been read, so that it does not count again when the worker lists it to a later leader.
    */
   endExpectedFrom = '';
   /** Crashes of workers under the task. */
@@ -72,6 +72,9 @@
     if (next === 'waiting' || next === 'done') {
       this.#detachFromWorker();
     }
+    if (next === 'done') {
+      this.endExpectedFrom = '';
+    }
     return true;
   }
 
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -293,6 +293,39 @@
     expect(next.plan().states).toMatchObject([{ id: 'j', state: 'completed' }]);
   });
 
+  it('writes the records of a gang once when all its members list that they are done', () => {
+    const harness = new Harness('a');
+    harness.scheduler.onJob(
+      job('j', [step({ count: 4, gang: true }), step({ after: [0] })]),
+      [],
+      harness.now,
+      0,
+    );
+    harness.start();
+    const ends = [0, 1, 2, 3].map((at): [number, string, number, 'done'] => [
+      at + 1,
+      `j.0.0.${at}`,
+      1,
+      'done',
+    ]);
+    harness.report('a', report([], ends));
+    const records = harness.plan().records.filter(({ key }) => key.startsWith('t.j.0.0.'));
+    expect(records).toHaveLength(4);
+  });
+
+  it('does not count a failed end of a member of a gang that is done', () => {
+    const harness = new Harness('a', 'b');
+    const members = step({ count: 2, gang: true, maxPerWorker: 1 });
+    const records = [0, 1].map((at): TaskRecord => {
+      const workerId = at === 0 ? 'a' : 'b';
+      return { checkpoint: '', failures: 1, run: 2, state: 'assigned', task: `k.0.0.${at}`, workerId };
+    });
+    harness.scheduler.onJob(job('k', [members, step({ after: [0] })]), records, harness.now, 0);
+    harness.report('a', report([], [[1, 'k.0.0.0', 2, 'done']]));
+    harness.report('b', report([], [[1, 'k.0.0.1', 2, 'failed']]));
+    expect(harness.plan().states).not.toContainEqual({ id: 'k', kind: 'state', state: 'failed' });
+  });
+
   it('ends a job that failed before the term began instead of running it again', () => {
     const harness = new Harness('a');
     const record = { checkpoint: '', failures: 2, run: 2, task: 'j.0.0.0', workerId: '' };
