fix(core): keep the occurrences of a job that an earlier leader has found due

The occurrences of a scheduled job were added by the clock of the leader only. A leader whose clock was behind that of the one before did not know an occurrence that had begun: it dropped its records, stopped its runs as orphans, and ran its tasks again, those that were done too, once the clock had caught up.

Occurrences of which a record exists are now added as well.

--- a/packages/core/src/jobs/job-run.ts
+++ b/packages/core/src/jobs/job-run.ts
@@ -93,6 +93,16 @@
     return this.occurrences.length > previousCount;
   }
 
+  /**
+   * Adds the occurrences up to a number of which records exist: an earlier leader has found them due, by a clock
+   * that was ahead of this one.
+   */
+  addRecordedOccurrences(number: number): void {
+    while (this.occurrences.length <= number && this.nextDueAt !== undefined) {
+      this.#addOccurrence();
+    }
+  }
+
   /** Wall clock time of the next occurrence, in ms; undefined if there is none. */
   get nextDueAt(): number | undefined {
     const { schedule } = this.job.spec;
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -19,6 +19,7 @@
 import { SchedulerContext } from './scheduler-context';
 import { DECISION } from './scheduler-output';
 import { findRunsToMove, findStalledRuns } from './stalled-runs';
+import { parseTaskName } from './task-name';
 import { throttleBestEffortTasks } from './throttle';
 import { Worker } from './worker';
 import { WorkerLossHandler } from './worker-loss-handler';
@@ -84,6 +85,7 @@
     }
     const run = new JobRun(job);
     run.addDueOccurrences(wallNow);
+    run.addRecordedOccurrences(newestOccurrence(records));
     this.#ctx.jobs.set(job.id, run);
     const pool = this.#ctx.getOrCreatePool(job.pool);
     pool.jobs.add(run);
@@ -387,3 +389,8 @@
     return worker;
   }
 }
+
+// Returns the highest number of an occurrence of which a record exists; -1 if there is none.
+function newestOccurrence(records: readonly TaskRecord[]): number {
+  return records.reduce((newest, { task }) => Math.max(newest, parseTaskName(task)?.occurrence ?? -1), -1);
+}
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -313,6 +313,25 @@
     expect(records).toHaveLength(4);
   });
 
+  it('does not run a done task of a scheduled job again when the clock of the next leader is behind', () => {
+    const harness = new Harness('a');
+    const spec = {
+      body: 'work',
+      schedule: { count: 1, firstAt: 5000, intervalMs: 1000 },
+      steps: [step({ count: 2 })],
+    };
+    const records = [0, 1].map((at): TaskRecord => {
+      const rest =
+        at === 0 ? { state: 'done' as const, workerId: '' } : { state: 'assigned' as const, workerId: 'a' };
+      return { checkpoint: '', failures: 0, run: 1, task: `j.0.0.${at}`, ...rest };
+    });
+    harness.scheduler.onJob({ ...job('j', []), spec }, records, harness.now, 4000);
+    harness.report('a', report([['j.0.0.1', 1]]));
+    expect(harness.plan().stops).toEqual([]);
+    harness.scheduler.tick(harness.now, 5000);
+    expect(names(harness.plan().starts)).toEqual([]);
+  });
+
   it('does not count a failed end of a member of a gang that is done', () => {
     const harness = new Harness('a', 'b');
     const members = step({ count: 2, gang: true, maxPerWorker: 1 });
