fix(core): keep a worker that is registered again when an answer to its predecessor arrives

Callers see a job that never ends: its task counts as running on a worker that is asked for no report, so neither the end of the run nor the end of its lease is noticed, and the room reserved for it is held for good.

Cause: a worker without runs is dropped when its registry entry is removed, and a new object takes its place when the entry is back. The loop of the dropped one may still wait for an answer, most of the time if the worker was cut off, since an unresponsive worker is asked continuously. That answer was applied to the dropped object, and the removal that follows deleted whatever the id maps to: the new object left the map of workers but stayed in its pool. Its loop ended and the tick passed it over, while tasks were still assigned to it. The next heartbeat of the worker added a third object to the pool, which stopped the runs of the second as unknown ones. An answer that the VM of a dropped worker was taken did the same.

Change: a report or the end of a worker counts only for the object that the scheduler keeps under the id, and a removal deletes only that one.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -131,6 +131,9 @@
    * VM later, so its own reports or the end of its lease decide about them.
    */
   onWorkerEnded(worker: Worker): void {
+    if (!this.#isKept(worker)) {
+      return;
+    }
     if (worker.runs.size > 0) {
       this.#ctx.log(DECISION.workerKept, { runs: worker.runs.size, worker: worker.info.id });
       return;
@@ -142,6 +145,9 @@
 
   /** Applies a report of a worker that was requested at the monotonic time `askedAt`, in ms. */
   onReport(worker: Worker, report: WorkerReport, askedAt: number, now: number): void {
+    if (!this.#isKept(worker)) {
+      return;
+    }
     if (report.bornAt !== worker.info.bornAt) {
       this.#updateWorker(worker, { ...worker.info, bornAt: report.bornAt, draining: false }, now);
     }
@@ -185,6 +191,9 @@
 
   /** Handles that another worker answers at the address of a worker, whose process has therefore ended. */
   onWorkerReplaced(worker: Worker, now: number): void {
+    if (!this.#isKept(worker)) {
+      return;
+    }
     this.#ctx.log(DECISION.workerReplaced, { runs: worker.runs.size, worker: worker.info.id });
     worker.isDeregistered = true;
     this.#workerLosses.releaseAll(worker, 'worker-replaced', now);
@@ -311,8 +320,13 @@
     }
   }
 
+  // A worker that was dropped may have been registered again under its id, as another object.
+  #isKept(worker: Worker): boolean {
+    return this.#ctx.workers.get(worker.info.id) === worker;
+  }
+
   #removeIfIdle(worker: Worker): void {
-    if (worker.isDeregistered && worker.runs.size === 0) {
+    if (worker.isDeregistered && worker.runs.size === 0 && this.#isKept(worker)) {
       this.#ctx.workers.delete(worker.info.id);
       this.#ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
     }
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -435,6 +435,39 @@
     expect(harness.worker(busy).runs.size).toBe(1);
   });
 
+  // Guards against tasks that never end: the worker that is registered stays in its pool, but is asked no more.
+  it('keeps a worker that is registered again when a report that was asked for before arrives', () => {
+    const harness = new Harness('a');
+    const dropped = harness.worker('a');
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.scheduler.onWorkerRegistered(worker('a'), harness.now);
+    harness.report('a');
+    harness.scheduler.onReport(dropped, report(), harness.now - 5, harness.now);
+    expect(harness.worker('a')).not.toBe(dropped);
+    expect(harness.scheduler.loads(harness.now)[0]?.open).toEqual([harness.worker('a')]);
+  });
+
+  it('stops no run of a worker that is registered again for a report that was asked for before', () => {
+    const harness = new Harness('a');
+    const dropped = harness.worker('a');
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.scheduler.onWorkerRegistered(worker('a'), harness.now);
+    harness.report('a');
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    harness.start();
+    harness.scheduler.onReport(dropped, report([['j.0.0.0', 1]]), harness.now - 5, harness.now);
+    expect(harness.plan().stops).toEqual([]);
+  });
+
+  it('keeps a worker that is registered again when an answer says late that the VM of its worker was taken', () => {
+    const harness = new Harness('a');
+    const dropped = harness.worker('a');
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 2 }), harness.now);
+    harness.scheduler.onWorkerEnded(dropped);
+    expect(harness.worker('a').info.bornAt).toBe(2);
+  });
+
   it('assigns no tasks to a draining worker', () => {
     const harness = new Harness('a');
     harness.scheduler.onWorkerRegistered(worker('a', { draining: true }), harness.now);
--- a/packages/node/tests/worker-loops.test.ts
+++ b/packages/node/tests/worker-loops.test.ts
@@ -1,6 +1,8 @@
+import type { WorkerInfo, WorkerReport } from '@sequoiaquay/core/jobs';
 import { Scheduler } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
-import { errAsync } from 'neverthrow';
+import { errAsync, ResultAsync } from 'neverthrow';
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import type { WorkerLink } from '../src/ports/worker-link';
 import { SCHEDULER_SETTINGS } from '../../core/tests/jobs/support/jobs';
@@ -17,16 +19,23 @@
   workerId: WORKER.id,
 } as const;
 
+const REPORT: WorkerReport = { bornAt: WORKER.bornAt, clockMs: 1000, ended: [], running: [] };
+
+let loops: WorkerLoops | undefined;
 let stop = new AbortController();
 
 afterEach(() => {
   stop.abort();
 });
 
-function startLoops(report: () => ReturnType<WorkerLink['report']>, runs: (typeof RUN)[]): Scheduler {
+function startLoops(
+  report: () => ReturnType<WorkerLink['report']>,
+  runs: (typeof RUN)[],
+  info: WorkerInfo = { ...WORKER, pool: 'spare' },
+): Scheduler {
   stop = new AbortController();
   const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
-  scheduler.onWorkerRegistered({ ...WORKER, pool: 'spare' }, 0);
+  scheduler.onWorkerRegistered(info, 0);
   scheduler.onJob(JOB, runs, 0, 0);
   const link = { disconnect: () => undefined, report } as unknown as WorkerLink;
   const ctx = {
@@ -40,7 +49,8 @@
     scheduler,
     timers: new SystemTimerService(),
   };
-  new WorkerLoops(ctx, () => new Set(['spare']), stop.signal).startMissing();
+  loops = new WorkerLoops(ctx, () => new Set(['spare']), stop.signal);
+  loops.startMissing();
   return scheduler;
 }
 
@@ -63,6 +73,39 @@
     expect(requests).toBe(0);
   });
 
+  // Guards against tasks that are started on a worker and never end, since the worker is asked for no report.
+  it('asks a cut-off worker that is registered again, also after an answer that was under way', async () => {
+    const requests: ((answer: typeof REPORT) => void)[] = [];
+    const info = { ...WORKER, pool: 'p' };
+    const scheduler = startLoops(
+      () =>
+        ResultAsync.fromSafePromise(
+          new Promise<typeof REPORT>((resolve) => {
+            requests.push(resolve);
+          }),
+        ),
+      [],
+      info,
+    );
+    await expect.poll(() => requests.length).toBe(1);
+    scheduler.onWorkerDeregistered(WORKER.id);
+    scheduler.onWorkerRegistered(info, 0);
+    const registered = scheduler.workers.get(WORKER.id);
+    loops?.startMissing();
+    await expect.poll(() => requests.length).toBe(2);
+    requests[1]?.(REPORT);
+    await expect.poll(() => registered?.isFenced).toBe(true);
+    requests[0]?.(REPORT);
+    await delay(50);
+    const [order] = scheduler.plan(performance.now(), 0).starts;
+    if (order === undefined) {
+      throw new Error('nothing was started');
+    }
+    expect(order.worker).toBe(registered);
+    loops?.wakeUp(order.worker);
+    await expect.poll(() => requests.length).toBe(3);
+  });
+
   it('runs the loop of a worker again after an unexpected error', async () => {
     let requests = 0;
     startLoops(() => {
