fix(core): drop a report that an earlier incarnation of a worker gave before its restart

Callers can see a task run again after its end, or a job that takes seconds longer than its work.

Cause: when the registry shows a new incarnation of a worker, a report that was requested before may still arrive. It was applied to the new incarnation: the numbers of its ends became those read from the new one, and were acknowledged to it. Ends of the new incarnation up to that number were passed over, and dropped by the worker, which had been told that they are stored; their tasks counted as not listed and ran again.

Change: the time at which an incarnation became known is kept, and a report of another incarnation that was requested before it is dropped.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -149,6 +149,10 @@
       return;
     }
     if (report.bornAt !== worker.info.bornAt) {
+      // A report that was requested before the current incarnation became known may be of an earlier one.
+      if (askedAt < worker.incarnationKnownAt) {
+        return;
+      }
       this.#updateWorker(worker, { ...worker.info, bornAt: report.bornAt, draining: false }, now);
     }
     worker.updateClock(report.clockMs, now);
@@ -349,7 +353,7 @@
     }
     this.#ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
     this.#workerLosses.releaseAfterRestart(worker, now);
-    worker.resetForRestart(info);
+    worker.resetForRestart(info, now);
     worker.isFenced = false;
     // The new incarnation has received no order to stop and would execute a delayed order to start.
     for (const order of worker.unansweredOrders(now)) {
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -73,6 +73,8 @@
   isDeregistered = false;
   /** Task that was last started here alone because it is suspected of crashing workers. */
   isolatedTask: Task | undefined;
+  /** Monotonic time at which the current incarnation became known, in ms. */
+  incarnationKnownAt = -Infinity;
   /** Monotonic time of the newest report, in ms. */
   lastReportAt = -Infinity;
   info: WorkerInfo;
@@ -153,8 +155,9 @@
     this.lastReportAt = at;
   }
 
-  /** Resets the state that belongs to the previous incarnation of the worker. */
-  resetForRestart(info: WorkerInfo): void {
+  /** Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. */
+  resetForRestart(info: WorkerInfo, now: number): void {
+    this.incarnationKnownAt = now;
     this.info = info;
     this.#clock = undefined;
     this.disconnection = undefined;
--- a/packages/core/tests/jobs/scheduler-model.test.ts
+++ b/packages/core/tests/jobs/scheduler-model.test.ts
@@ -4,10 +4,12 @@
 
 const NONE: Faults = {
   delayedOrder: 0,
+  lateReport: 0,
   leaderChange: 0,
   leaderCrash: 0,
   lostAnswer: 0,
   partition: 0,
+  registryLoss: 0,
   restart: 0,
   slowStore: 0,
 };
@@ -26,10 +28,30 @@
   ['partitioned workers', { ...NONE, partition: 0.02 }],
   ['leader changes', { ...NONE, leaderChange: 0.01 }],
   ['leader crashes', { ...NONE, leaderCrash: 0.01 }],
+  [
+    'late reports of workers whose registry entries are lost',
+    { ...NONE, lateReport: 0.3, registryLoss: 0.02 },
+  ],
+  [
+    'late reports of partitioned workers whose registry entries are lost',
+    { ...NONE, lateReport: 0.3, partition: 0.01, registryLoss: 0.02 },
+  ],
   [
     'all faults except restarts',
     { ...NONE, partition: 0.01, delayedOrder: 0.1, leaderChange: 0.01, lostAnswer: 0.1 },
   ],
+  [
+    'all faults except restarts, with lost registry entries',
+    {
+      ...NONE,
+      delayedOrder: 0.1,
+      lateReport: 0.2,
+      leaderChange: 0.01,
+      lostAnswer: 0.1,
+      partition: 0.01,
+      registryLoss: 0.01,
+    },
+  ],
 ];
 
 describe('scheduler in a cluster with injected faults', () => {
@@ -66,4 +88,15 @@
       expect(cluster.ended.size, `seed ${seed}`).toBe(5);
     }
   });
+
+  it('never runs a task again after its end was acknowledged when workers restart and reports are late', () => {
+    const faults = { ...NONE, lateReport: 0.3, registryLoss: 0.01, restart: 0.02 };
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const cluster = new SimulatedCluster(seed, faults);
+      cluster.run(FAULT_PHASE_MS, false);
+      cluster.run(RECOVERY_MS, true);
+      expect(cluster.violations, `seed ${seed}`).toEqual([]);
+      expect(cluster.ended.size, `seed ${seed}`).toBe(5);
+    }
+  });
 });
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -468,6 +468,21 @@
     expect(harness.worker('a').info.bornAt).toBe(2);
   });
 
+  // Guards against a task that runs again after its end: ends of the new incarnation were acknowledged unread.
+  it('drops a report that an earlier incarnation of a worker gave before its restart', () => {
+    const harness = new Harness('a');
+    harness.scheduler.onJob(job('j', [step({ count: 2 })]), [], harness.now, 0);
+    const askedAt = harness.now;
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 2 }), askedAt + 1);
+    const late = report([], [[7, 'other.0.0.0', 1, 'done']]);
+    harness.scheduler.onReport(harness.worker('a'), late, askedAt, askedAt + 2);
+    expect(harness.plan().ends).toEqual([]);
+    harness.report('a', report([], [], 2));
+    harness.start();
+    harness.report('a', report([['j.0.0.1', 1]], [[1, 'j.0.0.0', 1, 'done']], 2));
+    expect(harness.plan().ends).toMatchObject([{ bornAt: 2, number: 1 }]);
+  });
+
   it('assigns no tasks to a draining worker', () => {
     const harness = new Harness('a');
     harness.scheduler.onWorkerRegistered(worker('a', { draining: true }), harness.now);
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -7,6 +7,8 @@
 export interface Faults {
   /** An order is executed up to `MAX_ORDER_DELAY_MS` later and gets no answer. */
   delayedOrder: number;
+  /** A report arrives up to `MAX_REPORT_DELAY_MS` later; a probability per report. */
+  lateReport: number;
   /** Another leader takes over; the earlier one goes on until it learns of that. */
   leaderChange: number;
   /** The leader ends at once, and another one takes over. */
@@ -15,6 +17,8 @@
   lostAnswer: number;
   /** A worker is unreachable for up to `MAX_PARTITION_MS`. */
   partition: number;
+  /** The registry entry of a worker is missing for up to `MAX_PARTITION_MS`. */
+  registryLoss: number;
   /** A worker restarts as a new incarnation. */
   restart: number;
   /** The store is too slow for new assignments for up to `MAX_SLOW_STORE_MS`; ends are still stored. */
@@ -28,6 +32,7 @@
 const MAX_ORDER_DELAY_MS = 2500;
 const MAX_PARTITION_MS = 1800;
 const MAX_SLOW_STORE_MS = 1000;
+const MAX_REPORT_DELAY_MS = 700;
 const WORKER_COUNT = 4;
 const RUNS_PER_WORKER = 3;
 
@@ -49,6 +54,8 @@
 /** Simulates leaders, a store and workers on a virtual clock, with pseudorandom faults from a seed. */
 export class SimulatedCluster {
   readonly #partitionedUntil = new Map<string, number>();
+  readonly #pendingReports = new Set<Worker>();
+  readonly #unregisteredUntil = new Map<string, number>();
   #delayedCalls: DelayedCall[] = [];
   readonly #doneTasks = new Set<string>();
   readonly #doneRuns = new Map<string, number[]>();
@@ -125,6 +132,9 @@
     if (victim !== undefined && this.#random() < this.faults.partition) {
       this.#partitionedUntil.set(victim.id, this.#now + MAX_PARTITION_MS * this.#random());
     }
+    if (victim !== undefined && this.faults.registryLoss > 0 && this.#random() < this.faults.registryLoss) {
+      this.#unregisteredUntil.set(victim.id, this.#now + MAX_PARTITION_MS * this.#random());
+    }
     if (this.#random() < this.faults.leaderChange) {
       this.#startLeader();
     }
@@ -179,11 +189,15 @@
     }
     const { scheduler } = leader;
     for (const worker of this.#workers) {
-      scheduler.onWorkerRegistered(worker.info, this.#now);
+      if ((this.#unregisteredUntil.get(worker.id) ?? 0) > this.#now) {
+        scheduler.onWorkerDeregistered(worker.id);
+      } else {
+        scheduler.onWorkerRegistered(worker.info, this.#now);
+      }
     }
     if (this.#now % REPORT_PERIOD_MS === 0) {
       for (const known of [...scheduler.workers.values()]) {
-        this.#report(leader, known);
+        this.#report(leader, known, calm);
       }
     }
     scheduler.tick(this.#now, 0);
@@ -296,7 +310,10 @@
     return !isLost;
   }
 
-  #report(leader: Leader, known: Worker): void {
+  #report(leader: Leader, known: Worker, calm: boolean): void {
+    if (this.#pendingReports.has(known)) {
+      return;
+    }
     const worker = this.#workers.find((item) => item.id === known.info.id);
     if (worker === undefined || this.#isPartitioned(worker)) {
       leader.scheduler.onWorkerUnresponsive(known);
@@ -309,9 +326,18 @@
     const report = worker.report(leader.epoch, endsStored, deadline, this.#now);
     if (report === undefined) {
       leader.activeUntil = 0;
-    } else {
+      return;
+    }
+    const isLate = !calm && this.faults.lateReport > 0 && this.#random() < this.faults.lateReport;
+    if (!isLate) {
       leader.scheduler.onReport(known, report, askedAt, this.#now);
+      return;
     }
+    this.#pendingReports.add(known);
+    this.#schedule(MAX_REPORT_DELAY_MS * this.#random(), () => {
+      this.#pendingReports.delete(known);
+      leader.scheduler.onReport(known, report, askedAt, this.#now);
+    });
   }
 
   #isPartitioned(worker: SimulatedWorker): boolean {
