fix(core): use a worker again that has restarted with its clock set back

Callers see tasks that wait while a worker with free room is not used, and capacity that is missing until the next change of leader.

Cause: the start time of an incarnation, by the worker's own clock, decided which of two incarnations is the newer one. After a restart with the clock set back the registry entries of the worker were ignored, so that one that had been removed from the registry, was draining or had changed its address stayed so. Its reports were applied as if from the earlier incarnation: its first ends, whose numbers start anew, were passed over and then acknowledged.

Change: a report that was requested after the known incarnation was, and that names another one, is of a later one, whatever its start time. A registry entry with a lower start time, which may also be an old one, makes the leader ask the worker before it assigns more tasks to it; an entry of the incarnation before the current one is ignored, also if its start time is higher, so that no run is released for it.

Before: "uses a worker that has restarted with its clock set back" in scheduler.test.ts fails. After: it passes, and so do all tests of core, node and platform. Whether workers of the platform restart with a clock set back is not known.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -153,7 +153,7 @@
       if (askedAt < worker.incarnationKnownAt) {
         return;
       }
-      this.#updateWorker(worker, { ...worker.info, bornAt: report.bornAt, draining: false }, now);
+      this.#applyInfo(worker, { ...worker.info, bornAt: report.bornAt, draining: false }, now);
     }
     worker.updateClock(report.clockMs, now);
     worker.isUnresponsive = false;
@@ -337,11 +337,21 @@
   }
 
   #updateWorker(worker: Worker, info: WorkerInfo, now: number): void {
+    if (info.bornAt === worker.previousBornAt) {
+      return;
+    }
     if (info.bornAt < worker.info.bornAt) {
+      // Either an old entry or a new incarnation whose clock is behind: the next report tells which.
+      worker.info = { ...worker.info, address: info.address };
+      worker.isFenced = false;
       return;
     }
+    this.#applyInfo(worker, info, now);
+  }
+
+  #applyInfo(worker: Worker, info: WorkerInfo, now: number): void {
     const isUnknown = worker.info.bornAt === UNKNOWN_BORN_AT;
-    const restarted = !isUnknown && info.bornAt > worker.info.bornAt;
+    const restarted = !isUnknown && info.bornAt !== worker.info.bornAt;
     if (info.pool !== worker.info.pool) {
       this.#ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
       this.#ctx.getOrCreatePool(info.pool).workers.add(worker);
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -84,6 +84,8 @@
   pausedUntil = 0;
   readonly reserved: Demand = { cpuMilli: 0, gpus: 0, memoryMb: 0 };
   readonly runs = new Map<string, Task>();
+  /** Start time of the previous incarnation, in ms since the epoch; undefined if none is known. */
+  previousBornAt: number | undefined;
   /** Whether the last call to the worker got no answer. */
   isUnresponsive = false;
   #unanswered: { at: number; run: number; task: string }[] = [];
@@ -157,6 +159,7 @@
 
   /** Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. */
   resetForRestart(info: WorkerInfo, now: number): void {
+    this.previousBornAt = this.info.bornAt;
     this.incarnationKnownAt = now;
     this.info = info;
     this.#clock = undefined;
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -483,6 +483,40 @@
     expect(harness.plan().ends).toMatchObject([{ bornAt: 2, number: 1 }]);
   });
 
+  // Guards against a worker that is never used again, whose entry counted as older than the one known.
+  it('uses a worker that has restarted with its clock set back', () => {
+    const harness = new Harness();
+    const entries = [5000, 2000].map((bornAt) => worker('a', { address: `a:${bornAt}`, bornAt }));
+    const [first, second] = entries;
+    if (first === undefined || second === undefined) {
+      throw new Error('no entries');
+    }
+    harness.scheduler.onWorkerRegistered(first, harness.now);
+    harness.report('a', report([], [[9, 'other.0.0.0', 1, 'done']], 5000));
+    harness.scheduler.onWorkerRegistered(second, harness.now);
+    expect(harness.worker('a').info.address).toBe('a:2000');
+    expect(harness.worker('a').isFenced).toBe(false);
+    harness.report('a', report([], [], 2000));
+    harness.scheduler.onWorkerRegistered(first, harness.now);
+    harness.scheduler.onWorkerRegistered(second, harness.now);
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    expect(harness.start()).toHaveLength(1);
+    harness.report('a', report([], [[1, 'j.0.0.0', 1, 'done']], 2000));
+    expect(harness.plan().states.at(-1)).toMatchObject({ id: 'j', state: 'completed' });
+  });
+
+  it('keeps the runs of a worker with a clock set back when an entry of its earlier incarnation arrives', () => {
+    const harness = new Harness();
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 5000 }), harness.now);
+    harness.report('a', report([], [], 2000));
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    harness.start();
+    harness.report('a', report([['j.0.0.0', 1]], [], 2000));
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 5000 }), harness.now);
+    expect(harness.worker('a').runs.size).toBe(1);
+    expect(harness.worker('a').isFenced).toBe(true);
+  });
+
   it('assigns no tasks to a draining worker', () => {
     const harness = new Harness('a');
     harness.scheduler.onWorkerRegistered(worker('a', { draining: true }), harness.now);
