fix(core): count on the longest lease of a worker that got a deadline by the clock before its restart

Callers can see two runs of a task at the same time (TWICE): on a worker that restarted and was then cut off, and on the one that the leader starts the task on meanwhile.

Cause: the deadline of a lease is a time by the clock of the worker's incarnation, and that clock starts anew. The calls by which the leader finds out about a restart carry a deadline by the clock of the incarnation before, which is far ahead for the new one: it takes a lease as long as the maximum for workers, while the leader counts on the one that it meant to grant (4.2 s).

Change: after a restart within a lease that is still open by the leader's reckoning, the lease may last for the maximum of the workers (`maxLeaseMs` of the settings). Only a worker that restarts and then goes silent keeps its tasks longer, for up to 10.3 s with a maximum of 10 s; one that reports releases them as before.

The simulated worker now ends its lease with its incarnation and shortens leases to a maximum, as workers do; without the first it showed violations that no worker can cause.

Open: a start order that is executed late by a new incarnation also carries such a deadline, and a leader does not know the deadlines that the leader before it sent.

--- a/packages/bench/src/leader-simulation.ts
+++ b/packages/bench/src/leader-simulation.ts
@@ -98,6 +98,7 @@
   constructor(private readonly options: LeaderSimulationOptions) {
     const settings = {
       earlierLeasesEndAt: 0,
+      maxLeaseMs: LEASE_MS,
       refusedPauseMs: 1000,
       roomPauseMs: 150,
       setAsideAfter: 3,
--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -9,6 +9,8 @@
 export interface SchedulerSettings {
   /** Monotonic time at which the last lease granted in earlier terms has ended, in ms. */
   earlierLeasesEndAt: number;
+  /** Duration to which workers shorten a longer lease, in ms. */
+  maxLeaseMs: number;
   /** Time for which no tasks are assigned to a worker that refused an order, in ms. */
   refusedPauseMs: number;
   /** Time for which no tasks are assigned to a worker that had no free capacity, in ms. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -363,7 +363,7 @@
     }
     this.#ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
     this.#workerLosses.releaseAfterRestart(worker, now);
-    worker.resetForRestart(info, now);
+    worker.resetForRestart(info, now, this.#ctx.settings.maxLeaseMs);
     worker.isFenced = false;
     // The new incarnation has received no order to stop and would execute a delayed order to start.
     for (const order of worker.unansweredOrders(now)) {
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -157,8 +157,14 @@
     this.lastReportAt = at;
   }
 
-  /** Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. */
-  resetForRestart(info: WorkerInfo, now: number): void {
+  /**
+   * Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. The clock
+   * of the new one starts anew: a deadline that was sent to the previous one lasts for `maxLeaseMs` there.
+   */
+  resetForRestart(info: WorkerInfo, now: number, maxLeaseMs: number): void {
+    if (this.leaseEndsAt > now) {
+      this.leaseEndsAt = Math.max(this.leaseEndsAt, now + longestLeaseMs(maxLeaseMs));
+    }
     this.previousBornAt = this.info.bornAt;
     this.incarnationKnownAt = now;
     this.info = info;
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -6,6 +6,7 @@
 
 const SETTINGS = {
   earlierLeasesEndAt: 10_100,
+  maxLeaseMs: 10_000,
   refusedPauseMs: 1000,
   roomPauseMs: 150,
   setAsideAfter: 3,
@@ -517,6 +518,28 @@
     expect(harness.worker('a').isFenced).toBe(true);
   });
 
+  // Guards against two runs at once: a restarted worker reads a deadline by its own clock, which starts anew.
+  it('counts on the longest lease of a worker that got a deadline by the clock before its restart', () => {
+    const harness = new Harness('a', 'b');
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    const [first] = harness.start();
+    const id = first?.worker.info.id ?? '';
+    harness.report(id, report([['j.0.0.0', 1]]));
+    harness.report(id, report([], [], 2));
+    const restartedAt = harness.now;
+    harness.scheduler.onWorkerRegistered(worker(id === 'a' ? 'b' : 'a', { draining: true }), harness.now);
+    const [second] = harness.start();
+    expect(second?.worker).toBe(first?.worker);
+    harness.scheduler.onWorkerRegistered(worker(id === 'a' ? 'b' : 'a'), harness.now);
+    harness.scheduler.onWorkerUnresponsive(harness.worker(id));
+    harness.now = restartedAt + SETTINGS.maxLeaseMs;
+    harness.scheduler.tick(harness.now, 0);
+    expect(harness.plan().starts).toEqual([]);
+    harness.now = restartedAt + 1.03 * SETTINGS.maxLeaseMs + 200;
+    harness.scheduler.tick(harness.now, 0);
+    expect(harness.plan().starts).toMatchObject([{ run: 3 }]);
+  });
+
   it('assigns no tasks to a draining worker', () => {
     const harness = new Harness('a');
     harness.scheduler.onWorkerRegistered(worker('a', { draining: true }), harness.now);
--- a/packages/core/tests/jobs/support/jobs.ts
+++ b/packages/core/tests/jobs/support/jobs.ts
@@ -92,6 +92,7 @@
 /** Settings of a scheduler without leases of earlier terms. */
 export const SCHEDULER_SETTINGS: SchedulerSettings = {
   earlierLeasesEndAt: 0,
+  maxLeaseMs: 10_000,
   refusedPauseMs: 1000,
   roomPauseMs: 150,
   setAsideAfter: 3,
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -1,7 +1,7 @@
 import type { Job, KeyedRecord, Plan, StartOrder, TaskRecord, Worker } from '../../../src/jobs';
 import { decodeTaskRecord, longestLeaseMs, Scheduler, START_ANSWER } from '../../../src/jobs';
 import { config, job, step } from './jobs';
-import { SimulatedWorker } from './simulated-worker';
+import { MAX_LEASE_MS, SimulatedWorker } from './simulated-worker';
 
 /** Injected faults. Order faults are probabilities per order, the others per tick. */
 export interface Faults {
@@ -154,6 +154,7 @@
     }
     const settings = {
       earlierLeasesEndAt: this.#now + MAX_STALENESS_MS + longestLeaseMs(LEASE_MS),
+      maxLeaseMs: MAX_LEASE_MS,
       refusedPauseMs: 200,
       roomPauseMs: 50,
       setAsideAfter: 3,
--- a/packages/core/tests/jobs/support/simulated-worker.ts
+++ b/packages/core/tests/jobs/support/simulated-worker.ts
@@ -16,6 +16,9 @@
   onStart: (workerId: string, task: string, run: number) => void;
 }
 
+/** Duration to which a worker shortens a longer lease, in ms. */
+export const MAX_LEASE_MS = 2500;
+
 /** Rate of the worker's clock, as a fraction of real time: the slowest clock that is allowed. */
 const CLOCK_RATE = 0.98;
 
@@ -69,6 +72,7 @@
     this.#lapsedEnds = new Set();
     this.#epoch = 0;
     this.#highestRun = new Map();
+    this.#leaseUntil = 0;
     this.#bornAt = now + 1;
   }
 
@@ -97,7 +101,7 @@
     if (this.#runs.size >= this.maxRuns) {
       return START_ANSWER.noCapacity;
     }
-    this.#leaseUntil = Math.max(this.#leaseUntil, deadline);
+    this.#extendLease(deadline, now);
     this.#runs.set(task, { endsAt: now + durationMs, fails: durationMs % 7 === 0, run });
     this.#highestRun.set(task, run);
     this.observer.onStart(this.id, task, run);
@@ -128,7 +132,7 @@
       return undefined;
     }
     this.#epoch = epoch;
-    this.#leaseUntil = Math.max(this.#leaseUntil, deadline ?? 0);
+    this.#extendLease(deadline ?? 0, now);
     for (const row of this.#ends.filter((item) => item.number <= endsStored && item.end === RUN_END.done)) {
       if (!this.#lapsedEnds.has(row.number)) {
         this.observer.onEndAcknowledged(row.task, row.run);
@@ -145,6 +149,10 @@
     return { bornAt: this.#bornAt, clockMs: this.#clock(now), ended: [...this.#ends], running };
   }
 
+  #extendLease(deadline: number, now: number): void {
+    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(deadline, this.#clock(now) + MAX_LEASE_MS));
+  }
+
   #clock(now: number): number {
     return (now - this.#bornAt) * CLOCK_RATE;
   }
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -125,7 +125,11 @@
       this.#log.info(data, decision);
     };
     this.#scheduler = new Scheduler(
-      { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, this.#leaseMs) },
+      {
+        ...SCHEDULER_SETTINGS,
+        earlierLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, this.#leaseMs),
+        maxLeaseMs: ctx.settings.bounds.maxLeaseMs,
+      },
       logDecision,
       (queue, step, workers) => this.#permitCache.allowedWorkers(queue, step, workers),
     );
