fix(node): answer for known jobs while the stream of jobs is loaded again

Callers see refusals (503, to come back in 2 s) for jobs that are queued or running, from all nodes at once, when the store drops history that the nodes have not read: each loads the stream again and meanwhile answers for ended jobs only, although it still counts as ready.

Cause: a load after dropped history was treated like the first one. The first starts without knowledge, so an entry may lack later records. A later one starts from a table that was complete as of the last read, and the pages only add to it; keys that are gone are removed at its end.

Change: what the table says holds while the data read is current (2.5 s, as before without a load). For a job that is not known the node waits for the end of the load, within the time of the caller, and says that a job does not exist only after that.

Before: the new test in caller-service.test.ts fails with a refusal. After: it passes, and so do all tests of core, node and platform.

--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -199,14 +199,16 @@
   }
 
   // Another node may have just accepted a job that is unknown here, so the tail first catches up with the
-  // stream, unless it is too far behind. While the tail loads, later records of a job may not be read yet, so
-  // only an end is certain.
+  // stream, unless it is too far behind. While the tail loads for the first time, later records of a job may not
+  // be read yet, so only an end is certain. While it loads again, what it knew before holds as long as it is
+  // current.
   async #currentState(id: string, req: CallerRequest): Promise<JobState | undefined> {
     const known = this.jobs.stateOf(id);
-    if (!this.tail.isLoaded) {
+    const isCurrent = this.tail.ageMs() <= MAX_STATE_AGE_MS;
+    if (!this.tail.isLoaded && !isCurrent) {
       return known === JOB_STATE.completed || known === JOB_STATE.failed ? known : undefined;
     }
-    if (known !== undefined || this.tail.ageMs() > MAX_STATE_AGE_MS) {
+    if (known !== undefined || !isCurrent) {
       return known;
     }
     const timeout = new AbortController();
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -135,6 +135,22 @@
     expect([...jobs.activeJobs()]).toEqual([]);
   });
 
+  it('answers for the jobs that it knows and finds new ones while it loads a stream whose history was dropped', async () => {
+    const callers = createService();
+    store({ job: JOB, kind: 'submit' });
+    store({ id: ID, kind: 'state', state: 'running' });
+    await expect.poll(() => callers.show(REQ)).toEqual({ kind: 'state', state: 'running' });
+    const other = '00000bb87a21d94c';
+    stream.newestFaults = Array.from({ length: 60 }, () => true);
+    store({ job: { ...JOB, id: other }, kind: 'submit' });
+    stream.first = stream.records.length;
+    await expect.poll(() => stream.newestRequests.length, { interval: 5 }).toBeGreaterThan(1);
+    expect(await callers.show(REQ)).toEqual({ kind: 'state', state: 'running' });
+    expect(stream.newestFaults).not.toEqual([]);
+    const answer = await callers.show({ ...REQ, path: `/q/${other}`, timeoutMs: 3000 });
+    expect(answer).toEqual({ kind: 'state', state: 'queued' });
+  });
+
   it('leaves a line with the reason and the inputs of a refusal before a job is looked up', async () => {
     const lines: Record<string, unknown>[] = [];
     const log = createRecordingLog(lines);
