fix(runtime): keep idle connections of callers for the time that the operators set

Callers can see a request end without an answer: the node closes a connection on which they are just sending.

Cause: the operators' configuration states how long a connection may be idle (15 s on the platform's sample), and the node ignored it. The HTTP server closed a connection 6 s after its last response (5 s of Node's default and 1 s that it adds), while a caller that keeps to the limit still used it, so a request that crossed the close was lost.

Change: the idle limit of the configuration in force is the server's limit; Node adds its second, so that a request that is sent at the limit arrives.

--- a/packages/runtime/src/listen.ts
+++ b/packages/runtime/src/listen.ts
@@ -5,8 +5,17 @@
 /** Interval at which a closing server closes its idle connections, in ms. */
 const IDLE_CHECK_INTERVAL_MS = 100;
 
-/** Serves an application at `host:port`; resolves when the server listens and rejects if it cannot. */
-export function listen<E extends Env>(app: Hono<E>, address: string): Promise<Server> {
+/**
+ * Serves an application at `host:port`; resolves when the server listens and rejects if it cannot.
+ *
+ * @param idleLimitMs Returns the time for which callers may leave a connection idle, in ms; undefined while it
+ *   is not known.
+ */
+export function listen<E extends Env>(
+  app: Hono<E>,
+  address: string,
+  idleLimitMs: () => number | undefined = () => undefined,
+): Promise<Server> {
   const colon = address.lastIndexOf(':');
   const hostname = address.slice(0, colon);
   const port = Number(address.slice(colon + 1));
@@ -15,6 +24,10 @@
       resolve(server);
     }) as Server;
     server.once('error', reject);
+    // The server reads its limit at the end of each response, and adds a second to it.
+    server.on('request', () => {
+      server.keepAliveTimeout = idleLimitMs() ?? server.keepAliveTimeout;
+    });
   });
 }
 
