fix(core): move VMs with a label for long-running tasks that wait for the limit per worker

Callers can see a task of a long-running job that never starts: its step requires a label and allows few tasks per worker, all workers of the pool with that label have their share, and VMs with it stay in the spare pool.

Cause: the shortage of workers with a label was computed from sums of processor time. The workers with the label have free processor time, so nothing was missing, although none of them may take another task of the step. The number of workers that the limit per worker requires counted workers without the label as well.

Change: for a step with waiting tasks that requires a label, at least as many workers with that label are required as its limit per worker needs. The number of tasks of the step bounds that, and VMs on their way count.

Before: the new test in pool-balancer.test.ts fails, no VM moves.

--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -11,6 +11,8 @@
   endingCpuMilli: number;
   /** Minimum number of workers needed to place each long-running step within its limit per worker. */
   floor: number;
+  /** The same for the steps that have waiting tasks and require a label, by label. */
+  floorByLabel: Map<string, number>;
   /** Labels of the racks that hold the data of the ready steps. */
   nearLabels: Set<string>;
   /** Workers to which new tasks can be assigned. */
@@ -29,6 +31,7 @@
   const load: PoolLoad = {
     endingCpuMilli: 0,
     floor: 0,
+    floorByLabel: new Map(),
     nearLabels: new Set(),
     open: pool.assignableWorkers(now),
     pool: name,
@@ -51,7 +54,8 @@
   return load;
 }
 
-function addWaitingTasks(load: PoolLoad, { spec, waitingCount }: StepRun): void {
+function addWaitingTasks(load: PoolLoad, step: StepRun): void {
+  const { spec, waitingCount } = step;
   const { demand, fillsIdle, longRunning, preferredRack, requiredLabel } = spec;
   const cpuMilli = fillsIdle ? 0 : waitingCount * demand.cpuMilli;
   load.waitingCpuMilli += cpuMilli;
@@ -59,6 +63,10 @@
   if (requiredLabel !== '' && waitingCount > 0) {
     load.waitingByLabel.set(requiredLabel, (load.waitingByLabel.get(requiredLabel) ?? 0) + cpuMilli);
   }
+  if (requiredLabel !== '') {
+    const floor = Math.max(load.floorByLabel.get(requiredLabel) ?? 0, minWorkersFor(step));
+    load.floorByLabel.set(requiredLabel, floor);
+  }
   if (preferredRack !== '') {
     load.nearLabels.add(preferredRack);
   }
--- a/packages/core/src/maintenance/pool-needs.ts
+++ b/packages/core/src/maintenance/pool-needs.ts
@@ -136,14 +136,16 @@
 }
 
 // Tasks that require a label may wait while workers without it are idle. Demand that fits into the free
-// capacity of workers with the label is not counted, since it is about to be assigned.
+// capacity of workers with the label is not counted, since it is about to be assigned, unless the limit per worker
+// of a long-running step requires more of them.
 function computeLabelShortages(load: PoolLoad, inputs: NeedInputs): Map<string, number> {
   const shortages = new Map<string, number>();
   for (const [label, waiting] of load.waitingByLabel) {
     const labelled = load.open.filter((worker) => worker.info.labels.includes(label));
     const free = sum(labelled.map((worker) => USABLE_CPU_SHARE * worker.freeCpuMilli));
-    const missing =
-      Math.ceil((waiting - free) / usableCpuMilli(load, inputs)) - inputs.arriving(load.pool, label);
+    const missingForCpu = Math.ceil((waiting - free) / usableCpuMilli(load, inputs));
+    const missingForFloor = (load.floorByLabel.get(label) ?? 0) - labelled.length;
+    const missing = Math.max(missingForCpu, missingForFloor) - inputs.arriving(load.pool, label);
     if (missing > 0) {
       shortages.set(label, missing);
     }
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { MoveOrder, PoolLoad, VmInfo } from '../../src/jobs';
-import { PoolBalancer, Worker } from '../../src/jobs';
-import { worker } from '../jobs/support/jobs';
+import { PoolBalancer, Scheduler, Worker } from '../../src/jobs';
+import { config, job, report, SCHEDULER_SETTINGS, step, worker } from '../jobs/support/jobs';
 
 const SPARE = new Set(['spare']);
 
@@ -26,6 +26,7 @@
     return ['busy', 'idle'].map((pool) => ({
       endingCpuMilli: this.waiting.get(pool) ?? 0,
       floor: 0,
+      floorByLabel: new Map(),
       nearLabels: this.near.get(pool) ?? new Set(),
       open: [...this.workers.values()].filter((item) => item.info.pool === pool && item.isAssignable(now)),
       pool,
@@ -120,6 +121,42 @@
     expect(ordersAt(balancer, 20)).toEqual([]);
   });
 
+  it('moves a VM with a label to a long-running task that waits since the limit per worker is reached', () => {
+    const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+    const balancer = new PoolBalancer(scheduler, () => undefined);
+    scheduler.onConfig(config());
+    const infos = [
+      worker('a', { labels: ['big'] }),
+      worker('b'),
+      worker('s1', { pool: 'spare' }),
+      worker('s2', { labels: ['big'], pool: 'spare' }),
+    ];
+    for (const info of infos) {
+      scheduler.onWorkerRegistered(info, 0);
+    }
+    for (const id of ['a', 'b']) {
+      const known = scheduler.workers.get(id);
+      if (known !== undefined) {
+        scheduler.onReport(known, report(), 0, 0);
+      }
+    }
+    const lasting = step({ count: 2, longRunning: true, maxPerWorker: 1, requiredLabel: 'big' });
+    scheduler.onJob(job('j', [lasting]), [], 0, 0);
+    expect(scheduler.plan(0, 0).starts).toHaveLength(1);
+    const vms = infos.map(({ id, labels, pool }): VmInfo => ({
+      id: `vm-${id}`,
+      labels,
+      pool,
+      rack: 'r',
+      state: 'up',
+      workerId: id,
+      zone: 'z',
+    }));
+    balancer.onVms(vms, 5);
+    expect(ordersAt(balancer, 10)).toEqual([{ pool: 'p', vm: 'vm-s2' }]);
+    expect(ordersAt(balancer, 20)).toEqual([]);
+  });
+
   it('moves no VM with a label while a worker with that label has free capacity for the waiting tasks', () => {
     const { balancer, fleet } = createBalancer();
     fleet.add('busy', 'b2').info.labels = ['big'];
--- a/packages/core/tests/maintenance/support/rotation-simulation.ts
+++ b/packages/core/tests/maintenance/support/rotation-simulation.ts
@@ -116,6 +116,7 @@
     const open = this.#availableVms(pool).map((vm) => vm.worker);
     return {
       endingCpuMilli: reservedCpuMilli + waitingCpuMilli,
+      floorByLabel: new Map(),
       floor: 0,
       nearLabels: new Set(),
       open,
