fix(node): send no start order that no longer fits on its worker

What workers see: a start that brings a worker over its capacity. Where workers do not enforce their capacity, it runs.

Cause: free capacity was checked only when the order was planned. The order then waits for its record to be stored, for the link and for a connection. If the worker states a smaller capacity in that time, the order was sent all the same.

Change: a worker whose assigned tasks exceed its capacity gets no order to start. This is checked when an order's turn comes, and again when it is about to be written. The first check answers for the order like a refusal for lack of capacity, so its task is released at once, and the orders that fit then are still sent.

Both new tests failed before: four orders of one core were sent to a worker that had shrunk to two cores, and all four were allowed to be written to one that had shrunk to three.

--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -135,6 +135,17 @@
     );
   }
 
+  /** Whether the assigned tasks exceed the capacity, which may have become smaller since their assignment. */
+  get isOvercommitted(): boolean {
+    const { reserved } = this;
+    const { capacity } = this.info;
+    return (
+      reserved.cpuMilli > capacity.cpuMilli ||
+      reserved.memoryMb > capacity.memoryMb ||
+      reserved.gpus > capacity.gpus
+    );
+  }
+
   /** Unreserved processor time, in thousandths of a core. */
   get freeCpuMilli(): number {
     return this.info.capacity.cpuMilli - this.reserved.cpuMilli;
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -97,6 +97,11 @@
     if (!this.ctx.scheduler.isStartPending(order)) {
       return;
     }
+    // The worker's capacity may have become smaller while the order waited.
+    if (worker.isOvercommitted) {
+      this.ctx.scheduler.onStartAnswer(order, START_ANSWER.noCapacity, timers.mono());
+      return;
+    }
     // Leadership or the worker may have been lost while the order waited.
     const canSend = this.ctx.canExtendLeases() && !worker.isUnresponsive;
     const deadline = canSend ? worker.extendLease(timers.mono(), this.ctx.leaseMs) : undefined;
@@ -110,7 +115,7 @@
       deadline: deadline,
       epoch: this.ctx.epoch,
       limitMs: ORDER_TIMEOUT_MS,
-      maySend: () => this.ctx.canExtendLeases(),
+      maySend: () => this.ctx.canExtendLeases() && !worker.isOvercommitted,
       run,
       signal: this.signal,
       task: task.name,
