fix(core): start nothing on a worker beside runs that are not assigned to it

What workers see: a start that brings a worker over its capacity while it still stops a run, for example one of a job that was cancelled just before a change of leader.

Cause: the new leader drops the task records of ended jobs, so such a run is not in the worker's reserved capacity. The leader ordered it to stop, but took its capacity for free until then. What the run uses is not known any more, since the specification of an ended job is deleted.

Change: a worker that lists runs that are not assigned to it (orphans) gets no start until a report lists none; this also holds for orders that wait to be sent. The order to stop is repeated with each report until it is acknowledged, and logged once.

The stand-in of worker-loop.test.ts listed its task before the order to start it, which no worker does; that is now an orphan that never ends. It lists the task from the order on. No assertion changed.

--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -84,15 +84,16 @@
     this.ctx.log(DECISION.stopped, { reason, run: task.run, task: task.name, worker: worker.info.id });
   }
 
-  /** Orders a worker to stop an orphaned run. */
-  stopOrphan(worker: Worker, row: ReportedRun): void {
-    this.ctx.pending.stops.push({ run: row.run, task: row.task, worker });
-    this.ctx.log(DECISION.stopped, {
-      reason: 'not-assigned',
-      run: row.run,
-      task: row.task,
-      worker: worker.info.id,
-    });
+  /** Orders a worker to stop the orphaned runs of its newest report, until it has acknowledged that. */
+  stopOrphans(worker: Worker, rows: readonly ReportedRun[]): void {
+    for (const { run, task } of worker.orphans.update(rows)) {
+      this.ctx.log(DECISION.stopped, { reason: 'not-assigned', run, task, worker: worker.info.id });
+    }
+    for (const { run, task } of rows) {
+      if (!worker.orphans.isStopAcknowledged(task, run)) {
+        this.ctx.pending.stops.push({ run, task, worker });
+      }
+    }
   }
 
   /** Sends the unacknowledged stop orders of a worker again, because they may have been lost. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -171,9 +171,7 @@
     for (const task of findings.unconfirmed) {
       this.#runControl.stop(task, 'order-unanswered', now);
     }
-    for (const row of findings.orphans) {
-      this.#runControl.stopOrphan(worker, row);
-    }
+    this.#runControl.stopOrphans(worker, findings.orphans);
     for (const task of worker.runs.values()) {
       this.#runControl.reportRunning(task.job);
     }
@@ -237,6 +235,7 @@
   /** Records that a worker acknowledged an order to stop a run. */
   onStopAcknowledged(order: StopOrder, now: number): void {
     const task = order.worker.runs.get(order.task);
+    order.worker.orphans.acknowledgeStop(order.task, order.run);
     if (task?.run === order.run && task.phase === 'stopping') {
       task.stopAcknowledgedAt = now;
     }
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -1,5 +1,6 @@
 import type { Demand } from './job-spec';
 import type { Task } from './task';
+import { OrphanedRuns } from './orphaned-runs';
 
 /** Entry of a worker in the registry. */
 export interface WorkerInfo {
@@ -78,6 +79,7 @@
   /** Monotonic time of the newest report, in ms. */
   lastReportAt = -Infinity;
   info: WorkerInfo;
+  readonly orphans = new OrphanedRuns();
   /** Monotonic time after which no run assigned to the worker can still be running, in ms. */
   leaseEndsAt: number;
   /** Monotonic time before which no tasks are assigned, because of a refusal or a quarantine, in ms. */
@@ -123,7 +125,7 @@
     );
   }
 
-  /** Whether new tasks can be assigned at a monotonic time in ms. */
+  /** Whether new tasks can be assigned at a monotonic time in ms; what orphaned runs use is not known. */
   isAssignable(now: number): boolean {
     return (
       this.isFenced &&
@@ -131,15 +133,20 @@
       !this.isUnresponsive &&
       !this.isEvacuating &&
       !this.info.draining &&
+      this.orphans.size === 0 &&
       this.pausedUntil <= now
     );
   }
 
-  /** Whether the assigned tasks exceed the capacity, which may have become smaller since their assignment. */
+  /**
+   * Whether the assigned tasks exceed the capacity, which may have become smaller since their assignment, or
+   * may exceed it because of orphaned runs.
+   */
   get isOvercommitted(): boolean {
     const { reserved } = this;
     const { capacity } = this.info;
     return (
+      this.orphans.size > 0 ||
       reserved.cpuMilli > capacity.cpuMilli ||
       reserved.memoryMb > capacity.memoryMb ||
       reserved.gpus > capacity.gpus
@@ -187,6 +194,7 @@
     this.endsStored = 0;
     this.failuresInRow = 0;
     this.isEvacuating = false;
+    this.orphans.clear();
   }
 
   /**
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -85,6 +85,7 @@
       (!worker.isFenced ||
         worker.isUnresponsive ||
         worker.runs.size > 0 ||
+        worker.orphans.size > 0 ||
         worker.endsStored < worker.endsRead)
     );
   }
@@ -175,8 +176,10 @@
   }
 
   #hasStoppingRun(): boolean {
-    return [...this.worker.runs.values()].some(
-      (task) => task.phase === 'stopping' || task.phase === 'unconfirmed',
+    const { orphans, runs } = this.worker;
+    return (
+      orphans.size > 0 ||
+      [...runs.values()].some((task) => task.phase === 'stopping' || task.phase === 'unconfirmed')
     );
   }
 
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -16,9 +16,14 @@
 
 /** Worker that runs one task as long as its lease is extended, and whose answers are delayed. */
 class SlowWorker implements WorkerLink {
+  /** Run of a task that is not assigned to the worker; empty if there is none. */
+  orphan = '';
+  reports = 0;
   /** Time from the receipt of a request to its answer, without the wait that it asks for, in ms. */
   answerDelayMs = 5;
   disconnects = 0;
+  /** Whether the worker has received the order to start the task. */
+  hasStarted = false;
   #leaseEndsAt = Infinity;
 
   get hasLapsed(): boolean {
@@ -36,11 +41,17 @@
     if (call.deadline !== undefined && !this.hasLapsed) {
       this.#leaseEndsAt = call.deadline;
     }
+    this.reports += 1;
+    const orphans =
+      this.orphan === '' ? [] : [{ checkpoint: '', load: 0, percent: 50, run: 1, task: this.orphan }];
     const report = (): WorkerReport => ({
       bornAt: WORKER.bornAt,
       clockMs: performance.now(),
       ended: [],
-      running: this.hasLapsed ? [] : [{ checkpoint: '', load: 0, percent: 50, run: 1, task: TASK }],
+      running:
+        this.hasLapsed || !this.hasStarted
+          ? orphans
+          : [{ checkpoint: '', load: 0, percent: 50, run: 1, task: TASK }, ...orphans],
     });
     const isTimely = this.answerDelayMs <= call.limitMs;
     const answeredAfterMs = call.waitMs + Math.min(this.answerDelayMs, call.limitMs);
@@ -114,6 +125,7 @@
     }
     worker.extendLease(performance.now(), LEASE_MS);
     scheduler.onStartAnswer(order, 'started', performance.now());
+    link.current.hasStarted = true;
     loop.wakeUp();
     await vi.advanceTimersByTimeAsync(200);
   });
@@ -160,6 +172,26 @@
     expect(isHandled(scheduler.workers.get(WORKER.id))).toBe(true);
   });
 
+  it('asks a worker often until the runs that are not assigned to it have ended, so that it is used again', async () => {
+    const known = scheduler.workers.get(WORKER.id);
+    link.current.orphan = 'cancelled.0.0.0';
+    await vi.advanceTimersByTimeAsync(2000);
+    expect(known?.isAssignable(performance.now())).toBe(false);
+    scheduler.onCancel(JOB_ID, performance.now());
+    for (const order of scheduler.plan(performance.now(), 0).stops) {
+      scheduler.onStopAcknowledged(order, performance.now());
+    }
+    link.current.hasStarted = false;
+    await vi.advanceTimersByTimeAsync(2000);
+    expect(known?.runs.size).toBe(0);
+    const reports = link.current.reports;
+    await vi.advanceTimersByTimeAsync(1000);
+    expect(link.current.reports).toBeGreaterThan(reports + 10);
+    link.current.orphan = '';
+    await vi.advanceTimersByTimeAsync(200);
+    expect(known?.isAssignable(performance.now())).toBe(true);
+  });
+
   it('extends no lease while it is not permitted to', async () => {
     mayExtend = false;
     expect(await isRunKept(LEASE_MS + 1500)).toBe(false);
