fix(core): wait for the capacity that a restarted worker states

What workers see: after a restart under the same id as a smaller kind, starts that exceed the new capacity, until the registry shows the new entry.

Cause: a report shows a new incarnation before its registry entry arrives. The leader then used the capacity of the earlier incarnation.

Change: where workers do not enforce their capacity, a new incarnation that is known from its report only counts as one without capacity until its own entry states it. Workers that refuse what exceeds their capacity are used at once, as before.

'starts nothing on a new incarnation, known from its report, until it has stated its capacity' failed before: four tasks were started on a worker that then stated room for two. The other tests of worker-capacity.test.ts are new and passed before: a worker that becomes smaller and larger, runs that are being stopped, best-effort tasks and memory.

--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -1,4 +1,4 @@
-import type { FleetConfig, QueueConfig } from './fleet-config';
+import type { FleetConfig, PoolConfig, QueueConfig } from './fleet-config';
 import type { JobRun } from './job-run';
 import type { DecisionLog, Plan } from './scheduler-output';
 import type { Worker } from './worker';
@@ -72,6 +72,11 @@
     return pool;
   }
 
+  /** Returns the configuration of a pool; undefined if it is not configured. */
+  getPoolConfig(name: string): PoolConfig | undefined {
+    return this.#cfg?.pools.find((pool) => pool.name === name);
+  }
+
   /** Returns the configuration of the queue that accepted a job; undefined if it is not configured. */
   getQueueConfig(run: JobRun): QueueConfig | undefined {
     return this.#queues.get(run.job.queue);
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,6 +1,6 @@
 import type { AdviceLookup } from './assigner';
 import type { FleetConfig } from './fleet-config';
-import type { Job } from './job-spec';
+import type { Demand, Job } from './job-spec';
 import type { PoolLoad } from './pool-load';
 import type { PoolUse } from './pool-use';
 import type { TaskRecord } from './run-record';
@@ -28,6 +28,9 @@
 /** Placeholder for the `bornAt` of a worker that is known only from stored assignments. */
 const UNKNOWN_BORN_AT = 0;
 
+/** Capacity of a worker that has not stated any. */
+const NO_CAPACITY: Demand = { cpuMilli: 0, gpus: 0, memoryMb: 0 };
+
 /**
  * Decides which worker runs which task. Inputs are events with a monotonic time in ms; `plan` returns the
  * resulting records and orders. Only the scheduler of the current leader takes effect: its records are
@@ -153,7 +156,7 @@
       if (askedAt < worker.incarnationKnownAt) {
         return;
       }
-      this.#applyInfo(worker, { ...worker.info, bornAt: report.bornAt, draining: false }, now);
+      this.#applyInfo(worker, this.#entryOfIncarnation(worker.info, report.bornAt), now);
     }
     worker.updateClock(report.clockMs, now);
     worker.isUnresponsive = false;
@@ -328,6 +331,14 @@
     return this.#ctx.workers.get(worker.info.id) === worker;
   }
 
+  // A new incarnation may have a smaller capacity. One that does not refuse what exceeds it gets no tasks until its
+  // own entry states it.
+  #entryOfIncarnation(info: WorkerInfo, bornAt: number): WorkerInfo {
+    const refusesExcess = this.#ctx.getPoolConfig(info.pool)?.enforcesCapacity === true;
+    const keepsCapacity = refusesExcess || info.bornAt === UNKNOWN_BORN_AT;
+    return { ...info, bornAt, capacity: keepsCapacity ? info.capacity : NO_CAPACITY, draining: false };
+  }
+
   #removeIfIdle(worker: Worker): void {
     if (worker.isDeregistered && worker.runs.size === 0 && this.#isKept(worker)) {
       this.#ctx.workers.delete(worker.info.id);
@@ -402,7 +413,7 @@
     const info: WorkerInfo = {
       address: '',
       bornAt: UNKNOWN_BORN_AT,
-      capacity: { cpuMilli: 0, gpus: 0, memoryMb: 0 },
+      capacity: NO_CAPACITY,
       draining: true,
       id: record.workerId,
       labels: [],
--- /dev/null
+++ b/packages/core/tests/jobs/worker-capacity.test.ts
@@ -0,0 +1,113 @@
+import { describe, expect, it } from 'vitest';
+import type { Demand, Plan, StepSpec, Worker, WorkerReport } from '../../src/jobs';
+import { Scheduler, START_ANSWER } from '../../src/jobs';
+import { config, job, report, SCHEDULER_SETTINGS, step, worker } from './support/jobs';
+
+class Harness {
+  now = 100;
+  readonly scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+
+  constructor() {
+    const cfg = config();
+    this.scheduler.onConfig({
+      ...cfg,
+      pools: cfg.pools.map((pool) => ({ ...pool, enforcesCapacity: false })),
+    });
+    this.resize({});
+    this.report(report());
+  }
+
+  get worker(): Worker {
+    const found = this.scheduler.workers.get('a');
+    if (found === undefined) {
+      throw new Error('the worker is not known');
+    }
+    return found;
+  }
+
+  resize(capacity: Partial<Demand>, bornAt = 1): void {
+    const entry = worker('a', { bornAt });
+    this.scheduler.onWorkerRegistered({ ...entry, capacity: { ...entry.capacity, ...capacity } }, this.now);
+  }
+
+  report(parts: WorkerReport): void {
+    this.now += 10;
+    this.scheduler.onReport(this.worker, parts, this.now - 5, this.now);
+  }
+
+  submit(id: string, parts: Partial<StepSpec>): void {
+    this.scheduler.onJob(job(id, [step(parts)]), [], this.now, 0);
+  }
+
+  plan(): Plan {
+    this.now += 10;
+    this.scheduler.tick(this.now, this.now);
+    this.scheduler.requestAssignment();
+    const plan = this.scheduler.plan(this.now, this.now);
+    for (const order of plan.starts) {
+      this.scheduler.onStartAnswer(order, START_ANSWER.started, this.now);
+    }
+    return plan;
+  }
+}
+
+// Guards against starts beyond the capacity of a worker that becomes smaller and larger while it runs, and against
+// runs that are stopped and capacity that stays idle because of it.
+describe('Capacity of a worker', () => {
+  it('starts nothing on a worker whose runs exceed its capacity, stops none, and uses it again as it grows', () => {
+    const harness = new Harness();
+    harness.submit('j', { count: 6 });
+    expect(harness.plan().starts).toHaveLength(4);
+    harness.resize({ cpuMilli: 2000 });
+    harness.submit('fill', { demand: { cpuMilli: 100, gpus: 0, memoryMb: 10 }, fillsIdle: true });
+    harness.report(
+      report(
+        [0, 1, 2].map((index) => [`j.0.0.${index}`, 1]),
+        [[1, 'j.0.0.3', 1, 'done']],
+      ),
+    );
+    expect(harness.plan()).toMatchObject({ starts: [], stops: [] });
+    harness.resize({ cpuMilli: 5000 });
+    const names = harness.plan().starts.map((order) => order.task.name);
+    expect(names.sort()).toEqual(['fill.0.0.0', 'j.0.0.4', 'j.0.0.5']);
+  });
+
+  it('counts a run that is being stopped until the worker no longer lists it', () => {
+    const harness = new Harness();
+    harness.submit('j', { count: 4 });
+    harness.plan();
+    harness.scheduler.onCancel('j', harness.now);
+    harness.submit('k', { count: 4 });
+    const { starts, stops } = harness.plan();
+    expect([starts.length, stops.length]).toEqual([0, 4]);
+    for (const order of stops) {
+      harness.scheduler.onStopAcknowledged(order, harness.now);
+    }
+    harness.report(report([['j.0.0.0', 1]]));
+    expect(harness.plan().starts).toHaveLength(3);
+  });
+
+  it.each([
+    ['memory', { memoryMb: 250 }],
+    ['no memory', { memoryMb: 0 }],
+    ['negative memory', { memoryMb: -1 }],
+  ])('starts best-effort tasks only as far as the memory allows: %s', (_name, capacity) => {
+    const harness = new Harness();
+    harness.resize(capacity);
+    harness.submit('fill', {
+      count: 5,
+      demand: { cpuMilli: 9000, gpus: 0, memoryMb: 100 },
+      fillsIdle: true,
+    });
+    expect(harness.plan().starts).toHaveLength(Math.max(0, Math.floor(capacity.memoryMb / 100)));
+  });
+
+  it('starts nothing on a new incarnation, known from its report, until it has stated its capacity', () => {
+    const harness = new Harness();
+    harness.submit('j', { count: 4 });
+    harness.report(report([], [], 2));
+    expect(harness.plan().starts).toEqual([]);
+    harness.resize({ cpuMilli: 2000 }, 2);
+    expect(harness.plan().starts).toHaveLength(2);
+  });
+});
