fix(core): stop the members of a gang of which one could not start

What callers see: a gang that takes its timeout longer to run; its members end as `alone`.

Cause: when a worker refused a member of a gang, for example for lack of capacity, or a member was released for another reason, only that member was released. The others kept their capacity and waited for it until they ended by themselves. Orders that no longer fit when they are sent make that more frequent. Only the end of a member stopped the others.

Change: each release of a member stops the others, as its end does, so that the gang starts again together as soon as they have ended.

The new test failed before: no order to stop was given.

--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -1,4 +1,4 @@
-import type { JobRun } from './job-run';
+import type { JobRun, StepRun } from './job-run';
 import type { SchedulerContext } from './scheduler-context';
 import type { Task } from './task';
 import type { Worker } from './worker';
@@ -112,6 +112,16 @@
     task.applyEvent('release', now);
     this.storeTask(task);
     this.ctx.getOrCreatePool(task.job.job.pool).needsAssignment = true;
+    if (task.step.spec.gang) {
+      this.stopGang(task.step, now);
+    }
+  }
+
+  /** Stops the members of a gang that has lost one: the others would only wait for it. */
+  stopGang(step: StepRun, now: number): void {
+    for (const member of step.tasks) {
+      this.stop(member, 'gang-broken', now);
+    }
   }
 
   /** Adds the record of a task to the plan. */
--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -78,9 +78,7 @@
       this.#onFailure(task, worker, now);
     }
     if (task.step.spec.gang) {
-      for (const member of task.step.tasks) {
-        this.runControl.stop(member, 'gang-broken', now);
-      }
+      this.runControl.stopGang(task.step, now);
     }
   }
 
--- a/packages/core/tests/jobs/worker-capacity.test.ts
+++ b/packages/core/tests/jobs/worker-capacity.test.ts
@@ -111,3 +111,24 @@
     expect(harness.plan().starts).toHaveLength(2);
   });
 });
+
+// Guards against members of a gang that wait in vain for one that did not start.
+describe('Capacity of the workers of a gang', () => {
+  it('stops the other members of a gang when an order for one of them is refused', () => {
+    const harness = new Harness();
+    harness.scheduler.onJob(job('g', [step({ count: 3, gang: true })]), [], harness.now, 0);
+    const { starts } = harness.scheduler.plan(harness.now, harness.now);
+    starts.forEach((order, index) => {
+      const answer = index === 1 ? START_ANSWER.noCapacity : START_ANSWER.started;
+      harness.scheduler.onStartAnswer(order, answer, harness.now);
+    });
+    const { stops } = harness.plan();
+    expect(stops.map((order) => order.task)).toEqual(['g.0.0.0', 'g.0.0.2']);
+    for (const order of stops) {
+      harness.scheduler.onStopAcknowledged(order, harness.now);
+    }
+    harness.now += 1000;
+    harness.report(report());
+    expect(harness.plan().starts.map((order) => order.run)).toEqual([2, 2, 2]);
+  });
+});
