fix(core): count what each worker of a pool can run when sizing the pool

What callers see: tasks wait in a pool while other pools have idle VMs.

Cause: the need of a pool was computed as if all its workers had the capacity of the largest one. If some have shrunk, or are of a smaller kind, the pool was taken for large enough. If all have shrunk to nothing, its need was computed as zero.

Change: the workers for the assigned and waiting work are counted by their own capacities, the largest first; what exceeds all of them needs further workers like the largest, or like those of other pools if the pool has no capacity left. For a pool of equal workers the result is as before.

Both new tests failed before: no VM was moved to a pool with 8 cores of work and workers of 4, 0.5, 0.5 and 0.5 cores, nor to one with 3 cores of work and three workers without capacity.

--- a/packages/core/src/maintenance/pool-needs.ts
+++ b/packages/core/src/maintenance/pool-needs.ts
@@ -43,6 +43,9 @@
 /** Share of a worker's CPU capacity that tasks of different sizes can fill. */
 const USABLE_CPU_SHARE = 0.85;
 
+/** Allowance for the rounding of sums, in thousandths of a core. */
+const ROUNDING_ALLOWANCE_CPU_MILLI = 0.001;
+
 /** Workers that a pool keeps in addition to its need. */
 const HEADROOM_WORKERS = 1;
 
@@ -83,7 +86,7 @@
 
   #computeNeed(load: PoolLoad, pools: readonly string[], inputs: NeedInputs): PoolNeed {
     const usedCpuMilli = load.reservedCpuMilli + load.waitingCpuMilli;
-    const busy = Math.ceil(usedCpuMilli / usableCpuMilli(load, inputs));
+    const busy = countWorkersFor(usedCpuMilli, load, inputs);
     const workers = load.open.length + inputs.arriving(load.pool);
     const neededForWork = Math.max(busy, load.floor, this.#workersForPeak(load, pools, inputs));
     const required = Math.max(busy + HEADROOM_WORKERS, neededForWork);
@@ -157,9 +160,26 @@
   return [...values].reduce((total, value) => total + value, 0);
 }
 
-// A pool without workers is assumed to get workers like those of the other pools.
+// The workers of a pool may differ, also because the capacity of some has become smaller. The largest are counted
+// first; what exceeds all of them needs further workers.
+function countWorkersFor(usedCpuMilli: number, load: PoolLoad, inputs: NeedInputs): number {
+  const capacities = load.open.map((worker) => worker.info.capacity.cpuMilli).sort((a, b) => b - a);
+  let uncovered = usedCpuMilli - ROUNDING_ALLOWANCE_CPU_MILLI;
+  let count = 0;
+  for (const capacity of capacities) {
+    if (uncovered <= 0) {
+      return count;
+    }
+    uncovered -= USABLE_CPU_SHARE * Math.max(0, capacity);
+    count += 1;
+  }
+  return count + Math.ceil(Math.max(0, uncovered) / usableCpuMilli(load, inputs));
+}
+
+// A pool without workers, or whose workers have no capacity left, is assumed to get workers like those of the others.
 function usableCpuMilli(load: PoolLoad, inputs: NeedInputs): number {
   const capacities = load.open.map((worker) => worker.info.capacity.cpuMilli);
-  const perWorker = capacities.length === 0 ? inputs.defaultWorkerCpuMilli : Math.max(...capacities);
+  const largest = Math.max(0, ...capacities);
+  const perWorker = largest > 0 ? largest : inputs.defaultWorkerCpuMilli;
   return perWorker > 0 ? USABLE_CPU_SHARE * perWorker : Infinity;
 }
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -100,6 +100,27 @@
     );
   });
 
+  it('does not take a pool for large enough because one of its workers is larger than the others', () => {
+    const { balancer, fleet } = createBalancer();
+    for (const id of ['b2', 'b3', 'b4']) {
+      fleet.add('busy', id).info.capacity = { cpuMilli: 500, gpus: 0, memoryMb: 1000 };
+    }
+    balancer.onVms(fleet.vms, 5);
+    fleet.waiting.set('busy', 8000);
+    expect(ordersAt(balancer, 10).map((order) => order.pool)).toEqual(['busy']);
+  });
+
+  it('does not count workers whose capacity has shrunk to nothing', () => {
+    const { balancer, fleet } = createBalancer();
+    for (const id of ['b1', 'b2', 'b3']) {
+      const shrunk = fleet.workers.get(id) ?? fleet.add('busy', id);
+      shrunk.info.capacity = { cpuMilli: 0, gpus: 0, memoryMb: 0 };
+    }
+    balancer.onVms(fleet.vms, 5);
+    fleet.waiting.set('busy', 3000);
+    expect(ordersAt(balancer, 10).map((order) => order.pool)).toEqual(['busy']);
+  });
+
   it('assumes workers like those of other pools for a pool without workers', () => {
     const { balancer, fleet } = createBalancer();
     fleet.workers.get('b1')?.runs.clear();
