feat(core): log when the capacity of a worker changes

The leader uses a changed capacity from the next plan on, but no log line said so: a start that is refused or held back for lack of capacity could not be told from one that followed from a wrong belief. `worker-resized` says the capacity before and after, and what is reserved at that time, once for each change. The test failed before, since nothing was logged.

--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -55,6 +55,7 @@
   workerQuarantined: 'worker-paused',
   workerRemoved: 'worker-removed',
   workerReplaced: 'worker-replaced',
+  workerResized: 'worker-resized',
   workerRestarted: 'worker-restarted',
 } as const;
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -368,6 +368,7 @@
     }
     worker.isDeregistered = false;
     if (!restarted) {
+      this.#logResize(worker, info);
       worker.info = info;
       return;
     }
@@ -381,6 +382,16 @@
     }
   }
 
+  #logResize({ info: { capacity: before }, reserved }: Worker, { capacity, id }: WorkerInfo): void {
+    if (
+      capacity.cpuMilli !== before.cpuMilli ||
+      capacity.memoryMb !== before.memoryMb ||
+      capacity.gpus !== before.gpus
+    ) {
+      this.#ctx.log(DECISION.workerResized, { before, capacity, reserved: { ...reserved }, worker: id });
+    }
+  }
+
   #pauseAfterRefusal(worker: Worker, answer: StartAnswer, now: number): void {
     const pauseMs =
       answer === START_ANSWER.noCapacity ? this.#ctx.settings.roomPauseMs : this.#ctx.settings.refusedPauseMs;
--- a/packages/core/tests/jobs/worker-capacity.test.ts
+++ b/packages/core/tests/jobs/worker-capacity.test.ts
@@ -4,8 +4,9 @@
 import { config, job, report, SCHEDULER_SETTINGS, step, worker } from './support/jobs';
 
 class Harness {
+  readonly decisions: string[] = [];
   now = 100;
-  readonly scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+  readonly scheduler = new Scheduler(SCHEDULER_SETTINGS, (decision) => this.decisions.push(decision));
 
   constructor() {
     const cfg = config();
@@ -87,6 +88,15 @@
     expect(harness.plan().starts).toHaveLength(3);
   });
 
+  it('logs each change of the capacity once', () => {
+    const harness = new Harness();
+    harness.resize({});
+    harness.resize({ cpuMilli: 2000 });
+    harness.resize({ cpuMilli: 2000 });
+    harness.resize({ memoryMb: 10 });
+    expect(harness.decisions.filter((decision) => decision === 'worker-resized')).toHaveLength(2);
+  });
+
   it.each([
     ['memory', { memoryMb: 250 }],
     ['no memory', { memoryMb: 0 }],
