--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,13 +1,13 @@
 import type { AdviceLookup } from './assigner';
 import type { FleetConfig } from './fleet-config';
-import type { Demand, Job } from './job-spec';
+import type { Job } from './job-spec';
 import type { PoolLoad } from './pool-load';
 import type { PoolUse } from './pool-use';
 import type { TaskRecord } from './run-record';
 import type { SchedulerSettings } from './scheduler-context';
 import type { DecisionLog, Plan, StartOrder, StopOrder } from './scheduler-output';
 import type { Task } from './task';
-import type { WorkerInfo } from './worker';
+import type { Worker, WorkerInfo } from './worker';
 import type { StartAnswer, WorkerReport } from './worker-report';
 import { Assigner } from './assigner';
 import { JobRun } from './job-run';
@@ -21,16 +21,10 @@
 import { findRunsToMove, findStalledRuns } from './stalled-runs';
 import { parseTaskName } from './task-name';
 import { throttleBestEffortTasks } from './throttle';
-import { Worker } from './worker';
+import { WorkerDirectory } from './worker-directory';
 import { WorkerLossHandler } from './worker-loss-handler';
 import { START_ANSWER } from './worker-report';
 
-/** Placeholder for the `bornAt` of a worker that is known only from stored assignments. */
-const UNKNOWN_BORN_AT = 0;
-
-/** Capacity of a worker that has not stated any. */
-const NO_CAPACITY: Demand = { cpuMilli: 0, gpus: 0, memoryMb: 0 };
-
 /**
  * Decides which worker runs which task. Inputs are events with a monotonic time in ms; `plan` returns the
  * resulting records and orders. Only the scheduler of the current leader takes effect: its records are
@@ -38,6 +32,7 @@
  */
 export class Scheduler {
   readonly #assigner: Assigner;
+  readonly #directory: WorkerDirectory;
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
   readonly #runEnds: RunEndHandler;
@@ -48,6 +43,7 @@
     this.#runControl = new RunControl(this.#ctx);
     this.#runEnds = new RunEndHandler(this.#ctx, this.#runControl);
     this.#workerLosses = new WorkerLossHandler(this.#ctx, this.#runControl);
+    this.#directory = new WorkerDirectory(this.#ctx, this.#workerLosses);
     this.#assigner = new Assigner(this.#ctx, this.#runControl, advice);
   }
 
@@ -107,26 +103,12 @@
 
   /** Adds or updates a worker from its entry in the registry. */
   onWorkerRegistered(info: WorkerInfo, now: number): void {
-    const known = this.#ctx.workers.get(info.id);
-    if (known === undefined) {
-      const worker = new Worker(info, now);
-      this.#ctx.workers.set(info.id, worker);
-      this.#ctx.getOrCreatePool(info.pool).workers.add(worker);
-      this.#ctx.log(DECISION.workerFound, { bornAt: info.bornAt, pool: info.pool, worker: info.id });
-      return;
-    }
-    this.#updateWorker(known, info, now);
+    this.#directory.register(info, now);
   }
 
   /** Handles the removal of a worker from the registry. */
   onWorkerDeregistered(id: string): void {
-    const worker = this.#ctx.workers.get(id);
-    if (worker === undefined || worker.isDeregistered) {
-      return;
-    }
-    worker.isDeregistered = true;
-    this.#ctx.log(DECISION.workerRemoved, { runs: worker.runs.size, worker: id });
-    this.#removeIfIdle(worker);
+    this.#directory.deregister(id);
   }
 
   /**
@@ -134,7 +116,7 @@
    * VM later, so its own reports or the end of its lease decide about them.
    */
   onWorkerEnded(worker: Worker): void {
-    if (!this.#isKept(worker)) {
+    if (!this.#directory.isKept(worker)) {
       return;
     }
     if (worker.runs.size > 0) {
@@ -143,21 +125,14 @@
     }
     worker.isEvacuating = true;
     worker.isDeregistered = true;
-    this.#removeIfIdle(worker);
+    this.#directory.removeIfIdle(worker);
   }
 
   /** Applies a report of a worker that was requested at the monotonic time `askedAt`, in ms. */
   onReport(worker: Worker, report: WorkerReport, askedAt: number, now: number): void {
-    if (!this.#isKept(worker)) {
+    if (!this.#directory.applyReportedIncarnation(worker, report, askedAt, now)) {
       return;
     }
-    if (report.bornAt !== worker.info.bornAt) {
-      // A report that was requested before the current incarnation became known may be of an earlier one.
-      if (askedAt < worker.incarnationKnownAt) {
-        return;
-      }
-      this.#applyInfo(worker, this.#entryOfIncarnation(worker.info, report.bornAt), now);
-    }
     worker.updateClock(report.clockMs, now);
     worker.isUnresponsive = false;
     worker.disconnection = undefined;
@@ -180,7 +155,7 @@
     }
     this.#throttle(worker);
     this.#ctx.getOrCreatePool(worker.info.pool).needsAssignment = true;
-    this.#removeIfIdle(worker);
+    this.#directory.removeIfIdle(worker);
   }
 
   /** Marks a worker as unresponsive after a call without an answer. */
@@ -196,13 +171,13 @@
 
   /** Handles that another worker answers at the address of a worker, whose process has therefore ended. */
   onWorkerReplaced(worker: Worker, now: number): void {
-    if (!this.#isKept(worker)) {
+    if (!this.#directory.isKept(worker)) {
       return;
     }
     this.#ctx.log(DECISION.workerReplaced, { runs: worker.runs.size, worker: worker.info.id });
     worker.isDeregistered = true;
     this.#workerLosses.releaseAll(worker, 'worker-replaced', now);
-    this.#removeIfIdle(worker);
+    this.#directory.removeIfIdle(worker);
   }
 
   /** Whether an order to start a run still has to be sent. */
@@ -272,7 +247,7 @@
       // A responsive worker reports the outcome of its runs itself.
       if (now > worker.leaseEndsAt && (worker.isUnresponsive || worker.isDeregistered)) {
         this.#workerLosses.releaseExpired(worker, now);
-        this.#removeIfIdle(worker);
+        this.#directory.removeIfIdle(worker);
       }
       this.#moveStalledAndLeaving(worker, now);
     }
@@ -326,72 +301,6 @@
     }
   }
 
-  // A worker that was dropped may have been registered again under its id, as another object.
-  #isKept(worker: Worker): boolean {
-    return this.#ctx.workers.get(worker.info.id) === worker;
-  }
-
-  // A new incarnation may have a smaller capacity. One that does not refuse what exceeds it gets no tasks until its
-  // own entry states it.
-  #entryOfIncarnation(info: WorkerInfo, bornAt: number): WorkerInfo {
-    const refusesExcess = this.#ctx.getPoolConfig(info.pool)?.enforcesCapacity === true;
-    const keepsCapacity = refusesExcess || info.bornAt === UNKNOWN_BORN_AT;
-    return { ...info, bornAt, capacity: keepsCapacity ? info.capacity : NO_CAPACITY, draining: false };
-  }
-
-  #removeIfIdle(worker: Worker): void {
-    if (worker.isDeregistered && worker.runs.size === 0 && this.#isKept(worker)) {
-      this.#ctx.workers.delete(worker.info.id);
-      this.#ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
-    }
-  }
-
-  #updateWorker(worker: Worker, info: WorkerInfo, now: number): void {
-    if (info.bornAt === worker.previousBornAt) {
-      return;
-    }
-    if (info.bornAt < worker.info.bornAt) {
-      // Either an old entry or a new incarnation whose clock is behind: the next report tells which.
-      worker.info = { ...worker.info, address: info.address };
-      worker.isFenced = false;
-      return;
-    }
-    this.#applyInfo(worker, info, now);
-  }
-
-  #applyInfo(worker: Worker, info: WorkerInfo, now: number): void {
-    const isUnknown = worker.info.bornAt === UNKNOWN_BORN_AT;
-    const restarted = !isUnknown && info.bornAt !== worker.info.bornAt;
-    if (info.pool !== worker.info.pool) {
-      this.#ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
-      this.#ctx.getOrCreatePool(info.pool).workers.add(worker);
-    }
-    worker.isDeregistered = false;
-    if (!restarted) {
-      this.#logResize(worker, info);
-      worker.info = info;
-      return;
-    }
-    this.#ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
-    this.#workerLosses.releaseAfterRestart(worker, now);
-    worker.resetForRestart(info, now, this.#ctx.settings.maxLeaseMs);
-    worker.isFenced = false;
-    // The new incarnation has received no order to stop and would execute a delayed order to start.
-    for (const order of worker.unansweredOrders(now)) {
-      this.#ctx.pending.stops.push({ ...order, worker });
-    }
-  }
-
-  #logResize({ info: { capacity: before }, reserved }: Worker, { capacity, id }: WorkerInfo): void {
-    if (
-      capacity.cpuMilli !== before.cpuMilli ||
-      capacity.memoryMb !== before.memoryMb ||
-      capacity.gpus !== before.gpus
-    ) {
-      this.#ctx.log(DECISION.workerResized, { before, capacity, reserved: { ...reserved }, worker: id });
-    }
-  }
-
   #pauseAfterRefusal(worker: Worker, answer: StartAnswer, now: number): void {
     const pauseMs =
       answer === START_ANSWER.noCapacity ? this.#ctx.settings.roomPauseMs : this.#ctx.settings.refusedPauseMs;
@@ -403,40 +312,13 @@
   #restore(run: JobRun, records: readonly TaskRecord[], now: number): void {
     const tasks = new Map([...run.tasks()].map((task) => [task.name, task]));
     for (const record of records) {
-      tasks.get(record.task)?.restore(record, this.#findOrAddWorker(record), now);
+      tasks.get(record.task)?.restore(record, this.#directory.findOrAdd(record), now);
       run.runningReported = true;
     }
     for (const task of run.tasks()) {
       this.#runControl.failIfExhausted(task, now);
     }
   }
-
-  // A worker that is not in the registry may still run its assigned tasks.
-  #findOrAddWorker(record: TaskRecord): Worker | undefined {
-    if (record.state !== 'assigned') {
-      return undefined;
-    }
-    const known = this.#ctx.workers.get(record.workerId);
-    if (known !== undefined) {
-      known.leaseEndsAt = Math.max(known.leaseEndsAt, this.#ctx.settings.earlierLeasesEndAt);
-      return known;
-    }
-    const info: WorkerInfo = {
-      address: '',
-      bornAt: UNKNOWN_BORN_AT,
-      capacity: NO_CAPACITY,
-      draining: true,
-      id: record.workerId,
-      labels: [],
-      pool: '',
-      rack: '',
-      zone: '',
-    };
-    const worker = new Worker(info, this.#ctx.settings.earlierLeasesEndAt);
-    worker.isDeregistered = true;
-    this.#ctx.workers.set(info.id, worker);
-    return worker;
-  }
 }
 
 // Returns the highest number of an occurrence of which a record exists; -1 if there is none.
--- /dev/null
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -0,0 +1,162 @@
+import type { Demand } from './job-spec';
+import type { TaskRecord } from './run-record';
+import type { SchedulerContext } from './scheduler-context';
+import type { WorkerInfo } from './worker';
+import type { WorkerLossHandler } from './worker-loss-handler';
+import type { WorkerReport } from './worker-report';
+import { DECISION } from './scheduler-output';
+import { Worker } from './worker';
+
+/** Placeholder for the `bornAt` of a worker that is known only from stored assignments. */
+const UNKNOWN_BORN_AT = 0;
+
+/** Capacity of a worker that has not stated any. */
+const NO_CAPACITY: Demand = { cpuMilli: 0, gpus: 0, memoryMb: 0 };
+
+/** Keeps the workers and their incarnations, from the registry, their reports and stored assignments. */
+export class WorkerDirectory {
+  constructor(
+    private readonly ctx: SchedulerContext,
+    private readonly losses: WorkerLossHandler,
+  ) {}
+
+  /** Adds or updates a worker from its entry in the registry. */
+  register(info: WorkerInfo, now: number): void {
+    const known = this.ctx.workers.get(info.id);
+    if (known === undefined) {
+      const worker = new Worker(info, now);
+      this.ctx.workers.set(info.id, worker);
+      this.ctx.getOrCreatePool(info.pool).workers.add(worker);
+      this.ctx.log(DECISION.workerFound, { bornAt: info.bornAt, pool: info.pool, worker: info.id });
+      return;
+    }
+    this.#update(known, info, now);
+  }
+
+  /** Handles the removal of a worker from the registry. */
+  deregister(id: string): void {
+    const worker = this.ctx.workers.get(id);
+    if (worker === undefined || worker.isDeregistered) {
+      return;
+    }
+    worker.isDeregistered = true;
+    this.ctx.log(DECISION.workerRemoved, { runs: worker.runs.size, worker: id });
+    this.removeIfIdle(worker);
+  }
+
+  /**
+   * Applies a restart that a report shows. Returns false if the report is not of the current incarnation of a known
+   * worker; it was requested at the monotonic time `askedAt`, in ms.
+   */
+  applyReportedIncarnation(worker: Worker, report: WorkerReport, askedAt: number, now: number): boolean {
+    if (!this.isKept(worker)) {
+      return false;
+    }
+    if (report.bornAt === worker.info.bornAt) {
+      return true;
+    }
+    // A report that was requested before the current incarnation became known may be of an earlier one.
+    if (askedAt < worker.incarnationKnownAt) {
+      return false;
+    }
+    this.#applyInfo(worker, this.#entryOfIncarnation(worker.info, report.bornAt), now);
+    return true;
+  }
+
+  /**
+   * Returns the worker of a stored assignment; undefined if the task is not assigned. A worker that is not in the
+   * registry may still run its tasks.
+   */
+  findOrAdd(record: TaskRecord): Worker | undefined {
+    if (record.state !== 'assigned') {
+      return undefined;
+    }
+    const known = this.ctx.workers.get(record.workerId);
+    if (known !== undefined) {
+      known.leaseEndsAt = Math.max(known.leaseEndsAt, this.ctx.settings.earlierLeasesEndAt);
+      return known;
+    }
+    const info: WorkerInfo = {
+      address: '',
+      bornAt: UNKNOWN_BORN_AT,
+      capacity: NO_CAPACITY,
+      draining: true,
+      id: record.workerId,
+      labels: [],
+      pool: '',
+      rack: '',
+      zone: '',
+    };
+    const worker = new Worker(info, this.ctx.settings.earlierLeasesEndAt);
+    worker.isDeregistered = true;
+    this.ctx.workers.set(info.id, worker);
+    return worker;
+  }
+
+  /** Whether a worker is known; one that was dropped may have been registered again under its id, as another object. */
+  isKept(worker: Worker): boolean {
+    return this.ctx.workers.get(worker.info.id) === worker;
+  }
+
+  /** Removes a worker that is no longer in the registry once it has no runs. */
+  removeIfIdle(worker: Worker): void {
+    if (worker.isDeregistered && worker.runs.size === 0 && this.isKept(worker)) {
+      this.ctx.workers.delete(worker.info.id);
+      this.ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
+    }
+  }
+
+  #update(worker: Worker, info: WorkerInfo, now: number): void {
+    if (info.bornAt === worker.previousBornAt) {
+      return;
+    }
+    if (info.bornAt < worker.info.bornAt) {
+      // Either an old entry or a new incarnation whose clock is behind: the next report tells which.
+      worker.info = { ...worker.info, address: info.address };
+      worker.isFenced = false;
+      return;
+    }
+    this.#applyInfo(worker, info, now);
+  }
+
+  #applyInfo(worker: Worker, info: WorkerInfo, now: number): void {
+    const isUnknown = worker.info.bornAt === UNKNOWN_BORN_AT;
+    const restarted = !isUnknown && info.bornAt !== worker.info.bornAt;
+    if (info.pool !== worker.info.pool) {
+      this.ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
+      this.ctx.getOrCreatePool(info.pool).workers.add(worker);
+    }
+    worker.isDeregistered = false;
+    if (!restarted) {
+      this.#logResize(worker, info);
+      worker.info = info;
+      return;
+    }
+    this.ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
+    this.losses.releaseAfterRestart(worker, now);
+    worker.resetForRestart(info, now, this.ctx.settings.maxLeaseMs);
+    worker.isFenced = false;
+    // The new incarnation has received no order to stop and would execute a delayed order to start.
+    for (const order of worker.unansweredOrders(now)) {
+      this.ctx.pending.stops.push({ ...order, worker });
+    }
+  }
+
+  // A new incarnation may have a smaller capacity. One that does not refuse what exceeds it gets no tasks until its
+  // own entry states it.
+  #entryOfIncarnation(info: WorkerInfo, bornAt: number): WorkerInfo {
+    const refusesExcess = this.ctx.getPoolConfig(info.pool)?.enforcesCapacity === true;
+    const keepsCapacity = refusesExcess || info.bornAt === UNKNOWN_BORN_AT;
+    return { ...info, bornAt, capacity: keepsCapacity ? info.capacity : NO_CAPACITY, draining: false };
+  }
+
+  #logResize({ info: { capacity: before }, reserved }: Worker, { capacity, id }: WorkerInfo): void {
+    if (
+      capacity.cpuMilli !== before.cpuMilli ||
+      capacity.memoryMb !== before.memoryMb ||
+      capacity.gpus !== before.gpus
+    ) {
+      this.ctx.log(DECISION.workerResized, { before, capacity, reserved: { ...reserved }, worker: id });
+    }
+  }
+}
