feat: say in the log why a task waits although its pool has room

The leader writes a line a second at most for each pool with tasks that have waited for over 2 s with room for them: the one that has waited longest, and for each worker why it is not used. A gauge counts such tasks. Decisions do not change: the reasons come from the functions that decide (Worker.closure, findMisfit).

The simulated cluster checks in every scenario that each such task has a reason on each worker of its pool, and that no job with room has nothing running for over 3 s after 4 calm seconds.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -26,6 +26,8 @@
 
 /** Assigns waiting tasks to workers with enough free capacity. */
 export class Assigner {
+  readonly #lastAdvice = new WeakMap<StepRun, AllowedWorkers>();
+
   constructor(
     private readonly ctx: SchedulerContext,
     private readonly runControl: RunControl,
@@ -54,9 +56,15 @@
     }
   }
 
+  /** Returns the workers that could run a step when its tasks were last assigned. */
+  lastAllowedWorkers(step: StepRun): AllowedWorkers {
+    return this.#lastAdvice.get(step);
+  }
+
   #assignStep(run: JobRun, step: StepRun, { starts, workers }: PoolWorkers, now: number): void {
     const queue = this.ctx.getQueueConfig(run);
     const allowed = queue?.advice === undefined ? undefined : this.findAllowedWorkers(queue, step, workers);
+    this.#lastAdvice.set(step, allowed);
     if (allowed?.size === 0) {
       return;
     }
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -24,5 +24,7 @@
 export * from './scheduler-output';
 export * from './task';
 export * from './task-name';
+export * from './waiting-tasks';
 export * from './worker';
+export * from './worker-closure';
 export * from './worker-report';
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -1,4 +1,5 @@
 import type { StepRun } from './job-run';
+import type { Demand } from './job-spec';
 import type { Task } from './task';
 import type { Worker } from './worker';
 
@@ -27,6 +28,25 @@
 /** Ids of the workers that may run a step; undefined if every worker may. */
 export type AllowedWorkers = ReadonlySet<string> | undefined;
 
+/** Reasons why a task can't be placed on a worker to which tasks can be assigned, as they appear in the log. */
+export const MISFIT = {
+  label: 'no-label',
+  limitPerWorker: 'limit-per-worker',
+  noAccelerators: 'no-room-accelerators',
+  noCpu: 'no-room-cpu',
+  noMemory: 'no-room-memory',
+  noPermit: 'no-permit',
+} as const;
+
+/** Reason why a task can't be placed on a worker. */
+export type Misfit = (typeof MISFIT)[keyof typeof MISFIT];
+
+const MISFIT_BY_RESOURCE: Readonly<Record<keyof Demand, Misfit>> = {
+  cpuMilli: MISFIT.noCpu,
+  gpus: MISFIT.noAccelerators,
+  memoryMb: MISFIT.noMemory,
+};
+
 /** Returns the worker with the highest score for a task; undefined if none is eligible. */
 export function chooseWorker(
   task: Task,
@@ -36,7 +56,7 @@
   let best: Worker | undefined;
   let bestScore = -Infinity;
   for (const worker of workers) {
-    if (!isEligible(task, worker, allowed)) {
+    if (findMisfit(task, worker, allowed) !== undefined) {
       continue;
     }
     const score = scoreWorker(task, worker);
@@ -69,14 +89,22 @@
   return chosen.size === step.tasks.length ? chosen : undefined;
 }
 
-function isEligible(task: Task, worker: Worker, allowed: AllowedWorkers): boolean {
+/** Returns why a task can't be placed on a worker; undefined if it can. */
+export function findMisfit(task: Task, worker: Worker, allowed: AllowedWorkers): Misfit | undefined {
   const { maxPerWorker, requiredLabel } = task.step.spec;
-  return (
-    worker.hasCapacityFor(task) &&
-    (allowed === undefined || allowed.has(worker.info.id)) &&
-    (requiredLabel === '' || worker.info.labels.includes(requiredLabel)) &&
-    (maxPerWorker === 0 || countStepTasksOnWorker(task, worker) < maxPerWorker)
-  );
+  const missing = worker.missingResource(task);
+  if (missing !== undefined) {
+    return MISFIT_BY_RESOURCE[missing];
+  }
+  if (allowed?.has(worker.info.id) === false) {
+    return MISFIT.noPermit;
+  }
+  if (requiredLabel !== '' && !worker.info.labels.includes(requiredLabel)) {
+    return MISFIT.label;
+  }
+  return maxPerWorker > 0 && countStepTasksOnWorker(task, worker) >= maxPerWorker
+    ? MISFIT.limitPerWorker
+    : undefined;
 }
 
 function scoreWorker(task: Task, worker: Worker): number {
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,5 +1,6 @@
 import type { AdviceLookup } from './assigner';
 import type { FleetConfig } from './fleet-config';
+import type { StepRun } from './job-run';
 import type { Job } from './job-spec';
 import type { PoolLoad } from './pool-load';
 import type { PoolUse } from './pool-use';
@@ -7,6 +8,7 @@
 import type { SchedulerSettings } from './scheduler-context';
 import type { DecisionLog, Plan, StartOrder, StopOrder } from './scheduler-output';
 import type { Task } from './task';
+import type { WaitingReport } from './waiting-tasks';
 import type { Worker, WorkerInfo } from './worker';
 import type { StartAnswer, WorkerReport } from './worker-report';
 import { Assigner } from './assigner';
@@ -21,6 +23,7 @@
 import { findRunsToMove, findStalledRuns } from './stalled-runs';
 import { parseTaskName } from './task-name';
 import { throttleBestEffortTasks } from './throttle';
+import { WaitingTasks } from './waiting-tasks';
 import { WorkerDirectory } from './worker-directory';
 import { WorkerLossHandler } from './worker-loss-handler';
 import { START_ANSWER } from './worker-report';
@@ -33,9 +36,11 @@
 export class Scheduler {
   readonly #assigner: Assigner;
   readonly #directory: WorkerDirectory;
+  #isAssignmentPaused = false;
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
   readonly #runEnds: RunEndHandler;
+  readonly #waitingTasks = new WaitingTasks();
   readonly #workerLosses: WorkerLossHandler;
 
   constructor(settings: SchedulerSettings, log: DecisionLog, advice: AdviceLookup = () => new Set()) {
@@ -71,6 +76,19 @@
       .map(({ name }) => computePoolUse(name, this.#ctx.getOrCreatePool(name)));
   }
 
+  /**
+   * Returns the tasks that have waited long at a monotonic time in ms although their pool has room for them, by
+   * pool, and the reasons. Waiting times are counted from the first of these calls that finds a task ready.
+   */
+  waitingWithRoom(now: number): WaitingReport[] {
+    const state = {
+      allowedWorkers: (step: StepRun) => this.#assigner.lastAllowedWorkers(step),
+      isPaused: this.#isAssignmentPaused,
+      maxAttempts: (run: JobRun) => this.#ctx.getQueueConfig(run)?.maxAttempts,
+    };
+    return this.#waitingTasks.report(this.#ctx.pools, state, now);
+  }
+
   /** Applies a configuration. */
   onConfig(cfg: FleetConfig): void {
     this.#ctx.cfg = cfg;
@@ -124,6 +142,7 @@
       return;
     }
     worker.isEvacuating = true;
+    worker.evacuatedFor = 'its VM was taken';
     worker.isDeregistered = true;
     this.#directory.removeIfIdle(worker);
   }
@@ -263,6 +282,7 @@
    * `assign` is false, for example because the store is too slow for new assignments.
    */
   plan(now: number, wallNow: number, assign = true): Plan {
+    this.#isAssignmentPaused = !assign;
     for (const pool of this.#ctx.pools.values()) {
       if (pool.needsAssignment && assign) {
         pool.needsAssignment = false;
--- /dev/null
+++ b/packages/core/src/jobs/waiting-tasks.ts
@@ -0,0 +1,210 @@
+import type { JobRun, StepRun } from './job-run';
+import type { Demand } from './job-spec';
+import type { AllowedWorkers, Misfit } from './placement';
+import type { PoolState } from './pool-state';
+import type { Task } from './task';
+import type { Worker } from './worker';
+import type { CLOSURE } from './worker-closure';
+import { findMisfit } from './placement';
+import { computePoolUse } from './pool-use';
+import { isIsolating, isStartingTasks } from './worker-crash';
+
+/** Reasons why a task with room on an open worker is not assigned to it, as they appear in the log. */
+export const HOLD = {
+  /** The store is too slow for new assignments. */
+  assignmentPaused: 'assignment-paused',
+  /** The members of a gang start together, and not all of them fit. */
+  gang: 'gang',
+  /** A task that may crash workers starts alone on the worker. */
+  isolated: 'isolated',
+  /** Nothing prevents the assignment. */
+  none: 'none',
+  /** The assignment is due and has not been made yet. */
+  planDue: 'plan-due',
+  /** The task may crash workers and starts alone, but the worker starts others. */
+  startsOthers: 'starts-others',
+} as const;
+
+/** Reason why a worker does not run a waiting task. */
+export type WaitingReason =
+  (typeof CLOSURE)[keyof typeof CLOSURE] | (typeof HOLD)[keyof typeof HOLD] | Misfit;
+
+/** Why a worker does not run a waiting task. */
+export interface WorkerObstacle {
+  /** What a closed worker is emptied for, the number of its orphaned runs, or the rest of its pause in ms. */
+  detail?: number | string;
+  reason: WaitingReason;
+  worker: string;
+}
+
+/** Tasks of a pool that wait although the pool has room for them, with the reasons of the longest-waiting one. */
+export interface WaitingReport {
+  /** Number of workers of the pool by reason. */
+  byReason: Partial<Record<WaitingReason, number>>;
+  /** Number of tasks that wait so. */
+  count: number;
+  demand: Demand;
+  failures: number;
+  /** Number of failed runs that the queue allows; undefined if the queue is not configured. */
+  limit: number | undefined;
+  pool: string;
+  /** Number of the newest run; 0 before the first. */
+  run: number;
+  task: string;
+  waitedMs: number;
+  /** Workers with room first, at most `MAX_NAMED_WORKERS`. */
+  workers: WorkerObstacle[];
+}
+
+/** State of the assignment that explains why tasks wait. */
+export interface AssignmentState {
+  /** Returns the workers that may run a step according to the last advice. */
+  allowedWorkers: (step: StepRun) => AllowedWorkers;
+  /** Whether assignments are paused because the store is slow. */
+  isPaused: boolean;
+  maxAttempts: (run: JobRun) => number | undefined;
+}
+
+/** Time for which a task waits before it is reported, in ms. */
+export const WAITING_REPORT_AFTER_MS = 2000;
+
+/** Most workers that a report names. */
+const MAX_NAMED_WORKERS = 10;
+
+/** Share of the reserved processor time below which a pool counts as having room, whatever its single workers have. */
+const MOSTLY_FREE_SHARE = 0.5;
+
+interface LongWaitingTask {
+  task: Task;
+  waitedMs: number;
+}
+
+/** Finds tasks that wait although their pool has room for them, and explains why they wait. */
+export class WaitingTasks {
+  #readySince = new Map<StepRun, number>();
+
+  /** Returns a report for each pool with such tasks at a monotonic time in ms. */
+  report(pools: ReadonlyMap<string, PoolState>, state: AssignmentState, now: number): WaitingReport[] {
+    const reports: WaitingReport[] = [];
+    const readySince = new Map<StepRun, number>();
+    for (const [name, pool] of pools) {
+      const waiting = this.#findWithRoom(name, pool, readySince, now);
+      const longest = waiting.toSorted((a, b) => b.waitedMs - a.waitedMs)[0];
+      if (longest !== undefined) {
+        reports.push({ ...describe(longest, pool, state, now), count: waiting.length, pool: name });
+      }
+    }
+    this.#readySince = readySince;
+    return reports;
+  }
+
+  #findWithRoom(
+    name: string,
+    pool: PoolState,
+    readySince: Map<StepRun, number>,
+    now: number,
+  ): LongWaitingTask[] {
+    const isFree = isMostlyFree(name, pool);
+    const found: LongWaitingTask[] = [];
+    for (const step of [...pool.jobs].flatMap((run) => run.readySteps())) {
+      const since = this.#readySince.get(step) ?? now;
+      readySince.set(step, since);
+      const waiting = now - since > WAITING_REPORT_AFTER_MS ? findLongWaiting(step, since, now) : [];
+      const [first] = waiting;
+      if (first !== undefined && (isFree || hasRoom(first.task, pool))) {
+        found.push(...waiting);
+      }
+    }
+    return found;
+  }
+}
+
+function findLongWaiting(step: StepRun, readySince: number, now: number): LongWaitingTask[] {
+  return step.tasks
+    .filter((task) => task.phase === 'waiting')
+    .map((task) => ({ task, waitedMs: now - Math.max(readySince, task.phaseSince) }))
+    .filter(({ waitedMs }) => waitedMs > WAITING_REPORT_AFTER_MS);
+}
+
+function isMostlyFree(name: string, pool: PoolState): boolean {
+  const { heldCpuMilli, reservedCpuMilli } = computePoolUse(name, pool);
+  return heldCpuMilli > 0 && reservedCpuMilli < MOSTLY_FREE_SHARE * heldCpuMilli;
+}
+
+// Also on workers that are closed: the reason why they are is what the report is about.
+function hasRoom(task: Task, pool: PoolState): boolean {
+  for (const worker of pool.workers) {
+    if (!worker.isDeregistered && findMisfit(task, worker, undefined) === undefined) {
+      return true;
+    }
+  }
+  return false;
+}
+
+function describe(
+  { task, waitedMs }: LongWaitingTask,
+  pool: PoolState,
+  state: AssignmentState,
+  now: number,
+): Omit<WaitingReport, 'count' | 'pool'> {
+  const workers = [...pool.workers]
+    .map((worker) => findObstacle(task, worker, pool, state, now))
+    .sort((a, b) => Number(isMisfit(a)) - Number(isMisfit(b)));
+  const byReason: Partial<Record<WaitingReason, number>> = {};
+  for (const { reason } of workers) {
+    byReason[reason] = (byReason[reason] ?? 0) + 1;
+  }
+  return {
+    byReason,
+    demand: task.step.spec.demand,
+    failures: task.failures,
+    limit: state.maxAttempts(task.job),
+    run: task.run,
+    task: task.name,
+    waitedMs: Math.round(waitedMs),
+    workers: workers.slice(0, MAX_NAMED_WORKERS),
+  };
+}
+
+function isMisfit({ reason }: WorkerObstacle): boolean {
+  return reason.startsWith('no-');
+}
+
+function findObstacle(
+  task: Task,
+  worker: Worker,
+  pool: PoolState,
+  state: AssignmentState,
+  now: number,
+): WorkerObstacle {
+  const { id } = worker.info;
+  const misfit = findMisfit(task, worker, undefined);
+  const closure = worker.closure(now);
+  if (closure !== undefined && misfit === undefined) {
+    return { ...closure, worker: id };
+  }
+  const reason = misfit ?? findMisfit(task, worker, state.allowedWorkers(task.step));
+  return { reason: reason ?? findHold(task, worker, pool, state, now), worker: id };
+}
+
+function findHold(
+  task: Task,
+  worker: Worker,
+  pool: PoolState,
+  state: AssignmentState,
+  now: number,
+): WaitingReason {
+  if (state.isPaused) {
+    return HOLD.assignmentPaused;
+  }
+  if (pool.needsAssignment) {
+    return HOLD.planDue;
+  }
+  if (task.crashes.suspected > 0) {
+    return isStartingTasks(worker, now) ? HOLD.startsOthers : HOLD.isolated;
+  }
+  if (worker.heldUntil > now || isIsolating(worker, now)) {
+    return HOLD.isolated;
+  }
+  return task.step.spec.gang ? HOLD.gang : HOLD.none;
+}
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -1,6 +1,8 @@
 import type { Demand } from './job-spec';
 import type { Task } from './task';
+import type { WorkerClosure } from './worker-closure';
 import { OrphanedRuns } from './orphaned-runs';
+import { CLOSURE } from './worker-closure';
 
 /** Entry of a worker in the registry. */
 export interface WorkerInfo {
@@ -58,6 +60,8 @@
   endsStored = 0;
   /** Ends up to this sequence number have been read from reports. */
   endsRead = 0;
+  /** What the worker is emptied for, for the log. */
+  evacuatedFor = '';
   /** Whether the worker is emptied for maintenance; no new tasks are assigned to it. */
   isEvacuating = false;
   /** Set from a closed or refused connection until the next report. */
@@ -115,27 +119,51 @@
 
   /** Whether the free capacity is enough for a task. */
   hasCapacityFor(task: Task): boolean {
+    return this.missingResource(task) === undefined;
+  }
+
+  /** Returns a resource of which the free capacity is not enough for a task; undefined if it is enough. */
+  missingResource(task: Task): keyof Demand | undefined {
     const { cpuMilli, gpus, memoryMb } = task.step.spec.demand;
     const { capacity } = this.info;
     const cpuNeeded = task.step.spec.fillsIdle ? 0 : cpuMilli;
-    return (
-      this.reserved.cpuMilli + cpuNeeded <= capacity.cpuMilli &&
-      this.reserved.memoryMb + memoryMb <= capacity.memoryMb &&
-      this.reserved.gpus + gpus <= capacity.gpus
-    );
+    if (this.reserved.cpuMilli + cpuNeeded > capacity.cpuMilli) {
+      return 'cpuMilli';
+    }
+    if (this.reserved.memoryMb + memoryMb > capacity.memoryMb) {
+      return 'memoryMb';
+    }
+    return this.reserved.gpus + gpus > capacity.gpus ? 'gpus' : undefined;
   }
 
   /** Whether new tasks can be assigned at a monotonic time in ms; what orphaned runs use is not known. */
   isAssignable(now: number): boolean {
-    return (
-      this.isFenced &&
-      !this.isDeregistered &&
-      !this.isUnresponsive &&
-      !this.isEvacuating &&
-      !this.info.draining &&
-      this.orphans.size === 0 &&
-      this.pausedUntil <= now
-    );
+    return this.closure(now) === undefined;
+  }
+
+  /** Returns why no new tasks are assigned at a monotonic time in ms; undefined if they can be. */
+  closure(now: number): WorkerClosure | undefined {
+    if (this.isDeregistered) {
+      return { reason: CLOSURE.deregistered };
+    }
+    if (this.isUnresponsive) {
+      return { reason: CLOSURE.silent };
+    }
+    if (!this.isFenced) {
+      return { reason: CLOSURE.notAsked };
+    }
+    if (this.isEvacuating) {
+      return { detail: this.evacuatedFor, reason: CLOSURE.evacuating };
+    }
+    if (this.info.draining) {
+      return { reason: CLOSURE.draining };
+    }
+    if (this.orphans.size > 0) {
+      return { detail: this.orphans.size, reason: CLOSURE.orphans };
+    }
+    return this.pausedUntil > now
+      ? { detail: Math.round(this.pausedUntil - now), reason: CLOSURE.paused }
+      : undefined;
   }
 
   /**
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -199,6 +199,7 @@
     const worker = this.fleet.workers.get(vm.workerId);
     if (worker !== undefined) {
       worker.isEvacuating = true;
+      worker.evacuatedFor = `move to ${pool}`;
     }
     this.log('vm-moved', { from: vm.pool, pool, vm: vm.id });
     return this.#moves.start(vm, pool, worker, now);
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -183,6 +183,7 @@
       const worker = this.#workerOf(vm);
       if (vm.stage === 'evacuating' && worker !== undefined) {
         worker.isEvacuating = true;
+        worker.evacuatedFor = `wave ${run.wave.id}`;
         for (const task of selectTasksToMove(worker, now - vm.since, now)) {
           this.fleet.moveAway(task, `wave-${run.wave.id}`, now);
         }
--- a/packages/core/tests/jobs/scheduler-model.test.ts
+++ b/packages/core/tests/jobs/scheduler-model.test.ts
@@ -83,8 +83,8 @@
       const cluster = new SimulatedCluster(seed, faults);
       cluster.run(FAULT_PHASE_MS, false);
       cluster.run(RECOVERY_MS, true);
-      const twice = cluster.violations.filter((text) => text.includes('while it runs'));
-      expect(twice, `seed ${seed}`).toEqual([]);
+      const found = cluster.violations.filter((text) => /while it runs|for no reason|could run/.test(text));
+      expect(found, `seed ${seed}`).toEqual([]);
       expect(cluster.ended.size, `seed ${seed}`).toBe(5);
     }
   });
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -1,5 +1,6 @@
 import type { Job, KeyedRecord, Plan, StartOrder, TaskRecord, Worker } from '../../../src/jobs';
-import { decodeTaskRecord, longestLeaseMs, Scheduler, START_ANSWER } from '../../../src/jobs';
+import { decodeTaskRecord, HOLD, longestLeaseMs, Scheduler, START_ANSWER } from '../../../src/jobs';
+import { IdleJobCheck } from './idle-job-check';
 import { config, job, step } from './jobs';
 import { MAX_LEASE_MS, SimulatedWorker } from './simulated-worker';
 
@@ -62,6 +63,7 @@
   readonly #ended = new Map<string, 'completed' | 'failed'>();
   readonly #failedRuns = new Map<string, number>();
   #epoch = 0;
+  readonly #idleJobs = new IdleJobCheck();
   readonly #jobs: Job[] = [];
   #leaders: Leader[] = [];
   #now = 1000;
@@ -121,6 +123,35 @@
       if (!calm) {
         this.#injectFaults();
       }
+      this.#checkIdleJobs();
+    }
+  }
+
+  // With all workers in reach and half of the capacity unused, a job may have nothing running only for a while.
+  #checkIdleJobs(): void {
+    const isDisturbed =
+      this.#storeSlowUntil > this.#now ||
+      this.#workers.some(
+        ({ id }) =>
+          (this.#partitionedUntil.get(id) ?? 0) > this.#now ||
+          (this.#unregisteredUntil.get(id) ?? 0) > this.#now,
+      );
+    const isFull = this.#running.size >= 0.5 * WORKER_COUNT * RUNS_PER_WORKER;
+    if (isDisturbed) {
+      this.#idleJobs.onDisturbance(this.#now);
+    }
+    const open = this.#jobs.filter((item) => !this.#ended.has(item.id)).map((item) => item.id);
+    const idle = open.filter((id) => ![...this.#running.keys()].some((task) => task.startsWith(`${id}.`)));
+    this.violations.push(...this.#idleJobs.check(isFull ? [] : idle, this.#now));
+  }
+
+  // A task that waits long with room for it has a reason, and on each worker of its pool.
+  #checkExplanations(scheduler: Scheduler): void {
+    for (const { byReason, task, waitedMs, workers } of scheduler.waitingWithRoom(this.#now)) {
+      const isUnexplained = workers.some(({ reason }) => reason === HOLD.none || reason === HOLD.planDue);
+      if (workers.length === 0 || isUnexplained) {
+        this.violations.push(`${task} has waited ${waitedMs} ms for no reason: ${JSON.stringify(byReason)}`);
+      }
     }
   }
 
@@ -128,6 +159,7 @@
     const victim = this.#workers[Math.floor(this.#random() * WORKER_COUNT)];
     if (victim !== undefined && this.#random() < this.faults.restart) {
       victim.restart(this.#now);
+      this.#idleJobs.onDisturbance(this.#now);
     }
     if (victim !== undefined && this.#random() < this.faults.partition) {
       this.#partitionedUntil.set(victim.id, this.#now + MAX_PARTITION_MS * this.#random());
@@ -149,6 +181,7 @@
 
   #startLeader(): void {
     this.#epoch += 1;
+    this.#idleJobs.onDisturbance(this.#now);
     for (const leader of this.#leaders) {
       leader.activeUntil = Math.min(leader.activeUntil, this.#now + MAX_STALENESS_MS);
     }
@@ -204,6 +237,7 @@
     scheduler.tick(this.#now, 0);
     scheduler.requestAssignment();
     const plan = scheduler.plan(this.#now, 0, this.#now >= this.#storeSlowUntil);
+    this.#checkExplanations(scheduler);
     for (const stop of plan.stops) {
       this.#send(stop.worker, calm, (worker) => {
         const stopped = worker.stop(stop.task, stop.run, leader.epoch);
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -35,6 +35,8 @@
   stateAgeMs: () => number;
   /** Number of waiting jobs by queue. */
   waiting: () => ReadonlyMap<string, number>;
+  /** Number of tasks by pool that wait although it has room for them; empty while the node does not lead. */
+  waitingWithRoom: () => ReadonlyMap<string, number>;
 }
 
 const MILLI_PER_CORE = 1000;
@@ -192,7 +194,7 @@
   );
 }
 
-function publishPoolGauges(metrics: Metrics, { poolUses }: NodeGauges): void {
+function publishPoolGauges(metrics: Metrics, { poolUses, waitingWithRoom }: NodeGauges): void {
   const gauge = (name: string, help: string, read: (use: PoolUse) => number): void => {
     metrics.registerGauge({ help, labels: ['pool'], name: `sequoiaquay_pool_${name}` }, () =>
       poolUses().map((use) => ({ labels: { pool: use.pool }, value: read(use) })),
@@ -202,6 +204,14 @@
   gauge('workers_in_use', 'Workers in a pool with assigned tasks, on the leader', (use) => use.workersInUse);
   gauge('held_cores', 'Cores of the workers in a pool, on the leader', toCores('heldCpuMilli'));
   gauge('reserved_cores', 'Cores that tasks in a pool reserve, on the leader', toCores('reservedCpuMilli'));
+  metrics.registerGauge(
+    {
+      help: 'Tasks that wait although their pool has room for them, on the leader',
+      labels: ['pool'],
+      name: 'sequoiaquay_tasks_waiting_with_room',
+    },
+    () => [...waitingWithRoom()].map(([pool, value]) => ({ labels: { pool }, value })),
+  );
 }
 
 function toCores(field: 'heldCpuMilli' | 'reservedCpuMilli'): (use: PoolUse) => number {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -154,12 +154,13 @@
       jobsKnown: () => this.#jobs.size,
       linesDropped,
       ownEpoch: () => this.#leadership.ownEpoch,
-      poolUses: () => this.#term?.poolUses() ?? [],
+      poolUses: () => this.#term?.pools.uses() ?? [],
       stateAgeMs: () => this.#jobsTail.ageMs(),
       waiting: () => {
         const queues = this.callers.cfg?.queues ?? [];
         return new Map(queues.map((queue) => [queue.name, this.#jobs.countQueued(queue.name)]));
       },
+      waitingWithRoom: () => this.#term?.pools.waitingWithRoom() ?? new Map(),
     };
   }
 
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -1,12 +1,4 @@
-import type {
-  FleetConfig,
-  JobEntry,
-  JobTable,
-  Plan,
-  PoolUse,
-  StateRecord,
-  Wave,
-} from '@sequoiaquay/core/jobs';
+import type { FleetConfig, JobEntry, JobTable, Plan, StateRecord, Wave } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import {
   encodeTaskTombstone,
@@ -29,6 +21,7 @@
 import { OrderSender } from './order-sender';
 import { PermitCache } from './permit-cache';
 import { PlanTimer } from './plan-timer';
+import { PoolReports } from './pool-reports';
 import { TermLog } from './term-log';
 import { WorkerLoops } from './worker-loops';
 import { WorkerRegistry } from './worker-registry';
@@ -67,9 +60,6 @@
 /** Interval between searches for ended jobs whose retention time has passed, in ms. */
 const RETENTION_INTERVAL_MS = 5000;
 
-/** Interval between log lines that say how much of each pool is in use, in ms. */
-const POOL_USE_LOG_INTERVAL_MS = 10_000;
-
 /** Interval between ticks of the scheduler, in ms. */
 const TICK_INTERVAL_MS = 100;
 
@@ -91,6 +81,8 @@
   readonly #workerLoops: WorkerLoops;
   #isRestored = false;
   readonly #planTimer: PlanTimer;
+  /** Use of the pools, and the tasks that wait in them. */
+  readonly pools: PoolReports;
   readonly #retention: JobRetention;
   readonly #scheduler: Scheduler;
   readonly #sender: OrderSender;
@@ -133,6 +125,7 @@
       logDecision,
       (queue, step, workers) => this.#permitCache.allowedWorkers(queue, step, workers),
     );
+    this.pools = new PoolReports(this.#scheduler, timers, this.#log);
     this.#retention = new JobRetention(ctx.settings.bounds.stateKeptS * MS_PER_SECOND);
     const canExtendLeases = (): boolean => ctx.ownHeartbeatAgeMs() < MAX_HEARTBEAT_AGE_MS;
     this.#sender = new OrderSender(
@@ -175,11 +168,6 @@
     this.#wavePlanner = new WavePlanner(this.#scheduler, logDecision);
   }
 
-  /** Returns how much of the pools' capacity is reserved. */
-  poolUses(): PoolUse[] {
-    return this.#scheduler.poolUses();
-  }
-
   /** Applies a configuration. */
   onConfig(cfg: FleetConfig): void {
     this.#scheduler.onConfig(cfg);
@@ -229,15 +217,7 @@
       },
       this.signal,
     );
-    this.ctx.timers.every(
-      POOL_USE_LOG_INTERVAL_MS,
-      () => {
-        for (const use of this.poolUses()) {
-          this.#log.info(use, 'pool-use');
-        }
-      },
-      this.signal,
-    );
+    this.pools.run(this.signal);
     this.#schedulePlan();
     await new Promise<void>((resolve) => {
       const finish = (): void => {
--- a/packages/node/tests/node-metrics.test.ts
+++ b/packages/node/tests/node-metrics.test.ts
@@ -16,6 +16,7 @@
       ],
       stateAgeMs: () => 1500,
       waiting: () => new Map([['quick', 4]]),
+      waitingWithRoom: () => new Map([['p', 5]]),
     });
     nodeMetrics.recordRequest('submit', 'not-run', 12);
     nodeMetrics.recordStoreCall('jobs', 'append', 'lost', 400);
@@ -42,6 +43,7 @@
     expect(text).toContain('sequoiaquay_pool_workers_in_use{pool="p"} 1');
     expect(text).toContain('sequoiaquay_pool_held_cores{pool="p"} 32');
     expect(text).toContain('sequoiaquay_pool_reserved_cores{pool="p"} 1.5');
+    expect(text).toContain('sequoiaquay_tasks_waiting_with_room{pool="p"} 5');
     expect(text).toContain('sequoiaquay_traffic_bytes_total{direction="sent",kind="worker-orders"} 1500');
     expect(text).toContain('sequoiaquay_traffic_bytes_total{direction="received",kind="keyed.jobs"} 1500');
     expect(text).toContain('sequoiaquay_traffic_bytes_total{direction="sent",kind="keyed.jobs"} 50');
