--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 export * from './address-schema';
 export * from './change-logger';
 export * from './event-ring';
+export * from './fd-writer';
 export * from './hlc';
 export * from './logger';
 export * from './metrics';
