fix(core): leave half of a pool's workers in use when runs fail on all of them

Callers' tasks could wait for 4 s, and again and again, with all workers of their pool idle: a worker is quarantined for 4 s after three failed runs in a row, whatever else the pool has and whoever caused the failures. A single job that can't be done closes sound workers in the same way, without any fault of theirs.

A quarantine now needs failed runs of at least two jobs, as on the product's own contract (design.md), and leaves at least half of the pool's usable workers. Further ones pause for 1 s, as after a refused order, so that no task waits for the end of a quarantine and a failing worker is still not tried without a break. The same holds for workers with stalled runs.

Limits: a task that only quarantined workers can run, for example because of a label, still waits for up to 4 s while others are open.

--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -2,6 +2,7 @@
 import type { SchedulerContext } from './scheduler-context';
 import type { Task } from './task';
 import type { Worker } from './worker';
+import type { WorkerQuarantine } from './worker-quarantine';
 import type { ReportedEnd } from './worker-report';
 import { DECISION } from './scheduler-output';
 import { parseTaskName } from './task-name';
@@ -12,6 +13,7 @@
   constructor(
     private readonly ctx: SchedulerContext,
     private readonly runControl: RunControl,
+    private readonly quarantine: WorkerQuarantine,
   ) {}
 
   /** Handles the end of a run that was not read before. */
@@ -53,7 +55,7 @@
   }
 
   #onDone(task: Task, worker: Worker, now: number): void {
-    worker.failuresInRow = 0;
+    this.quarantine.onDone(worker);
     if (task.phase === 'running') {
       this.ctx.runTimes.addSample(task.job.job.queue, now - task.phaseSince);
     }
@@ -75,25 +77,14 @@
     if (end === RUN_END.failed) {
       task.failures += 1;
       task.lastFailedWorkerId = worker.info.id;
-      this.#onFailure(task, worker, now);
+      this.quarantine.onFailure(worker, task, now);
+      this.runControl.failIfExhausted(task, now);
     }
     if (task.step.spec.gang) {
       this.runControl.stopGang(task.step, now);
     }
   }
 
-  #onFailure(task: Task, worker: Worker, now: number): void {
-    worker.failuresInRow += 1;
-    if (worker.failuresInRow >= this.ctx.settings.setAsideAfter) {
-      worker.pausedUntil = now + this.ctx.settings.setAsideMs;
-      this.ctx.log(DECISION.workerQuarantined, {
-        failuresInRow: worker.failuresInRow,
-        worker: worker.info.id,
-      });
-    }
-    this.runControl.failIfExhausted(task, now);
-  }
-
   #findTask(text: string): Task | undefined {
     const name = parseTaskName(text);
     if (name === undefined) {
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -26,6 +26,7 @@
 import { WaitingTasks } from './waiting-tasks';
 import { WorkerDirectory } from './worker-directory';
 import { WorkerLossHandler } from './worker-loss-handler';
+import { WorkerQuarantine } from './worker-quarantine';
 import { START_ANSWER } from './worker-report';
 
 /**
@@ -39,6 +40,7 @@
   #isAssignmentPaused = false;
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
+  readonly #quarantine: WorkerQuarantine;
   readonly #runEnds: RunEndHandler;
   readonly #waitingTasks = new WaitingTasks();
   readonly #workerLosses: WorkerLossHandler;
@@ -46,7 +48,8 @@
   constructor(settings: SchedulerSettings, log: DecisionLog, advice: AdviceLookup = () => new Set()) {
     this.#ctx = new SchedulerContext(settings, log);
     this.#runControl = new RunControl(this.#ctx);
-    this.#runEnds = new RunEndHandler(this.#ctx, this.#runControl);
+    this.#quarantine = new WorkerQuarantine(this.#ctx);
+    this.#runEnds = new RunEndHandler(this.#ctx, this.#runControl, this.#quarantine);
     this.#workerLosses = new WorkerLossHandler(this.#ctx, this.#runControl);
     this.#directory = new WorkerDirectory(this.#ctx, this.#workerLosses);
     this.#assigner = new Assigner(this.#ctx, this.#runControl, advice);
@@ -306,15 +309,13 @@
     }
   }
 
-  // A worker with stalled runs is quarantined.
   #moveStalledAndLeaving(worker: Worker, now: number): void {
     const stalled = findStalledRuns(worker, now);
     for (const task of stalled) {
       this.moveAway(task, 'no-progress', now);
     }
     if (stalled.length > 0) {
-      worker.pausedUntil = now + this.#ctx.settings.setAsideMs;
-      this.#ctx.log(DECISION.workerQuarantined, { stalled: stalled.length, worker: worker.info.id });
+      this.#quarantine.onStalledRuns(worker, stalled.length, now);
     }
     for (const task of findRunsToMove(worker)) {
       this.moveAway(task, 'worker-leaves', now);
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -66,6 +66,8 @@
   isEvacuating = false;
   /** Set from a closed or refused connection until the next report. */
   disconnection: Disconnection | undefined;
+  /** Ids of the jobs whose runs are the consecutive failed ones. */
+  readonly failedJobs = new Set<string>();
   /** Number of consecutive failed runs. */
   failuresInRow = 0;
   /** Monotonic time until which no tasks start, so that a suspected task can start alone, in ms. */
@@ -221,6 +223,7 @@
     this.endsRead = 0;
     this.endsStored = 0;
     this.failuresInRow = 0;
+    this.failedJobs.clear();
     this.isEvacuating = false;
     this.orphans.clear();
   }
