fix(jobs): use a worker as its entry says after a restart with its clock set back

Callers could see tasks that wait although workers of their pool are idle, and tasks that start on a worker of another pool or on one that drains: a worker restarts with its clock set back and registers with another pool, capacity, labels or the state draining.

Cause: an entry that is older than the known incarnation gave only its address. The report that showed the new incarnation then copied everything else from the earlier incarnation's entry. The registry lists an entry again only when it changes, so the worker stayed in its earlier pool, or without capacity in a pool that does not enforce it. An entry with the start time of the incarnation before was dropped as well. And a worker that the registry had removed and listed again with an older entry still counted as removed: it was dropped as soon as its runs were released, and nothing brought it back.

The entry is now kept with the time at which it was read. The first report that was requested after that tells which incarnation runs, and the entry applies to it or is discarded. Reports that were requested before decide nothing. An answer that the VM of an idle worker was taken does not drop a worker with such an entry: it has restarted since.

The tests in worker-directory.test.ts failed before, for example "expected [ 'i.0.0.0' ] to deeply equal [ 'j.0.0.0' ]" for the pool, "expected [] to have a length of 2" for the capacity, "expected [ 'j.0.0.0' ] to deeply equal []" for a draining worker and "the worker is not known" for one that is listed again.

Limits: until the report, the older entry gives the address only, so an entry that is stored late by an earlier incarnation leads the calls to that address until the worker's next entry, as before.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -134,10 +134,11 @@
 
   /**
    * Handles the answer that the VM of an emptied worker was taken. A worker that has runs by then came to the
-   * VM later, so its own reports or the end of its lease decide about them.
+   * VM later, so its own reports or the end of its lease decide about them. One with an unconfirmed entry may have
+   * restarted since.
    */
   onWorkerEnded(worker: Worker): void {
-    if (!this.#directory.isKept(worker)) {
+    if (!this.#directory.isKept(worker) || worker.unconfirmedEntry !== undefined) {
       return;
     }
     if (worker.runs.size > 0) {
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -40,6 +40,7 @@
       return;
     }
     worker.isDeregistered = true;
+    worker.unconfirmedEntry = undefined;
     this.ctx.log(DECISION.workerRemoved, { runs: worker.runs.size, worker: id });
     this.removeIfIdle(worker);
   }
@@ -52,6 +53,12 @@
     if (!this.isKept(worker)) {
       return false;
     }
+    const entry = worker.unconfirmedEntry;
+    // A report that was requested before an entry was read may be of the incarnation before it.
+    if (entry !== undefined && askedAt < entry.readAt) {
+      return false;
+    }
+    worker.unconfirmedEntry = undefined;
     if (report.bornAt === worker.info.bornAt) {
       return true;
     }
@@ -59,7 +66,11 @@
     if (askedAt < worker.incarnationKnownAt) {
       return false;
     }
-    this.#applyInfo(worker, this.#entryOfIncarnation(worker.info, report.bornAt), now);
+    const info =
+      entry?.info.bornAt === report.bornAt
+        ? entry.info
+        : this.#entryOfIncarnation(worker.info, report.bornAt);
+    this.#applyInfo(worker, info, now);
     return true;
   }
 
@@ -107,16 +118,19 @@
   }
 
   #update(worker: Worker, info: WorkerInfo, now: number): void {
-    if (info.bornAt === worker.previousBornAt) {
-      return;
+    const isOlder = info.bornAt < worker.info.bornAt;
+    if (isOlder || info.bornAt === worker.previousBornAt) {
+      // Either an old entry or a new incarnation whose clock was set back: the next report tells which.
+      worker.unconfirmedEntry = { info, readAt: now };
+      worker.isDeregistered = false;
+    } else {
+      worker.unconfirmedEntry = undefined;
+      this.#applyInfo(worker, info, now);
     }
-    if (info.bornAt < worker.info.bornAt) {
-      // Either an old entry or a new incarnation whose clock is behind: the next report tells which.
+    if (isOlder) {
       worker.info = { ...worker.info, address: info.address };
       worker.isFenced = false;
-      return;
     }
-    this.#applyInfo(worker, info, now);
   }
 
   #applyInfo(worker: Worker, info: WorkerInfo, now: number): void {
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -36,6 +36,13 @@
 /** Time after which an unanswered order is no longer executed, in ms. */
 const LATE_ORDER_WINDOW_MS = 15_000;
 
+/** Entry in the registry of an incarnation that is not known to run. */
+export interface UnconfirmedEntry {
+  info: WorkerInfo;
+  /** Monotonic time at which it was read, in ms. */
+  readAt: number;
+}
+
 /** End of the connections to a worker, as when its process ends. */
 export interface Disconnection {
   /** Monotonic time of the first call that found the connection closed or refused, in ms. */
@@ -94,6 +101,11 @@
   readonly runs = new Map<string, Task>();
   /** Start time of the previous incarnation, in ms since the epoch; undefined if none is known. */
   previousBornAt: number | undefined;
+  /**
+   * Newest entry, if its incarnation started before the known one by their clocks: the next report tells which of
+   * them runs.
+   */
+  unconfirmedEntry: UnconfirmedEntry | undefined;
   /** Whether the last call to the worker got no answer. */
   isUnresponsive = false;
   #unanswered: { at: number; run: number; task: string }[] = [];
@@ -216,6 +228,7 @@
     this.previousBornAt = this.info.bornAt;
     this.incarnationKnownAt = now;
     this.info = info;
+    this.unconfirmedEntry = undefined;
     this.#clock = undefined;
     this.disconnection = undefined;
     this.isCrashRecorded = false;
--- /dev/null
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -0,0 +1,144 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { Plan, Worker, WorkerInfo, WorkerReport } from '../../src/jobs';
+import { Scheduler, START_ANSWER } from '../../src/jobs';
+import { config, job, report, SCHEDULER_SETTINGS, step, worker } from './support/jobs';
+
+const POOLS = [
+  { enforcesCapacity: true, name: 'p', spare: false },
+  { enforcesCapacity: false, name: 'q', spare: false },
+];
+
+class Harness {
+  now = 100;
+  readonly scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+
+  constructor() {
+    this.scheduler.onConfig({ ...config(), pools: POOLS });
+  }
+
+  get worker(): Worker {
+    const found = this.scheduler.workers.get('a');
+    if (found === undefined) {
+      throw new Error('the worker is not known');
+    }
+    return found;
+  }
+
+  register(parts: Partial<WorkerInfo>): void {
+    this.now += 10;
+    this.scheduler.onWorkerRegistered(worker('a', parts), this.now);
+  }
+
+  report(parts: WorkerReport, askedAt = this.now + 5): void {
+    this.now += 10;
+    this.scheduler.onReport(this.worker, parts, askedAt, this.now);
+  }
+
+  submit(id: string, pool: string, count = 1): void {
+    this.scheduler.onJob({ ...job(id, [step({ count })]), pool }, [], this.now, 0);
+  }
+
+  plan(): Plan {
+    this.now += 10;
+    this.scheduler.requestAssignment();
+    return this.scheduler.plan(this.now, this.now);
+  }
+
+  /** Starts the waiting tasks and returns their names. */
+  start(): string[] {
+    const { starts } = this.plan();
+    for (const order of starts) {
+      order.worker.extendLease(this.now, 1000);
+      this.scheduler.onStartAnswer(order, START_ANSWER.started, this.now);
+    }
+    return starts.map((order) => order.task.name);
+  }
+}
+
+// Guards against a worker that has restarted with its clock set back and keeps what the entry of its earlier
+// incarnation said: it is not used in its pool, or used although it drains.
+describe('An entry that is older than the known incarnation', () => {
+  let harness: Harness;
+
+  beforeEach(() => {
+    harness = new Harness();
+    harness.register({ bornAt: 5000 });
+    harness.report(report([], [], 5000));
+  });
+
+  it('gives the new incarnation its pool, labels, rack and zone as soon as a report shows it', () => {
+    harness.register({ bornAt: 2000, labels: ['big'], pool: 'q', rack: 'r2', zone: 'z2' });
+    harness.report(report([], [], 2000));
+    harness.submit('i', 'p');
+    harness.submit('j', 'q');
+    expect(harness.start()).toEqual(['j.0.0.0']);
+    expect(harness.worker.info).toMatchObject({ labels: ['big'], rack: 'r2', zone: 'z2' });
+  });
+
+  it('gives it its capacity in a pool that does not enforce it', () => {
+    harness.register({ bornAt: 6000, pool: 'q' });
+    harness.report(report([], [], 6000));
+    harness.register({
+      bornAt: 2000,
+      capacity: { cpuMilli: 2000, gpus: 0, memoryMb: 1000 },
+      pool: 'q',
+    });
+    harness.report(report([], [], 2000));
+    harness.submit('j', 'q', 3);
+    expect(harness.start()).toHaveLength(2);
+  });
+
+  it('keeps it closed while it drains', () => {
+    harness.register({ bornAt: 2000, draining: true });
+    harness.report(report([], [], 2000));
+    harness.submit('j', 'p');
+    expect(harness.start()).toEqual([]);
+  });
+
+  it('changes nothing but the address when a report shows the known incarnation', () => {
+    harness.register({ address: 'a:2', bornAt: 2000, pool: 'q' });
+    harness.report(report([], [], 5000));
+    harness.submit('j', 'p');
+    expect(harness.start()).toEqual(['j.0.0.0']);
+    expect(harness.worker.info).toMatchObject({ address: 'a:2', bornAt: 5000, pool: 'p' });
+  });
+
+  it('is not settled by a report that was requested before it', () => {
+    const askedAt = harness.now;
+    harness.register({ bornAt: 2000, pool: 'q' });
+    harness.report(report([], [], 5000), askedAt);
+    harness.submit('j', 'q');
+    expect(harness.start()).toEqual([]);
+    harness.report(report([], [], 2000));
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
+
+  it('applies to a third incarnation that started at the same time of day as the first', () => {
+    harness.register({ bornAt: 2000 });
+    harness.report(report([], [], 2000));
+    harness.register({ bornAt: 5000, pool: 'q' });
+    harness.report(report([], [], 5000));
+    harness.submit('j', 'q');
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
+
+  it('keeps a worker that was removed from the registry and is listed again, after its runs are released', () => {
+    harness.submit('j', 'p');
+    harness.start();
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.register({ bornAt: 2000 });
+    harness.scheduler.onWorkerUnresponsive(harness.worker);
+    harness.now += 10_000;
+    harness.scheduler.tick(harness.now, 0);
+    harness.report(report([], [], 2000));
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
+
+  it('keeps the worker when an answer says late that the VM of the incarnation before was taken', () => {
+    harness.register({ bornAt: 2000 });
+    harness.scheduler.onWorkerEnded(harness.worker);
+    harness.report(report([], [], 2000));
+    harness.submit('j', 'p');
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
+});
