fix(jobs): list a worker again only for an entry of the registry

Callers could see tasks that start on a worker that the registry had removed, and a leader kept such a worker for the rest of its term: it was asked for reports every quarter of a second and counted among the workers of its pool after its process had ended.

Cause: a worker that is removed from the registry is kept while it has runs. A report that showed a restart of it was applied like an entry, which marked it as listed, with the state, pool and capacity of the incarnation before. No further deletion comes for a key that is deleted.

Only an entry marks a worker as listed now. A removed worker that restarts loses its runs and is dropped; its entry adds it again, with a report loop of its own.

The test "does not list a worker again that the registry has removed" failed before: "expected [ 'j.0.0.0', 'j.0.0.1' ] to deeply equal []".

Limits: a worker that restarts while its entry has lapsed is used from its next entry on, and no longer from its first report on.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -119,10 +119,10 @@
 
   #update(worker: Worker, info: WorkerInfo, now: number): void {
     const isOlder = info.bornAt < worker.info.bornAt;
+    worker.isDeregistered = false;
     if (isOlder || info.bornAt === worker.previousBornAt) {
       // Either an old entry or a new incarnation whose clock was set back: the next report tells which.
       worker.unconfirmedEntry = { info, readAt: now };
-      worker.isDeregistered = false;
     } else {
       worker.unconfirmedEntry = undefined;
       this.#applyInfo(worker, info, now);
@@ -140,7 +140,6 @@
       this.ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
       this.ctx.getOrCreatePool(info.pool).workers.add(worker);
     }
-    worker.isDeregistered = false;
     if (!restarted) {
       this.#logResize(worker, info);
       worker.info = info;
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -142,3 +142,20 @@
     expect(harness.start()).toEqual(['j.0.0.0']);
   });
 });
+
+describe('A restart of a worker', () => {
+  it('does not list a worker again that the registry has removed', () => {
+    const harness = new Harness();
+    harness.register({ bornAt: 1 });
+    harness.report(report());
+    harness.submit('j', 'p', 2);
+    harness.start();
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.report(report([], [], 2));
+    expect(harness.start()).toEqual([]);
+    expect(harness.scheduler.workers.has('a')).toBe(false);
+    harness.register({ bornAt: 2 });
+    harness.report(report([], [], 2));
+    expect(harness.start()).toHaveLength(2);
+  });
+});
