fix(jobs): end the pause of a worker when it restarts

Tasks could wait up to four seconds although a sound worker with room for them was back: a worker that had failed three runs in a row, whose runs stalled or that refused an order is given nothing for one to four seconds, and its restart did not end that time.

Cause: a restart resets the number of failed runs in a row but not the time until which the worker is paused. The pause belongs to the process that failed or refused. A worker that is removed from the registry and listed again has never kept it.

The test "ends the pause that followed from refusals of the incarnation before" failed before: "expected [] to deeply equal [ 'j.0.0.0' ]".

Limits: a VM whose every incarnation fails its runs is paused again only after three further failures.

--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -237,6 +237,7 @@
     this.endsStored = 0;
     this.failuresInRow = 0;
     this.failedJobs.clear();
+    this.pausedUntil = 0;
     this.isEvacuating = false;
     this.orphans.clear();
   }
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -158,4 +158,20 @@
     harness.report(report([], [], 2));
     expect(harness.start()).toHaveLength(2);
   });
+
+  // Guards against a pause of an incarnation that lasts for the next one, which refused nothing.
+  it('ends the pause that followed from refusals of the incarnation before', () => {
+    const harness = new Harness();
+    harness.register({ bornAt: 1 });
+    harness.report(report());
+    harness.submit('j', 'p');
+    const [order] = harness.plan().starts;
+    if (order === undefined) {
+      throw new Error('nothing was started');
+    }
+    harness.scheduler.onStartAnswer(order, START_ANSWER.refused, harness.now);
+    harness.register({ bornAt: 2 });
+    harness.report(report([], [], 2));
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
 });
