fix(jobs): keep the runs that a new incarnation was given before it was known

Callers could see a task run twice at the same time: an idle worker restarts, and before its new entry is read it is sent an order to start, which the new incarnation executes and answers. As soon as the leader learned of the restart it released the run as lost with the incarnation before, and started the task again elsewhere, while the worker's own report listed the run.

Cause: a restart released every run of the worker that was confirmed, also those that the report that showed the restart lists, and those that only an answer to the order had confirmed.

A run that the report lists as running or ended is kept now and reconciled like any other. When the entry comes first, a run that was confirmed after the newest report is left to the next report, unless the worker had been found unresponsive: no order is sent to it from then on, so the earlier incarnation gave the answer.

Limits: the number of ends that are acknowledged with the first report request still belongs to the earlier incarnation, so ends that the new one has listed nowhere yet are forgotten there.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -1,6 +1,7 @@
 import type { Demand } from './job-spec';
 import type { TaskRecord } from './run-record';
 import type { SchedulerContext } from './scheduler-context';
+import type { Task } from './task';
 import type { WorkerInfo } from './worker';
 import type { WorkerLossHandler } from './worker-loss-handler';
 import type { WorkerReport } from './worker-report';
@@ -70,7 +71,7 @@
       entry?.info.bornAt === report.bornAt
         ? entry.info
         : this.#entryOfIncarnation(worker.info, report.bornAt);
-    this.#applyInfo(worker, info, now);
+    this.#applyInfo(worker, info, now, (task) => listsRun(report, task));
     return true;
   }
 
@@ -125,7 +126,7 @@
       worker.unconfirmedEntry = { info, readAt: now };
     } else {
       worker.unconfirmedEntry = undefined;
-      this.#applyInfo(worker, info, now);
+      this.#applyInfo(worker, info, now, (task) => mayRunUnreported(worker, task));
     }
     if (isOlder) {
       worker.info = { ...worker.info, address: info.address };
@@ -133,7 +134,8 @@
     }
   }
 
-  #applyInfo(worker: Worker, info: WorkerInfo, now: number): void {
+  // `mayHaveRun` tells which runs the incarnation may have been given before it was known, if it is a new one.
+  #applyInfo(worker: Worker, info: WorkerInfo, now: number, mayHaveRun: (task: Task) => boolean): void {
     const isUnknown = worker.info.bornAt === UNKNOWN_BORN_AT;
     const restarted = !isUnknown && info.bornAt !== worker.info.bornAt;
     if (info.pool !== worker.info.pool) {
@@ -146,7 +148,7 @@
       return;
     }
     this.ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
-    this.losses.releaseAfterRestart(worker, now);
+    this.losses.releaseAfterRestart(worker, now, mayHaveRun);
     worker.resetForRestart(info, now, this.ctx.settings.maxLeaseMs);
     worker.isFenced = false;
     // The new incarnation has received no order to stop and would execute a delayed order to start.
@@ -173,3 +175,13 @@
     }
   }
 }
+
+function listsRun(report: WorkerReport, task: Task): boolean {
+  return [...report.running, ...report.ended].some((row) => row.task === task.name && row.run === task.run);
+}
+
+// Whether the answer to its order has confirmed the run and no report has been read since. A worker that was found
+// unresponsive has been sent no orders since then, so that its earlier incarnation gave the answer.
+function mayRunUnreported(worker: Worker, task: Task): boolean {
+  return task.phase === 'running' && !worker.isUnresponsive && task.phaseSince > worker.lastReportAt;
+}
--- a/packages/core/src/jobs/worker-loss-handler.ts
+++ b/packages/core/src/jobs/worker-loss-handler.ts
@@ -56,10 +56,13 @@
     this.#release(worker, [...worker.runs.values()], reason, now);
   }
 
-  /** Releases the runs of the previous incarnation. An order in flight may reach the new incarnation. */
-  releaseAfterRestart(worker: Worker, now: number): void {
+  /**
+   * Releases the runs of the previous incarnation. An order in flight may reach the new incarnation. Runs that
+   * `mayHaveRun` accepts are kept: the next report of the new incarnation decides about them.
+   */
+  releaseAfterRestart(worker: Worker, now: number, mayHaveRun: (task: Task) => boolean): void {
     const runs = [...worker.runs.values()];
-    const lost = runs.filter((task) => task.phase === 'running' || task.isRestored);
+    const lost = runs.filter((task) => (task.phase === 'running' || task.isRestored) && !mayHaveRun(task));
     for (const task of runs) {
       if (!lost.includes(task)) {
         task.stopAcknowledgedAt = undefined;
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -174,4 +174,39 @@
     harness.report(report([], [], 2));
     expect(harness.start()).toEqual(['j.0.0.0']);
   });
+
+  // Guards against a second run beside the first: an idle worker restarted unnoticed and was then given the run.
+  it('keeps the runs that the new incarnation was given before it was known', () => {
+    const harness = new Harness();
+    harness.register({ bornAt: 1 });
+    harness.report(report());
+    harness.submit('j', 'p');
+    harness.start();
+    harness.report(report([['j.0.0.0', 1]], [], 2));
+    expect(harness.plan()).toMatchObject({ starts: [], stops: [] });
+  });
+
+  it('counts the end of a run that the new incarnation was given before it was known', () => {
+    const harness = new Harness();
+    harness.register({ bornAt: 1 });
+    harness.report(report());
+    harness.submit('j', 'p');
+    harness.start();
+    harness.report(report([], [[1, 'j.0.0.0', 1, 'done']], 2));
+    const plan = harness.plan();
+    expect(plan.starts).toEqual([]);
+    expect(plan.states.at(-1)).toMatchObject({ id: 'j', state: 'completed' });
+  });
+
+  it('leaves a run that no report has listed yet to the next report, when the entry is read first', () => {
+    const harness = new Harness();
+    harness.register({ bornAt: 1 });
+    harness.report(report());
+    harness.submit('j', 'p');
+    harness.start();
+    harness.register({ bornAt: 2 });
+    harness.report(report([['j.0.0.0', 1]], [], 2));
+    expect(harness.plan()).toMatchObject({ starts: [], stops: [] });
+    expect(harness.worker.runs.size).toBe(1);
+  });
 });
