fix(node): ask the advice service about all workers of a pool

A step of a queue with advice could wait for ever beside free workers that it may run on. A request names at most 100 workers, and it was always about the first 100 assignable ones; the answer then held for its whole validity, also for workers that became assignable after it, as after a hand-over or a pause.

Answers are now kept for each worker and incarnation (step-advice.ts). While a step waits, the workers without a valid answer are asked about, those never asked about first; permits that are valid stay in use meanwhile, and no worker is asked about twice within the validity. A permit is void for a new incarnation.

Limits: the advice service decides the order within a request; a pool of 1,000 workers needs ten requests for a step before all are known.

--- a/packages/node/src/permit-cache.ts
+++ b/packages/node/src/permit-cache.ts
@@ -2,12 +2,7 @@
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { parseTaskName } from '@sequoiaquay/core/jobs';
 import type { AdviceService } from './ports/advice-service';
-
-interface CachedAdvice {
-  permits: ReadonlyMap<string, string>;
-  /** Monotonic time until which the permits are used, in ms. */
-  validUntil: number;
-}
+import { StepAdvice } from './step-advice';
 
 /** Most candidate workers in one request. */
 const MAX_WORKERS_PER_REQUEST = 100;
@@ -18,13 +13,10 @@
 /** Delay before a step may be requested again after a failed request, in ms. */
 const RETRY_DELAY_MS = 200;
 
-/** Share of a permit's validity for which it is used; the rest is left for the order to arrive in time. */
-const USABLE_VALIDITY_SHARE = 0.7;
-
 /** Requests and caches permits for the steps of queues whose steps only some workers may run. */
 export class PermitCache {
   readonly #pendingSteps = new Set<string>();
-  readonly #adviceByStep = new Map<string, CachedAdvice>();
+  readonly #adviceByStep = new Map<string, StepAdvice>();
 
   constructor(
     private readonly service: AdviceService | undefined,
@@ -36,23 +28,29 @@
   ) {}
 
   /**
-   * Returns the ids of the workers that may run a step. Without valid permits it requests them and returns
-   * an empty set.
+   * Returns the ids of the workers that are known to be allowed to run a step. It requests permits for those about
+   * which there is no valid answer.
    */
   allowedWorkers(queue: QueueConfig, step: StepRun, workers: readonly Worker[]): AllowedWorkers {
     const name = stepNameOf(step.tasks[0]?.name ?? '');
-    const cached = this.#adviceByStep.get(name);
-    if (cached !== undefined && cached.validUntil > this.timers.mono()) {
-      return new Set(cached.permits.keys());
+    const now = this.timers.mono();
+    const advice = this.#getOrCreateAdvice(name);
+    const unanswered = advice.unanswered(workers, now);
+    if (unanswered.length > 0) {
+      void this.#fetchAdvice(name, queue, unanswered.slice(0, MAX_WORKERS_PER_REQUEST));
     }
-    this.#adviceByStep.delete(name);
-    void this.#fetchAdvice(name, queue, workers);
-    return new Set();
+    return advice.allowed(workers, now);
   }
 
   /** Returns the permit for a task on a worker; empty if there is none. */
   permitFor(task: string, workerId: string): string {
-    return this.#adviceByStep.get(stepNameOf(task))?.permits.get(workerId) ?? '';
+    return this.#adviceByStep.get(stepNameOf(task))?.permitFor(workerId) ?? '';
+  }
+
+  #getOrCreateAdvice(step: string): StepAdvice {
+    const known = this.#adviceByStep.get(step) ?? new StepAdvice();
+    this.#adviceByStep.set(step, known);
+    return known;
   }
 
   async #fetchAdvice(step: string, queue: QueueConfig, workers: readonly Worker[]): Promise<void> {
@@ -60,17 +58,13 @@
       return;
     }
     this.#pendingSteps.add(step);
-    const workerIds = workers.slice(0, MAX_WORKERS_PER_REQUEST).map((worker) => worker.info.id);
+    const workerIds = workers.map((worker) => worker.info.id);
     const { decisionMs, perWorkerMs } = queue.advice;
     const timeoutMs = TIMEOUT_MARGIN_MS + decisionMs + perWorkerMs * workerIds.length;
     const advice = await this.service.requestAdvice({ signal: this.signal, step, timeoutMs, workerIds });
     if (advice.isOk()) {
-      const { permits, validityMs } = advice.value;
-      this.#adviceByStep.set(step, {
-        permits,
-        validUntil: this.timers.mono() + USABLE_VALIDITY_SHARE * validityMs,
-      });
-      this.log.info({ allowed: permits.size, asked: workerIds.length, step }, 'advice received');
+      this.#getOrCreateAdvice(step).add(workers, advice.value, this.timers.mono());
+      this.log.info({ allowed: advice.value.permits.size, asked: workerIds.length, step }, 'advice received');
     } else {
       this.log.warn({ error: advice.error, step }, 'advice failed');
       await this.timers.sleep(RETRY_DELAY_MS, this.signal);
--- a/packages/node/tests/permit-cache.test.ts
+++ b/packages/node/tests/permit-cache.test.ts
@@ -38,8 +38,33 @@
   }
 }
 
+/** Advice service that grants a permit to some workers and has room for a number of them in a request. */
+class SelectiveAdviceService implements AdviceService {
+  readonly requests: AdviceRequest[] = [];
+
+  constructor(
+    private readonly allowed: ReadonlySet<string>,
+    private readonly validityMs = 60_000,
+  ) {}
+
+  requestAdvice(req: AdviceRequest): ReturnType<AdviceService['requestAdvice']> {
+    this.requests.push(req);
+    const allowed = req.workerIds.filter((id) => this.allowed.has(id));
+    return req.workerIds.length > 100
+      ? errAsync('too many workers')
+      : okAsync({
+          permits: new Map(allowed.map((id) => [id, `permit-${this.requests.length}`])),
+          validityMs: this.validityMs,
+        });
+  }
+}
+
 const workers = ['w1', 'w2'].map((id) => new Worker({ ...WORKER, id }, 0));
 
+function createWorkers(count: number): Worker[] {
+  return Array.from({ length: count }, (_, index) => new Worker({ ...WORKER, id: `w${index}` }, 0));
+}
+
 function createCache(service: AdviceService | undefined): {
   cache: PermitCache;
   settledRequests: () => number;
@@ -96,6 +121,49 @@
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set(['w1']));
   });
 
+  it('asks about all workers if there are more than fit into a request', async () => {
+    const service = new SelectiveAdviceService(new Set(['w3', 'w240']));
+    const { cache, step } = createCache(service);
+    const many = createWorkers(250);
+    await expect
+      .poll(() => cache.allowedWorkers(QUEUE, step, many), { interval: 5 })
+      .toEqual(new Set(['w3', 'w240']));
+    expect(service.requests.map(({ workerIds }) => workerIds.length)).toEqual([100, 100, 50]);
+  });
+
+  it('asks about workers that come after an answer, and about none twice while the answer is valid', async () => {
+    const service = new SelectiveAdviceService(new Set(['w0', 'w2']));
+    const { cache, settledRequests, step } = createCache(service);
+    const [first, second, third] = createWorkers(3);
+    cache.allowedWorkers(
+      QUEUE,
+      step,
+      [first, second].flatMap((worker) => worker ?? []),
+    );
+    await expect.poll(settledRequests).toBe(1);
+    const all = [first, second, third].flatMap((worker) => worker ?? []);
+    expect(cache.allowedWorkers(QUEUE, step, all)).toEqual(new Set(['w0']));
+    await expect.poll(settledRequests).toBe(2);
+    expect(cache.allowedWorkers(QUEUE, step, all)).toEqual(new Set(['w0', 'w2']));
+    expect(service.requests.map(({ workerIds }) => workerIds)).toEqual([['w0', 'w1'], ['w2']]);
+  });
+
+  it('asks again about a worker that has restarted, whose permit is void', async () => {
+    const service = new SelectiveAdviceService(new Set(['w0']));
+    const { cache, settledRequests, step } = createCache(service);
+    const [worker] = createWorkers(1);
+    if (worker === undefined) {
+      throw new Error('there is no worker');
+    }
+    cache.allowedWorkers(QUEUE, step, [worker]);
+    await expect.poll(settledRequests).toBe(1);
+    worker.info = { ...worker.info, bornAt: worker.info.bornAt + 1 };
+    expect(cache.allowedWorkers(QUEUE, step, [worker])).toEqual(new Set());
+    await expect.poll(settledRequests).toBe(2);
+    expect(cache.allowedWorkers(QUEUE, step, [worker])).toEqual(new Set(['w0']));
+    expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w0')).toBe('permit-2');
+  });
+
   it('allows no worker without an advice service', () => {
     const { cache, step } = createCache(undefined);
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set());
