fix(node): ask the advice service for one step at a time

With many waiting steps of a queue with advice, most of them got no answer and waited, although their workers were free. All steps were asked for at once. The service handles one request of a node at a time and refuses requests while 32 wait; those at the end of its line timed out after 1.5 s and the time of one request, were asked again, and the service spent its time on requests that nobody waited for any more.

The cache now sends a request after the answer to the last one, in the order in which steps began to wait, so that each step has its turn; a step that has nothing to assign by then, or whose job has ended, is passed over. A failed request delays the next by 200 ms, whatever the step.

Evidence: "gets an answer for each of many steps from a service that is slow" failed before with 15 of 80 steps answered within 10 s; a service of 100 ms a request can answer all. "asks for nothing on behalf of a job that has ended" failed with 2 requests in place of 1.

Limits: as many steps a second as the service can answer; an urgent step waits for its turn like the others.

--- a/packages/node/src/permit-cache.ts
+++ b/packages/node/src/permit-cache.ts
@@ -13,10 +13,23 @@
 /** Delay before a step may be requested again after a failed request, in ms. */
 const RETRY_DELAY_MS = 200;
 
-/** Requests and caches permits for the steps of queues whose steps only some workers may run. */
+/** Step that waits for an answer about some workers. */
+interface WaitingStep {
+  queue: QueueConfig;
+  step: StepRun;
+  /** Workers to which its tasks could be assigned. */
+  workers: readonly Worker[];
+}
+
+/**
+ * Requests and caches permits for the steps of queues whose steps only some workers may run. The service handles
+ * one request of a node at a time and refuses some if many wait, so each request is sent after the answer to the
+ * last one, in the order in which steps began to wait.
+ */
 export class PermitCache {
-  readonly #pendingSteps = new Set<string>();
   readonly #adviceByStep = new Map<string, StepAdvice>();
+  #isRequesting = false;
+  readonly #waitingSteps = new Map<string, WaitingStep>();
 
   constructor(
     private readonly service: AdviceService | undefined,
@@ -34,12 +47,13 @@
   allowedWorkers(queue: QueueConfig, step: StepRun, workers: readonly Worker[]): AllowedWorkers {
     const name = stepNameOf(step.tasks[0]?.name ?? '');
     const now = this.timers.mono();
-    const advice = this.#getOrCreateAdvice(name);
-    const unanswered = advice.unanswered(workers, now);
-    if (unanswered.length > 0) {
-      void this.#fetchAdvice(name, queue, unanswered.slice(0, MAX_WORKERS_PER_REQUEST));
+    const advice = this.#adviceByStep.get(name);
+    if (advice === undefined || advice.unanswered(workers, now).length > 0) {
+      // A step that waits already keeps its place.
+      this.#waitingSteps.set(name, { queue, step, workers });
+      void this.#requestWaiting();
     }
-    return advice.allowed(workers, now);
+    return advice?.allowed(workers, now) ?? new Set();
   }
 
   /** Returns the permit for a task on a worker; empty if there is none. */
@@ -47,29 +61,45 @@
     return this.#adviceByStep.get(stepNameOf(task))?.permitFor(workerId) ?? '';
   }
 
-  #getOrCreateAdvice(step: string): StepAdvice {
-    const known = this.#adviceByStep.get(step) ?? new StepAdvice();
-    this.#adviceByStep.set(step, known);
-    return known;
+  async #requestWaiting(): Promise<void> {
+    if (this.#isRequesting || this.service === undefined) {
+      return;
+    }
+    this.#isRequesting = true;
+    // Until the plan has found all steps that wait and assigned what has a permit.
+    await Promise.resolve();
+    for (const [name, waiting] of this.#waitingSteps) {
+      this.#waitingSteps.delete(name);
+      await this.#requestFor(name, waiting, this.service);
+    }
+    this.#isRequesting = false;
   }
 
-  async #fetchAdvice(step: string, queue: QueueConfig, workers: readonly Worker[]): Promise<void> {
-    if (this.#pendingSteps.has(step) || this.service === undefined || queue.advice === undefined) {
+  async #requestFor(name: string, waiting: WaitingStep, service: AdviceService): Promise<void> {
+    const { queue, step } = waiting;
+    const now = this.timers.mono();
+    const known = this.#adviceByStep.get(name) ?? new StepAdvice();
+    const unanswered = known.unanswered(waiting.workers, now);
+    const isWaiting = step.waitingCount > 0 && step.tasks[0]?.job.hasEnded === false;
+    if (this.signal.aborted || !isWaiting || unanswered.length === 0 || queue.advice === undefined) {
       return;
     }
-    this.#pendingSteps.add(step);
+    const workers = unanswered.slice(0, MAX_WORKERS_PER_REQUEST);
     const workerIds = workers.map((worker) => worker.info.id);
     const { decisionMs, perWorkerMs } = queue.advice;
     const timeoutMs = TIMEOUT_MARGIN_MS + decisionMs + perWorkerMs * workerIds.length;
-    const advice = await this.service.requestAdvice({ signal: this.signal, step, timeoutMs, workerIds });
+    const advice = await service.requestAdvice({ signal: this.signal, step: name, timeoutMs, workerIds });
     if (advice.isOk()) {
-      this.#getOrCreateAdvice(step).add(workers, advice.value, this.timers.mono());
-      this.log.info({ allowed: advice.value.permits.size, asked: workerIds.length, step }, 'advice received');
+      known.add(workers, advice.value, this.timers.mono());
+      this.#adviceByStep.set(name, known);
+      this.log.info(
+        { allowed: advice.value.permits.size, asked: workerIds.length, step: name },
+        'advice received',
+      );
     } else {
-      this.log.warn({ error: advice.error, step }, 'advice failed');
+      this.log.warn({ error: advice.error, step: name }, 'advice failed');
       await this.timers.sleep(RETRY_DELAY_MS, this.signal);
     }
-    this.#pendingSteps.delete(step);
     this.onSettled();
   }
 }
--- a/packages/node/tests/permit-cache.test.ts
+++ b/packages/node/tests/permit-cache.test.ts
@@ -1,9 +1,10 @@
 import type { QueueConfig, StepRun } from '@sequoiaquay/core/jobs';
 import { JobRun, Worker } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
-import { errAsync, okAsync } from 'neverthrow';
-import { describe, expect, it } from 'vitest';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { AdviceRequest, AdviceService } from '../src/ports/advice-service';
+import { job, step } from '../../core/tests/jobs/support/jobs';
 import { PermitCache } from '../src/permit-cache';
 import { quietLog } from './support/quiet-log';
 import { JOB, WORKER } from './support/sample-job';
@@ -65,6 +66,50 @@
   return Array.from({ length: count }, (_, index) => new Worker({ ...WORKER, id: `w${index}` }, 0));
 }
 
+/**
+ * Advice service that handles the requests of a caller in turn, each in 100 ms, also those that the caller has given
+ * up, and refuses a request while 32 wait.
+ */
+class BusyAdviceService implements AdviceService {
+  mostPending = 0;
+  readonly requests: AdviceRequest[] = [];
+  #pending = 0;
+  #turn: Promise<unknown> = Promise.resolve();
+
+  requestAdvice(req: AdviceRequest): ReturnType<AdviceService['requestAdvice']> {
+    this.requests.push(req);
+    if (this.#pending > 32) {
+      return errAsync('status 429');
+    }
+    this.#pending += 1;
+    this.mostPending = Math.max(this.mostPending, this.#pending);
+    this.#turn = this.#turn
+      .then(() => delay(100))
+      .then(() => {
+        this.#pending -= 1;
+      });
+    const answer = this.#turn.then(() => ({
+      permits: new Map(req.workerIds.map((id) => [id, 'p'])),
+      validityMs: 30_000,
+    }));
+    const timeout = delay(req.timeoutMs).then(() => Promise.reject(new Error('timeout')));
+    return ResultAsync.fromPromise(Promise.race([answer, timeout]), String);
+  }
+}
+
+function delay(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+function createSteps(count: number): StepRun[] {
+  return Array.from({ length: count }, (_, index) => {
+    const id = index.toString(16).padStart(16, '0');
+    return new JobRun(job(id, [step()])).occurrences.flatMap(({ steps }) => steps);
+  }).flat();
+}
+
 function createCache(service: AdviceService | undefined): {
   cache: PermitCache;
   settledRequests: () => number;
@@ -76,11 +121,11 @@
   };
   const { signal } = new AbortController();
   const cache = new PermitCache(service, onSettled, new SystemTimerService(), quietLog, signal);
-  const [step] = new JobRun(JOB).occurrences.flatMap((occurrence) => occurrence.steps);
-  if (step === undefined) {
+  const [sample] = new JobRun(JOB).occurrences.flatMap((occurrence) => occurrence.steps);
+  if (sample === undefined) {
     throw new Error('the sample job has no step');
   }
-  return { cache, settledRequests: () => settled, step };
+  return { cache, settledRequests: () => settled, step: sample };
 }
 
 // Guards against start orders that workers refuse because the permit is missing or has expired, and against
@@ -164,6 +209,42 @@
     expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w0')).toBe('permit-2');
   });
 
+  describe('with many steps', () => {
+    beforeEach(() => {
+      vi.useFakeTimers();
+    });
+
+    afterEach(() => {
+      vi.useRealTimers();
+    });
+
+    it('gets an answer for each of many steps from a service that is slow', async () => {
+      const service = new BusyAdviceService();
+      const { cache } = createCache(service);
+      const steps = createSteps(80);
+      for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 100) {
+        steps.forEach((item) => cache.allowedWorkers(QUEUE, item, workers));
+        await vi.advanceTimersByTimeAsync(100);
+      }
+      const answered = steps.filter((item) => cache.allowedWorkers(QUEUE, item, workers)?.size === 2);
+      expect(answered).toHaveLength(80);
+      expect(service.mostPending).toBe(1);
+      expect(service.requests).toHaveLength(80);
+    });
+
+    it('asks for nothing on behalf of a job that has ended', async () => {
+      const service = new SelectiveAdviceService(new Set(['w1']));
+      const { cache } = createCache(service);
+      const [first, second] = createSteps(2);
+      [first, second].forEach((item) => item !== undefined && cache.allowedWorkers(QUEUE, item, workers));
+      for (const task of second?.tasks ?? []) {
+        task.job.hasEnded = true;
+      }
+      await vi.advanceTimersByTimeAsync(100);
+      expect(service.requests).toHaveLength(1);
+    });
+  });
+
   it('allows no worker without an advice service', () => {
     const { cache, step } = createCache(undefined);
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set());
