fix(node): forget the advice for steps that no longer wait

The memory of a leader grew with each step of a queue with advice that it had started: the permits of a step were kept until the end of the term. They are now dropped with the next answer once all of them are void and the step waits for none.

Evidence: "forgets the answers for steps that no longer wait" failed before with 50 steps kept after 5 s of steps whose permits are valid for 1 s.

--- a/packages/node/src/permit-cache.ts
+++ b/packages/node/src/permit-cache.ts
@@ -40,6 +40,11 @@
     private readonly signal: AbortSignal,
   ) {}
 
+  /** Number of steps whose answers are kept. */
+  get size(): number {
+    return this.#adviceByStep.size;
+  }
+
   /**
    * Returns the ids of the workers that are known to be allowed to run a step. It requests permits for those about
    * which there is no valid answer.
@@ -92,6 +97,7 @@
     if (advice.isOk()) {
       known.add(workers, advice.value, this.timers.mono());
       this.#adviceByStep.set(name, known);
+      this.#forgetExpired();
       this.log.info(
         { allowed: advice.value.permits.size, asked: workerIds.length, step: name },
         'advice received',
@@ -102,6 +108,16 @@
     }
     this.onSettled();
   }
+
+  // A step that waits keeps its answers, since they say which workers were asked about last.
+  #forgetExpired(): void {
+    const now = this.timers.mono();
+    for (const [name, advice] of this.#adviceByStep) {
+      if (!this.#waitingSteps.has(name) && advice.hasExpired(now)) {
+        this.#adviceByStep.delete(name);
+      }
+    }
+  }
 }
 
 /** Returns the name of the step that a task belongs to. */
--- a/packages/node/src/step-advice.ts
+++ b/packages/node/src/step-advice.ts
@@ -19,10 +19,13 @@
 /** Answers of the advice service about the workers for one step. */
 export class StepAdvice {
   readonly #answers = new Map<string, WorkerAnswer>();
+  /** Monotonic time at which the last permit becomes void, in ms. */
+  #expiresAt = -Infinity;
 
   /** Records an answer about workers that arrived at a monotonic time in ms. */
   add(workers: readonly Worker[], { permits, validityMs }: Advice, now: number): void {
     const validUntil = now + USABLE_VALIDITY_SHARE * validityMs;
+    this.#expiresAt = now + validityMs;
     for (const { info } of workers) {
       this.#answers.set(info.id, {
         at: now,
@@ -39,6 +42,11 @@
     return new Set(allowed.map((worker) => worker.info.id));
   }
 
+  /** Whether all permits are void at a monotonic time in ms. */
+  hasExpired(now: number): boolean {
+    return this.#expiresAt <= now;
+  }
+
   /** Returns the permit for a worker; empty if there is none. */
   permitFor(workerId: string): string {
     return this.#answers.get(workerId)?.permit ?? '';
--- a/packages/node/tests/permit-cache.test.ts
+++ b/packages/node/tests/permit-cache.test.ts
@@ -232,6 +232,15 @@
       expect(service.requests).toHaveLength(80);
     });
 
+    it('forgets the answers for steps that no longer wait', async () => {
+      const { cache } = createCache(new SelectiveAdviceService(new Set(['w1']), 1000));
+      for (const item of createSteps(50)) {
+        cache.allowedWorkers(QUEUE, item, workers);
+        await vi.advanceTimersByTimeAsync(100);
+      }
+      expect(cache.size).toBeLessThanOrEqual(11);
+    });
+
     it('asks for nothing on behalf of a job that has ended', async () => {
       const service = new SelectiveAdviceService(new Set(['w1']));
       const { cache } = createCache(service);
