fix(jobs): release no run while its worker has more ends than it lists

A task whose run had ended could be started again: a worker lists at most 500 ends at a time. A run that was neither in the list of running ones nor among these ends was taken for lost, released and assigned again. Many small or best-effort tasks on one worker can end while no leader acknowledges ends, for example during a change of leader.

A report now says whether the worker may have more ends. Such a report is no evidence that a run is lost; the next one, after the ends of the first are stored and acknowledged, lists further ends.

The longer a worker's list, the later the loss of a run of it is found.

--- a/packages/core/src/jobs/reconcile.ts
+++ b/packages/core/src/jobs/reconcile.ts
@@ -16,7 +16,8 @@
 
 /**
  * Compares a report with the assignments of its worker and confirms the runs that it lists. A report counts
- * as evidence against the phase of a task only if it was requested after the task entered that phase.
+ * as evidence against the phase of a task only if it was requested after the task entered that phase, and only if
+ * it lists all ends.
  *
  * @param askedAt Monotonic time at which the report was requested, in ms.
  */
@@ -43,6 +44,9 @@
       listed.add(row.task);
     }
   }
+  if (report.hasMoreEnds === true) {
+    return findings;
+  }
   for (const task of worker.runs.values()) {
     if (!listed.has(task.name)) {
       classifyMissingTask(task, askedAt, findings);
--- a/packages/core/src/jobs/worker-report.ts
+++ b/packages/core/src/jobs/worker-report.ts
@@ -41,6 +41,8 @@
   /** Reading of the worker's clock, in ms. */
   clockMs: number;
   ended: ReportedEnd[];
+  /** Whether the worker may have more ends, which it lists once those in `ended` are acknowledged. */
+  hasMoreEnds?: boolean;
   running: ReportedRun[];
 }
 
