fix: ask for another permit when a worker refuses one

A worker that refused the permit for one step (409, `ticket`) was paused for a second, so that no task of any step started there, and the same permit was sent again and again until its validity ended: after a restart of the worker that the registry has not shown yet, or when an order waited for a slow store until its permit was void.

The refusal is now an answer of its own, `permit`. It pauses no worker; the cache drops the permit and asks about the worker again after 0.5 s, and other workers with a permit are used meanwhile. What a refusal delays moves from the scheduler to order-refusal.ts.

Limits: a permit that became void while its order waited is still sent once.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -13,6 +13,7 @@
 import type { StartAnswer, WorkerReport } from './worker-report';
 import { Assigner } from './assigner';
 import { JobRun } from './job-run';
+import { delayOrdersAfterRefusal } from './order-refusal';
 import { computePoolLoad } from './pool-load';
 import { computePoolUse } from './pool-use';
 import { reconcile } from './reconcile';
@@ -227,7 +228,7 @@
       return;
     }
     this.#ctx.log(DECISION.orderRefused, { answer, run: order.run, task: task.name, worker: worker.info.id });
-    this.#pauseAfterRefusal(worker, answer, now);
+    delayOrdersAfterRefusal(order, answer, this.#ctx.settings, now);
     if (task.phase === 'starting' || task.phase === 'stopping') {
       this.#runControl.release(task, answer, now);
     }
@@ -323,14 +324,6 @@
     }
   }
 
-  #pauseAfterRefusal(worker: Worker, answer: StartAnswer, now: number): void {
-    const pauseMs =
-      answer === START_ANSWER.noCapacity ? this.#ctx.settings.roomPauseMs : this.#ctx.settings.refusedPauseMs;
-    if (answer !== START_ANSWER.stale) {
-      worker.pausedUntil = Math.max(worker.pausedUntil, now + pauseMs);
-    }
-  }
-
   #restore(run: JobRun, records: readonly TaskRecord[], now: number): void {
     const tasks = new Map([...run.tasks()].map((task) => [task.name, task]));
     for (const record of records) {
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from '@sequoiaquay/runtime';
 import { OrderWindow, START_ANSWER } from '@sequoiaquay/core/jobs';
 import type { NodeMetrics } from './node-metrics';
+import type { PermitCache } from './permit-cache';
 import type { WorkerLink } from './ports/worker-link';
 
 /** Dependencies of the sender on its term. */
@@ -20,8 +21,7 @@
   onAnswer: (worker: Worker) => void;
   /** Called when a worker has accepted orders of a later term. */
   onFenced: (reason: string) => void;
-  /** Returns the permit for a task on a worker; empty if there is none. */
-  permitFor: (task: string, workerId: string) => string;
+  permits: Pick<PermitCache, 'onPermitRefused' | 'permitFor'>;
   scheduler: Scheduler;
   timers: TimerService;
 }
@@ -119,7 +119,7 @@
       run,
       signal: this.signal,
       task: task.name,
-      permit: this.ctx.permitFor(task.name, worker.info.id),
+      permit: this.ctx.permits.permitFor(task.name, worker.info.id),
       worker: worker.info,
     });
     if (this.signal.aborted) {
@@ -129,6 +129,9 @@
       this.ctx.onFenced(`worker ${worker.info.id} has accepted orders of a later term`);
       return;
     }
+    if (answer === START_ANSWER.noPermit) {
+      this.ctx.permits.onPermitRefused(task.name, worker.info.id);
+    }
     this.ctx.scheduler.onStartAnswer(order, answer, timers.mono());
     this.ctx.onAnswer(worker);
   }
--- a/packages/node/src/permit-cache.ts
+++ b/packages/node/src/permit-cache.ts
@@ -61,6 +61,11 @@
     return advice?.allowed(workers, now) ?? new Set();
   }
 
+  /** Handles that a worker refused the permit for a task: it is asked about again. */
+  onPermitRefused(task: string, workerId: string): void {
+    this.#adviceByStep.get(stepNameOf(task))?.dropPermit(workerId, this.timers.mono());
+  }
+
   /** Returns the permit for a task on a worker; empty if there is none. */
   permitFor(task: string, workerId: string): string {
     return this.#adviceByStep.get(stepNameOf(task))?.permitFor(workerId) ?? '';
--- a/packages/node/src/step-advice.ts
+++ b/packages/node/src/step-advice.ts
@@ -16,6 +16,9 @@
 /** Share of a permit's validity for which it is used; the rest is left for the order to arrive in time. */
 const USABLE_VALIDITY_SHARE = 0.7;
 
+/** Time after which a worker that refused its permit is asked about again, in ms. */
+const REFUSED_PERMIT_PAUSE_MS = 500;
+
 /** Answers of the advice service about the workers for one step. */
 export class StepAdvice {
   readonly #answers = new Map<string, WorkerAnswer>();
@@ -42,6 +45,18 @@
     return new Set(allowed.map((worker) => worker.info.id));
   }
 
+  /** Drops a permit that a worker refused; the worker is asked about again after a pause. */
+  dropPermit(workerId: string, now: number): void {
+    const answer = this.#answers.get(workerId);
+    if (answer !== undefined) {
+      this.#answers.set(workerId, {
+        ...answer,
+        permit: undefined,
+        validUntil: now + REFUSED_PERMIT_PAUSE_MS,
+      });
+    }
+  }
+
   /** Whether all permits are void at a monotonic time in ms. */
   hasExpired(now: number): boolean {
     return this.#expiresAt <= now;
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -141,7 +141,7 @@
           this.#schedulePlan();
         },
         onFenced: onLost,
-        permitFor: (task, workerId) => this.#permitCache.permitFor(task, workerId),
+        permits: this.#permitCache,
         scheduler: this.#scheduler,
         timers,
       },
--- a/packages/node/tests/order-capacity.test.ts
+++ b/packages/node/tests/order-capacity.test.ts
@@ -62,7 +62,7 @@
       metrics: new NodeMetrics(),
       onAnswer: () => undefined,
       onFenced: () => undefined,
-      permitFor: () => '',
+      permits: { onPermitRefused: () => undefined, permitFor: () => '' },
       scheduler,
       timers: new SystemTimerService(),
     },
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -87,7 +87,7 @@
       metrics,
       onAnswer: () => undefined,
       onFenced: () => undefined,
-      permitFor: () => '',
+      permits: { onPermitRefused: () => undefined, permitFor: () => '' },
       scheduler,
       timers: new SystemTimerService(),
     },
--- a/packages/node/tests/permit-cache.test.ts
+++ b/packages/node/tests/permit-cache.test.ts
@@ -193,6 +193,20 @@
     expect(service.requests.map(({ workerIds }) => workerIds)).toEqual([['w0', 'w1'], ['w2']]);
   });
 
+  it('does not use a permit again that its worker refused, and asks for another', async () => {
+    const service = new SelectiveAdviceService(new Set(['w0', 'w1']));
+    const { cache, settledRequests, step: sample } = createCache(service);
+    const both = createWorkers(2);
+    cache.allowedWorkers(QUEUE, sample, both);
+    await expect.poll(settledRequests).toBe(1);
+    cache.onPermitRefused(`${JOB.id}.0.0.0`, 'w0');
+    expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w0')).toBe('');
+    expect(cache.allowedWorkers(QUEUE, sample, both)).toEqual(new Set(['w1']));
+    await expect.poll(() => cache.allowedWorkers(QUEUE, sample, both)?.size).toBe(2);
+    expect(service.requests.map(({ workerIds }) => workerIds)).toEqual([['w0', 'w1'], ['w0']]);
+    expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w0')).toBe('permit-2');
+  });
+
   it('asks again about a worker that has restarted, whose permit is void', async () => {
     const service = new SelectiveAdviceService(new Set(['w0']));
     const { cache, settledRequests, step } = createCache(service);
