test(node): use a virtual clock for the permit cache

On a busy machine "sends another request after a failed one" failed, since the permits of 100 ms had expired before the test looked. The checks are the same, at exact times; the one about expiry now also checks that permits are kept until then.

--- a/packages/node/tests/permit-cache.test.ts
+++ b/packages/node/tests/permit-cache.test.ts
@@ -131,12 +131,21 @@
 // Guards against start orders that workers refuse because the permit is missing or has expired, and against
 // a queue that is never scheduled again after a failed request.
 describe('PermitCache', () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
   it('allows no worker until the service answers, then only workers with a permit, with one request', async () => {
     const service = new FirstWorkerAdviceService();
     const { cache, settledRequests, step } = createCache(service);
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set());
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set());
-    await expect.poll(settledRequests).toBe(1);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(1);
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set(['w1']));
     expect(service.requests.map(({ step: name, workerIds }) => [name, workerIds])).toEqual([
       [`${JOB.id}.0.0`, ['w1', 'w2']],
@@ -149,9 +158,14 @@
     const service = new FirstWorkerAdviceService();
     const { cache, settledRequests, step } = createCache(service);
     cache.allowedWorkers(QUEUE, step, workers);
-    await expect.poll(settledRequests).toBe(1);
-    await expect.poll(() => cache.allowedWorkers(QUEUE, step, workers)?.size, { interval: 10 }).toBe(0);
-    await expect.poll(settledRequests).toBe(2);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(1);
+    await vi.advanceTimersByTimeAsync(VALIDITY_MS / 2);
+    expect(cache.allowedWorkers(QUEUE, step, workers)?.size).toBe(1);
+    await vi.advanceTimersByTimeAsync(VALIDITY_MS / 4);
+    expect(cache.allowedWorkers(QUEUE, step, workers)?.size).toBe(0);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(2);
     expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w1')).toBe('permit-2');
   });
 
@@ -160,9 +174,11 @@
     service.failures = 1;
     const { cache, settledRequests, step } = createCache(service);
     cache.allowedWorkers(QUEUE, step, workers);
-    await expect.poll(settledRequests).toBe(1);
+    await vi.advanceTimersByTimeAsync(250);
+    expect(settledRequests()).toBe(1);
     cache.allowedWorkers(QUEUE, step, workers);
-    await expect.poll(settledRequests).toBe(2);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(2);
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set(['w1']));
   });
 
@@ -170,9 +186,11 @@
     const service = new SelectiveAdviceService(new Set(['w3', 'w240']));
     const { cache, step } = createCache(service);
     const many = createWorkers(250);
-    await expect
-      .poll(() => cache.allowedWorkers(QUEUE, step, many), { interval: 5 })
-      .toEqual(new Set(['w3', 'w240']));
+    for (let request = 0; request < 4; request += 1) {
+      cache.allowedWorkers(QUEUE, step, many);
+      await vi.advanceTimersByTimeAsync(1);
+    }
+    expect(cache.allowedWorkers(QUEUE, step, many)).toEqual(new Set(['w3', 'w240']));
     expect(service.requests.map(({ workerIds }) => workerIds.length)).toEqual([100, 100, 50]);
   });
 
@@ -185,10 +203,12 @@
       step,
       [first, second].flatMap((worker) => worker ?? []),
     );
-    await expect.poll(settledRequests).toBe(1);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(1);
     const all = [first, second, third].flatMap((worker) => worker ?? []);
     expect(cache.allowedWorkers(QUEUE, step, all)).toEqual(new Set(['w0']));
-    await expect.poll(settledRequests).toBe(2);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(2);
     expect(cache.allowedWorkers(QUEUE, step, all)).toEqual(new Set(['w0', 'w2']));
     expect(service.requests.map(({ workerIds }) => workerIds)).toEqual([['w0', 'w1'], ['w2']]);
   });
@@ -198,11 +218,15 @@
     const { cache, settledRequests, step: sample } = createCache(service);
     const both = createWorkers(2);
     cache.allowedWorkers(QUEUE, sample, both);
-    await expect.poll(settledRequests).toBe(1);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(1);
     cache.onPermitRefused(`${JOB.id}.0.0.0`, 'w0');
     expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w0')).toBe('');
     expect(cache.allowedWorkers(QUEUE, sample, both)).toEqual(new Set(['w1']));
-    await expect.poll(() => cache.allowedWorkers(QUEUE, sample, both)?.size).toBe(2);
+    await vi.advanceTimersByTimeAsync(600);
+    cache.allowedWorkers(QUEUE, sample, both);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(cache.allowedWorkers(QUEUE, sample, both)?.size).toBe(2);
     expect(service.requests.map(({ workerIds }) => workerIds)).toEqual([['w0', 'w1'], ['w0']]);
     expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w0')).toBe('permit-2');
   });
@@ -215,23 +239,17 @@
       throw new Error('there is no worker');
     }
     cache.allowedWorkers(QUEUE, step, [worker]);
-    await expect.poll(settledRequests).toBe(1);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(1);
     worker.info = { ...worker.info, bornAt: worker.info.bornAt + 1 };
     expect(cache.allowedWorkers(QUEUE, step, [worker])).toEqual(new Set());
-    await expect.poll(settledRequests).toBe(2);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(settledRequests()).toBe(2);
     expect(cache.allowedWorkers(QUEUE, step, [worker])).toEqual(new Set(['w0']));
     expect(cache.permitFor(`${JOB.id}.0.0.0`, 'w0')).toBe('permit-2');
   });
 
   describe('with many steps', () => {
-    beforeEach(() => {
-      vi.useFakeTimers();
-    });
-
-    afterEach(() => {
-      vi.useRealTimers();
-    });
-
     it('gets an answer for each of many steps from a service that is slow', async () => {
       const service = new BusyAdviceService();
       const { cache } = createCache(service);
