fix(core): let only the holder of a claim to a VM reopen its worker

Callers could lose runs, and see tasks wait for a worker that was closed for nothing. `Worker.isEvacuating` was one boolean that the balancer, the waves and the scheduler set and cleared. A refused maintenance order reopened a worker whose VM was ordered to move, and a refused move one whose maintenance was ordered: tasks were assigned and the order ended them. Of two waves that name a VM, the refusal of one reopened the worker for the other. A wave reopened the worker that the VM list showed at that moment, so a worker whose VM had left the list stayed closed for good.

`VmClaims` now keeps who closed a worker and why. A holder ends only its own claim, on the incarnation that it claimed; a claim ends at its bound or with the incarnation. A worker is assignable when nobody claims its VM. A wave gives up the evacuation of a VM that is no longer listed as up. A worker with runs whose VM was taken according to an answer stays closed until a report that was requested later.

Limits: the claims of moves and waves have no bound yet.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -27,4 +27,5 @@
 export * from './waiting-tasks';
 export * from './worker';
 export * from './worker-closure';
+export * from './vm-claims';
 export * from './worker-report';
--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -4,6 +4,7 @@
 import type { Worker } from './worker';
 import { PoolState } from './pool-state';
 import { RunTimeEstimator } from './run-time-estimator';
+import { VmClaims } from './vm-claims';
 
 /** Settings of the scheduler. */
 export interface SchedulerSettings {
@@ -24,6 +25,8 @@
 /** State that the components of the scheduler share. */
 export class SchedulerContext {
   #cfg: FleetConfig | undefined;
+  /** Claims to the VMs of the workers. */
+  readonly vmClaims: VmClaims;
   /** Jobs that have not ended, and ended jobs whose end is not stored or whose runs are still being stopped. */
   readonly jobs = new Map<string, JobRun>();
   /** Plan in preparation, to which records and orders are added until the next `takePlan`. */
@@ -37,7 +40,9 @@
   constructor(
     readonly settings: SchedulerSettings,
     readonly log: DecisionLog,
-  ) {}
+  ) {
+    this.vmClaims = new VmClaims(log);
+  }
 
   /** Configuration in force; undefined until there is one. */
   get cfg(): FleetConfig | undefined {
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -8,6 +8,7 @@
 import type { SchedulerSettings } from './scheduler-context';
 import type { DecisionLog, Plan, StartOrder, StopOrder } from './scheduler-output';
 import type { Task } from './task';
+import type { VmClaims } from './vm-claims';
 import type { WaitingReport } from './waiting-tasks';
 import type { Worker, WorkerInfo } from './worker';
 import type { StartAnswer, WorkerReport } from './worker-report';
@@ -24,12 +25,19 @@
 import { findRunsToMove, findStalledRuns } from './stalled-runs';
 import { parseTaskName } from './task-name';
 import { throttleBestEffortTasks } from './throttle';
+import { CLAIM_REASON } from './vm-claims';
 import { WaitingTasks } from './waiting-tasks';
 import { WorkerDirectory } from './worker-directory';
 import { WorkerLossHandler } from './worker-loss-handler';
 import { WorkerQuarantine } from './worker-quarantine';
 import { START_ANSWER } from './worker-report';
 
+/** Holder of the claims by the scheduler itself. */
+const CLAIM_HOLDER = 'scheduler';
+
+/** Longest time for which a worker whose VM was taken is kept closed without a report, in ms: longer than leases. */
+const VM_TAKEN_LIMIT_MS = 5000;
+
 /**
  * Decides which worker runs which task. Inputs are events with a monotonic time in ms; `plan` returns the
  * resulting records and orders. Only the scheduler of the current leader takes effect: its records are
@@ -56,6 +64,11 @@
     this.#assigner = new Assigner(this.#ctx, this.#runControl, advice);
   }
 
+  /** Claims to the VMs of the workers. */
+  get vmClaims(): VmClaims {
+    return this.#ctx.vmClaims;
+  }
+
   /** Known workers, including deregistered ones that may still run tasks. */
   get workers(): ReadonlyMap<string, Worker> {
     return this.#ctx.workers;
@@ -134,20 +147,20 @@
   }
 
   /**
-   * Handles the answer that the VM of an emptied worker was taken. A worker that has runs by then came to the
-   * VM later, so its own reports or the end of its lease decide about them. One with an unconfirmed entry may have
-   * restarted since.
+   * Handles the answer that the VM of an emptied worker was taken. A worker that has runs by then may have come to
+   * the VM later, so its own reports or the end of its lease decide about them. It gets no more tasks until it has
+   * given a report that was requested after the answer. One with an unconfirmed entry may have restarted since.
    */
-  onWorkerEnded(worker: Worker): void {
+  onWorkerEnded(worker: Worker, now: number): void {
     if (!this.#directory.isKept(worker) || worker.unconfirmedEntry !== undefined) {
       return;
     }
     if (worker.runs.size > 0) {
       this.#ctx.log(DECISION.workerKept, { runs: worker.runs.size, worker: worker.info.id });
+      const until = now + VM_TAKEN_LIMIT_MS;
+      this.vmClaims.claim(worker, { holder: CLAIM_HOLDER, reason: CLAIM_REASON.taken, until }, now);
       return;
     }
-    worker.isEvacuating = true;
-    worker.evacuatedFor = 'its VM was taken';
     worker.isDeregistered = true;
     this.#directory.removeIfIdle(worker);
   }
@@ -157,6 +170,9 @@
     if (!this.#directory.applyReportedIncarnation(worker, report, askedAt, now)) {
       return;
     }
+    if (askedAt > (worker.vmClaims.get(CLAIM_HOLDER)?.since ?? Infinity)) {
+      this.vmClaims.release(worker, CLAIM_HOLDER, 'reported', now);
+    }
     worker.updateClock(report.clockMs, now);
     worker.isUnresponsive = false;
     worker.disconnection = undefined;
@@ -268,6 +284,7 @@
   /** Releases runs whose lease has expired, moves stalled runs and adds due occurrences of jobs. */
   tick(now: number, wallNow: number): void {
     for (const worker of [...this.#ctx.workers.values()]) {
+      this.vmClaims.expire(worker, now);
       // A responsive worker reports the outcome of its runs itself.
       if (now > worker.leaseEndsAt && (worker.isUnresponsive || worker.isDeregistered)) {
         this.#workerLosses.releaseExpired(worker, now);
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -149,6 +149,7 @@
     }
     this.ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
     this.losses.releaseAfterRestart(worker, now, mayHaveRun);
+    this.ctx.vmClaims.clear(worker, now);
     worker.resetForRestart(info, now, this.ctx.settings.maxLeaseMs);
     worker.isFenced = false;
     // The new incarnation has received no order to stop and would execute a delayed order to start.
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -1,5 +1,6 @@
 import type { Demand } from './job-spec';
 import type { Task } from './task';
+import type { VmClaim } from './vm-claims';
 import type { WorkerClosure } from './worker-closure';
 import { OrphanedRuns } from './orphaned-runs';
 import { CLOSURE } from './worker-closure';
@@ -67,10 +68,8 @@
   endsStored = 0;
   /** Ends up to this sequence number have been read from reports. */
   endsRead = 0;
-  /** What the worker is emptied for, for the log. */
-  evacuatedFor = '';
-  /** Whether the worker is emptied for maintenance; no new tasks are assigned to it. */
-  isEvacuating = false;
+  /** Claims to the VM of the worker, by holder; no new tasks are assigned while there are any. */
+  readonly vmClaims = new Map<string, VmClaim>();
   /** Set from a closed or refused connection until the next report. */
   disconnection: Disconnection | undefined;
   /** Ids of the jobs whose runs are the consecutive failed ones. */
@@ -150,6 +149,13 @@
     return this.reserved.gpus + gpus > capacity.gpus ? 'gpus' : undefined;
   }
 
+  /** Returns a claim to the VM of the worker at a monotonic time in ms; undefined if there is none. */
+  vmClaim(now: number): VmClaim | undefined {
+    return this.vmClaims.size === 0
+      ? undefined
+      : [...this.vmClaims.values()].find(({ until }) => until > now);
+  }
+
   /** Whether new tasks can be assigned at a monotonic time in ms; what orphaned runs use is not known. */
   isAssignable(now: number): boolean {
     return this.closure(now) === undefined;
@@ -166,8 +172,9 @@
     if (!this.isFenced) {
       return { reason: CLOSURE.notAsked };
     }
-    if (this.isEvacuating) {
-      return { detail: this.evacuatedFor, reason: CLOSURE.evacuating };
+    const claim = this.vmClaim(now);
+    if (claim !== undefined) {
+      return { detail: `${claim.holder}: ${claim.reason}`, reason: CLOSURE.evacuating };
     }
     if (this.info.draining) {
       return { reason: CLOSURE.draining };
@@ -238,7 +245,6 @@
     this.failuresInRow = 0;
     this.failedJobs.clear();
     this.pausedUntil = 0;
-    this.isEvacuating = false;
     this.orphans.clear();
   }
 
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -1,11 +1,13 @@
 import type { KeyedRecord } from '../jobs/job-record';
 import type { PoolLoad } from '../jobs/pool-load';
+import type { VmClaims } from '../jobs/vm-claims';
 import type { Worker } from '../jobs/worker';
 import type { PoolNeed } from './pool-needs';
 import type { PeakForecast } from './rotation-forecast';
 import type { MoveAnswer, MoveOrder } from './vm-moves';
 import type { VmInfo } from './wave';
 import type { MaintenanceLog } from './wave-planner';
+import { CLAIM_REASON } from '../jobs/vm-claims';
 import { selectDonor } from './donor-selection';
 import { decodeOnsets, encodeOnsets } from './onset-record';
 import { PoolNeeds } from './pool-needs';
@@ -16,7 +18,8 @@
 export interface BalancerFleet {
   loads: (now: number) => PoolLoad[];
   /** Handles the end of a worker's incarnation: nothing runs on it any more. */
-  onWorkerEnded: (worker: Worker) => void;
+  onWorkerEnded: (worker: Worker, now: number) => void;
+  vmClaims: VmClaims;
   workers: ReadonlyMap<string, Worker>;
 }
 
@@ -27,6 +30,9 @@
   records: KeyedRecord[];
 }
 
+/** Holder of the claims to VMs that are about to move. */
+const CLAIM_HOLDER = 'pool-balancer';
+
 /** Shortest time between the log lines about pools with too few workers, in ms. */
 const LOG_PERIOD_MS = 500;
 
@@ -68,10 +74,14 @@
     const move = this.#moves.onAnswer(order, answer, now);
     this.log('move-answered', { answer, from: move?.from, pool: order.pool, vm: order.vm });
     const worker = move?.worker?.current();
-    if (answer === 'moved' && worker !== undefined) {
-      this.fleet.onWorkerEnded(worker);
-    } else if (answer === 'refused' && worker !== undefined) {
-      worker.isEvacuating = false;
+    if (worker === undefined || answer === 'unknown') {
+      return;
+    }
+    if (answer === 'moved') {
+      this.fleet.onWorkerEnded(worker, now);
+    }
+    if (this.fleet.workers.get(worker.info.id) === worker) {
+      this.fleet.vmClaims.release(worker, CLAIM_HOLDER, answer, now);
     }
   }
 
@@ -198,8 +208,8 @@
   #move(vm: VmInfo, pool: string, now: number): MoveOrder {
     const worker = this.fleet.workers.get(vm.workerId);
     if (worker !== undefined) {
-      worker.isEvacuating = true;
-      worker.evacuatedFor = `move to ${pool}`;
+      const claim = { holder: CLAIM_HOLDER, reason: CLAIM_REASON.move, until: Infinity };
+      this.fleet.vmClaims.claim(worker, claim, now);
     }
     this.log('vm-moved', { from: vm.pool, pool, vm: vm.id });
     return this.#moves.start(vm, pool, worker, now);
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -1,8 +1,10 @@
 import type { KeyedRecord } from '../jobs/job-record';
 import type { Task } from '../jobs/task';
+import type { VmClaims } from '../jobs/vm-claims';
 import type { Worker } from '../jobs/worker';
 import type { VmInfo, Wave } from './wave';
 import type { WaveVm } from './wave-run';
+import { CLAIM_REASON } from '../jobs/vm-claims';
 import { selectTasksToMove } from './evacuation';
 import { VM_STATE } from './wave';
 import { WaveRun } from './wave-run';
@@ -13,7 +15,8 @@
   /** Moves a task off its worker so that it continues on another one. */
   moveAway: (task: Task, reason: string, now: number) => void;
   /** Handles the end of a worker's incarnation: nothing runs on it any more. */
-  onWorkerEnded: (worker: Worker) => void;
+  onWorkerEnded: (worker: Worker, now: number) => void;
+  vmClaims: VmClaims;
   workers: ReadonlyMap<string, Worker>;
 }
 
@@ -127,14 +130,13 @@
       this.#records.push({ key: recordKey(run.wave.id, vm.id), value: '1' });
       const worker = vm.worker?.current();
       if (worker !== undefined) {
-        this.fleet.onWorkerEnded(worker);
+        this.fleet.onWorkerEnded(worker, now);
+        this.#releaseWorker(run, vm, answer, now);
       }
     } else if (answer === 'unknown') {
       vm.unansweredAt = now;
     } else if (now - vm.unansweredAt >= LATE_VM_ORDER_WINDOW_MS) {
-      run.advance(vm, 'refuse', now);
-      vm.notBefore = now + REFUSAL_BACKOFF_MS;
-      this.#setEvacuating(vm, false);
+      this.#postpone(run, vm, answer, now);
     }
   }
 
@@ -161,9 +163,9 @@
       if (selectable <= 0) {
         return;
       }
-      if (this.#isWithinPoolLimit(vm)) {
+      if (this.#isWithinPoolLimit(vm, now)) {
         run.advance(vm, 'select', now);
-        this.#setEvacuating(vm, true);
+        this.#claimWorker(run, vm, now);
         this.log('vm-emptied', { runs: this.#workerOf(vm)?.runs.size ?? 0, vm: vm.id, wave: run.wave.id });
         selectable -= 1;
       }
@@ -180,12 +182,14 @@
 
   #evacuateVms(run: WaveRun, now: number): void {
     for (const vm of run.vms.values()) {
+      if (vm.stage === 'evacuating' && !this.#isUp(vm)) {
+        this.#postpone(run, vm, 'not-up', now);
+      }
       const worker = this.#workerOf(vm);
       if (vm.stage === 'evacuating' && worker !== undefined) {
-        worker.isEvacuating = true;
-        worker.evacuatedFor = `wave ${run.wave.id}`;
+        this.#claimWorker(run, vm, now);
         for (const task of selectTasksToMove(worker, now - vm.since, now)) {
-          this.fleet.moveAway(task, `wave-${run.wave.id}`, now);
+          this.fleet.moveAway(task, holderOf(run), now);
         }
       }
     }
@@ -198,8 +202,7 @@
       const isOverdue = vm.stage === 'ordered' && now - vm.since > ORDER_RETRY_MS;
       if (isDue) {
         run.advance(vm, 'order', now);
-        const worker = this.#workerOf(vm);
-        vm.worker = worker === undefined ? undefined : new WorkerIncarnation(worker);
+        this.#claimWorker(run, vm, now);
       }
       if (isDue || isOverdue) {
         vm.since = now;
@@ -232,27 +235,53 @@
   }
 
   // The first VM of a pool is always allowed, so that pools of any size can be maintained.
-  #isWithinPoolLimit(vm: WaveVm): boolean {
+  #isWithinPoolLimit(vm: WaveVm, now: number): boolean {
     const pool = this.#vms.get(vm.id)?.pool;
     const peers = [...this.#vms.values()].filter((peer) => peer.pool === pool);
-    const unavailable = peers.filter((peer) => peer.state !== VM_STATE.up || this.#isEvacuating(peer));
+    const unavailable = peers.filter((peer) => peer.state !== VM_STATE.up || this.#isClaimed(peer, now));
     return unavailable.length === 0 || unavailable.length + 1 <= MAX_UNAVAILABLE_SHARE * peers.length;
   }
 
-  #isEvacuating(vm: VmInfo): boolean {
-    return this.fleet.workers.get(vm.workerId)?.isEvacuating ?? false;
+  #isClaimed(vm: VmInfo, now: number): boolean {
+    return this.fleet.workers.get(vm.workerId)?.vmClaim(now) !== undefined;
   }
 
   #workerOf(vm: WaveVm): Worker | undefined {
     return this.fleet.workers.get(this.#vms.get(vm.id)?.workerId ?? '');
   }
 
-  #setEvacuating(vm: WaveVm, evacuating: boolean): void {
+  // Another worker may have come to the VM since the first one was closed.
+  #claimWorker(run: WaveRun, vm: WaveVm, now: number): void {
     const worker = this.#workerOf(vm);
+    if (vm.worker?.current() !== worker) {
+      this.#releaseWorker(run, vm, 'replaced', now);
+      vm.worker = worker === undefined ? undefined : new WorkerIncarnation(worker);
+    }
     if (worker !== undefined) {
-      worker.isEvacuating = evacuating;
+      const claim = { holder: holderOf(run), reason: CLAIM_REASON.maintenance, until: Infinity };
+      this.fleet.vmClaims.claim(worker, claim, now);
+    }
+  }
+
+  // Not the worker that is listed for the VM now: the list may have changed, or no longer contain the VM.
+  #releaseWorker(run: WaveRun, vm: WaveVm, cause: string, now: number): void {
+    const worker = vm.worker?.current();
+    if (worker !== undefined && this.fleet.workers.get(worker.info.id) === worker) {
+      this.fleet.vmClaims.release(worker, holderOf(run), cause, now);
     }
   }
+
+  // The VM is selected again later.
+  #postpone(run: WaveRun, vm: WaveVm, cause: string, now: number): void {
+    run.advance(vm, 'refuse', now);
+    vm.notBefore = now + REFUSAL_BACKOFF_MS;
+    this.#releaseWorker(run, vm, cause, now);
+    vm.worker = undefined;
+  }
+}
+
+function holderOf(run: WaveRun): string {
+  return `wave-${run.wave.id}`;
 }
 
 function recordKey(wave: number, vm: string): string {
--- a/packages/core/src/maintenance/wave-run.ts
+++ b/packages/core/src/maintenance/wave-run.ts
@@ -14,7 +14,7 @@
   stage: WaveStage;
   /** Monotonic time at which an order was last given up without an answer, in ms. */
   unansweredAt: number;
-  /** Worker that ran on the VM when its maintenance was first ordered. */
+  /** Worker that is closed for the maintenance of the VM. */
   worker: WorkerIncarnation | undefined;
 }
 
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -431,7 +431,7 @@
     harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
     const [start] = harness.start();
     const busy = start?.worker.info.id ?? '';
-    harness.scheduler.onWorkerEnded(harness.worker(busy));
+    harness.scheduler.onWorkerEnded(harness.worker(busy), harness.now);
     expect(harness.plan().starts).toEqual([]);
     expect(harness.worker(busy).runs.size).toBe(1);
   });
@@ -465,7 +465,7 @@
     const dropped = harness.worker('a');
     harness.scheduler.onWorkerDeregistered('a');
     harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 2 }), harness.now);
-    harness.scheduler.onWorkerEnded(dropped);
+    harness.scheduler.onWorkerEnded(dropped, harness.now);
     expect(harness.worker('a').info.bornAt).toBe(2);
   });
 
--- a/packages/core/tests/jobs/waiting-tasks.test.ts
+++ b/packages/core/tests/jobs/waiting-tasks.test.ts
@@ -45,12 +45,11 @@
     'emptied',
     {
       close: first((item) => {
-        item.isEvacuating = true;
-        item.evacuatedFor = 'wave 3';
+        item.vmClaims.set('wave-3', { holder: 'wave-3', reason: 'maintenance', since: 0, until: Infinity });
       }),
     },
     'emptied',
-    'wave 3',
+    'wave-3: maintenance',
   ],
   ['draining', { close: nothing, workers: { w1: { draining: true } } }, 'draining'],
   ['paused', { close: first((item) => (item.pausedUntil = LATER + 700)) }, 'paused', 700],
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -136,7 +136,7 @@
 
   it('keeps the worker when an answer says late that the VM of the incarnation before was taken', () => {
     harness.register({ bornAt: 2000 });
-    harness.scheduler.onWorkerEnded(harness.worker);
+    harness.scheduler.onWorkerEnded(harness.worker, harness.now);
     harness.report(report([], [], 2000));
     harness.submit('j', 'p');
     expect(harness.start()).toEqual(['j.0.0.0']);
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -1,12 +1,13 @@
 import { describe, expect, it } from 'vitest';
 import type { MoveOrder, PoolLoad, VmInfo } from '../../src/jobs';
-import { PoolBalancer, Scheduler, Worker } from '../../src/jobs';
+import { PoolBalancer, Scheduler, VmClaims, Worker } from '../../src/jobs';
 import { config, job, report, SCHEDULER_SETTINGS, step, worker } from '../jobs/support/jobs';
 
 const SPARE = new Set(['spare']);
 
 /** Fleet with the pools `busy` and `idle` whose waiting demand the tests set. */
 class Fleet {
+  readonly vmClaims = new VmClaims(() => undefined);
   readonly ended: string[] = [];
   readonly vms: VmInfo[] = [];
   readonly workers = new Map<string, Worker>();
--- a/packages/core/tests/maintenance/support/rotation-simulation.ts
+++ b/packages/core/tests/maintenance/support/rotation-simulation.ts
@@ -1,5 +1,5 @@
 import type { PeakForecast, PoolLoad, VmInfo, Worker } from '../../../src/jobs';
-import { PoolBalancer, RotationForecast, Worker as VmWorker } from '../../../src/jobs';
+import { PoolBalancer, RotationForecast, VmClaims, Worker as VmWorker } from '../../../src/jobs';
 import { worker } from '../../jobs/support/jobs';
 
 const SPARE = 'spare';
@@ -50,6 +50,7 @@
       this.#addVm(index);
     }
     const fleet = {
+      vmClaims: new VmClaims(() => undefined),
       loads: () => POOLS.map((pool) => this.#loadOf(pool)),
       onWorkerEnded: () => undefined,
       workers: new Map(this.#vms.map((vm) => [vm.worker.info.id, vm.worker])),
@@ -139,7 +140,7 @@
       if (vm !== undefined && vm.upAt <= this.#now) {
         vm.info.pool = order.pool;
         vm.upAt = this.#now + MOVE_DURATION_MS;
-        vm.worker.isEvacuating = false;
+        vm.worker.vmClaims.clear();
         this.#balancer.onAnswer(order, 'moved', this.#now);
       }
     }
