fix(core): move VMs for tasks that fit on none of their pool's workers

Callers could see a job that is never started while spare VMs are free: needs of pools were sums of processor time, so a pool seemed to have enough workers although a waiting task fitted on none of them, for want of memory, accelerators or a label, since each worker had too little left, since a gang did not fit as a whole, or because of the limit per worker. A label that only best-effort tasks require was never counted. A VM with the label stayed with a pool that kept it for its next peak.

The load of a pool now names the waiting tasks that fit on no open worker. After 0.3 s the pool needs VMs on which they fit by capacity and labels; the VM list's capacities are read for that. Tasks of a step of which others run wait for as long as a VM takes to arrive, since they mostly run in turn. VMs that arrive smaller than listed are not ordered again and again.

Limits: VMs that are not up, have tasks, or that their pool needs itself are not moved; for queues with advice any worker counts as allowed; accelerators are not part of the reserve of one worker.

--- a/packages/core/src/jobs/job-run.ts
+++ b/packages/core/src/jobs/job-run.ts
@@ -9,6 +9,11 @@
   unfinishedCount: number;
   readonly occurrence: OccurrenceRun;
   readonly spec: StepSpec;
+  /**
+   * Monotonic time since which the waiting tasks have been found to fit on no worker, in ms; undefined if there was
+   * room, or a task was assigned, since.
+   */
+  strandedSince: number | undefined;
   readonly tasks: Task[];
   /** Number of tasks that wait to be assigned to a worker. */
   waitingCount: number;
@@ -37,6 +42,7 @@
   /** Updates the counts when a task of the step changes its phase. */
   onPhaseChange(from: TaskPhase, to: TaskPhase): void {
     this.waitingCount += Number(to === 'waiting') - Number(from === 'waiting');
+    this.strandedSince = from === 'waiting' ? undefined : this.strandedSince;
     this.unfinishedCount += Number(from === 'done') - Number(to === 'done');
   }
 }
--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -1,6 +1,8 @@
 import type { StepRun } from './job-run';
 import type { PoolState } from './pool-state';
+import type { StrandedTasks } from './stranded-tasks';
 import type { Worker } from './worker';
+import { StrandedTaskFinder } from './stranded-tasks';
 
 /** Capacity in use and resource demand of a pool. */
 export interface PoolLoad {
@@ -20,6 +22,8 @@
   pool: string;
   /** Processor time reserved by assigned tasks, in thousandths of a core. */
   reservedCpuMilli: number;
+  /** Waiting tasks of ready steps that fit on none of the open workers. */
+  stranded: StrandedTasks[];
   /** Processor time of the waiting tasks that require a label, by label, in thousandths of a core. */
   waitingByLabel: Map<string, number>;
   /** Processor time of the waiting tasks of ready steps, in thousandths of a core. */
@@ -36,19 +40,27 @@
     open: pool.assignableWorkers(now),
     pool: name,
     reservedCpuMilli: 0,
+    stranded: [],
     waitingByLabel: new Map(),
     waitingCpuMilli: 0,
   };
   for (const worker of pool.workers) {
     load.reservedCpuMilli += worker.reserved.cpuMilli;
-    load.endingCpuMilli += finiteCpuMilliOn(worker);
+    load.endingCpuMilli += worker.endingCpuMilli;
   }
+  const strandedTasks = new StrandedTaskFinder(load.open, now);
   for (const run of pool.jobs) {
     for (const step of run.readySteps()) {
       addWaitingTasks(load, step);
+      const stranded = strandedTasks.find(step);
+      if (stranded !== undefined) {
+        load.stranded.push(stranded);
+      }
     }
     for (const occurrence of run.occurrences) {
-      load.floor = Math.max(load.floor, ...occurrence.steps.map(minWorkersFor));
+      for (const step of occurrence.steps) {
+        load.floor = Math.max(load.floor, minWorkersFor(step));
+      }
     }
   }
   return load;
@@ -72,14 +84,6 @@
   }
 }
 
-function finiteCpuMilliOn(worker: Worker): number {
-  let cpuMilli = 0;
-  for (const { step } of worker.runs.values()) {
-    cpuMilli += step.spec.longRunning || step.spec.fillsIdle ? 0 : step.spec.demand.cpuMilli;
-  }
-  return cpuMilli;
-}
-
 function minWorkersFor(step: StepRun): number {
   const { longRunning, maxPerWorker } = step.spec;
   return longRunning && maxPerWorker > 0 ? Math.ceil(step.spec.count / maxPerWorker) : 0;
--- /dev/null
+++ b/packages/core/src/jobs/stranded-tasks.ts
@@ -0,0 +1,76 @@
+import type { StepRun } from './job-run';
+import type { Task } from './task';
+import type { Worker } from './worker';
+import { FreeCapacity } from './free-capacity';
+import { findMisfit } from './placement';
+
+/** Waiting tasks of a step that no worker of a pool has room for. */
+export interface StrandedTasks {
+  /** Number of tasks; of a gang, the members that remain when the others are placed. */
+  count: number;
+  /** Monotonic time since which they have been found without room, in ms. */
+  since: number;
+  step: StepRun;
+}
+
+/** Finds the waiting tasks that fit on none of several workers. */
+export class StrandedTaskFinder {
+  readonly #free: FreeCapacity;
+
+  constructor(
+    private readonly workers: readonly Worker[],
+    private readonly now: number,
+  ) {
+    this.#free = new FreeCapacity(workers);
+  }
+
+  /** Returns the stranded tasks of a ready step; undefined if it has none. */
+  find(step: StepRun): StrandedTasks | undefined {
+    const count = step.spec.gang ? this.#countStrandedMembers(step) : this.#countStranded(step);
+    if (count === 0) {
+      step.strandedSince = undefined;
+      return undefined;
+    }
+    const since = step.strandedSince ?? this.now;
+    step.strandedSince = since;
+    return { count, since, step };
+  }
+
+  // All tasks of a step have the same demand and constraints.
+  #countStranded(step: StepRun): number {
+    const [task] = step.tasks;
+    if (task === undefined) {
+      return 0;
+    }
+    const hasRoom =
+      this.#free.mayFit(step.spec) &&
+      this.workers.some((worker) => findMisfit(task, worker, undefined) === undefined);
+    return hasRoom ? 0 : step.waitingCount;
+  }
+
+  // A gang starts only when all its members wait.
+  #countStrandedMembers(step: StepRun): number {
+    const { spec, tasks, waitingCount } = step;
+    if (waitingCount < tasks.length) {
+      return 0;
+    }
+    return this.#free.mayFit(spec) ? tasks.length - this.#countPlaceable(tasks) : tasks.length;
+  }
+
+  #countPlaceable(tasks: readonly Task[]): number {
+    const placed: [Task, Worker][] = [];
+    for (const worker of this.workers) {
+      for (const task of tasks.slice(placed.length)) {
+        if (findMisfit(task, worker, undefined) !== undefined) {
+          break;
+        }
+        worker.attach(task);
+        placed.push([task, worker]);
+      }
+    }
+    for (const [task, worker] of placed) {
+      worker.detach(task);
+    }
+    return placed.length;
+  }
+}
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -62,6 +62,8 @@
 /** Worker, with the runs that the leader has assigned to it. */
 export class Worker {
   #clock: ClockReading | undefined;
+  /** Processor time that is reserved by tasks that end, in thousandths of a core. */
+  endingCpuMilli = 0;
   /** Ends up to this sequence number have been acknowledged to the worker. */
   endsAcknowledged = 0;
   /** Ends up to this sequence number are stored; the worker may remove them. */
@@ -267,8 +269,11 @@
   }
 
   #reserve(task: Task, sign: 1 | -1): void {
-    const { cpuMilli, gpus, memoryMb } = task.step.spec.demand;
-    this.reserved.cpuMilli += task.step.spec.fillsIdle ? 0 : sign * cpuMilli;
+    const { demand, fillsIdle, longRunning } = task.step.spec;
+    const { gpus, memoryMb } = demand;
+    const cpuMilli = fillsIdle ? 0 : sign * demand.cpuMilli;
+    this.reserved.cpuMilli += cpuMilli;
+    this.endingCpuMilli += longRunning ? 0 : cpuMilli;
     this.reserved.memoryMb += sign * memoryMb;
     this.reserved.gpus += sign * gpus;
   }
--- a/packages/core/src/maintenance/donor-selection.ts
+++ b/packages/core/src/maintenance/donor-selection.ts
@@ -1,5 +1,6 @@
-import type { PoolNeed } from './pool-needs';
+import type { PoolNeed } from './pool-need';
 import type { VmInfo } from './wave';
+import { isSuitable, lacksSuitableWorkers, parkableSurplusOf, surplusOf } from './pool-need';
 
 /** Ranks of the VMs that a pool may receive; the VM with the lowest rank is reassigned first. */
 const DONOR_RANK = {
@@ -23,7 +24,7 @@
   let bestRank = Infinity;
   for (const vm of available) {
     const donor = needs.get(vm.pool);
-    const rank = vm.pool === pool || !hasRequiredLabel(vm, need) ? Infinity : rankOf(vm, donor, need);
+    const rank = vm.pool === pool || !isSuitable(vm, need) ? Infinity : rankOf(vm, donor, need);
     if (rank < bestRank) {
       best = vm;
       bestRank = rank;
@@ -42,22 +43,17 @@
   if (donor === undefined) {
     return DONOR_RANK.parked + localityRank;
   }
-  return (donor.parkableSurplus > 0 ? DONOR_RANK.surplus : DONOR_RANK.keptForPeak) + localityRank;
-}
-
-// Workers with a label that the pool is short of are reassigned before any others.
-function hasRequiredLabel(vm: VmInfo, need: PoolNeed): boolean {
-  return need.shortageByLabel.size === 0 || vm.labels.some((label) => need.shortageByLabel.has(label));
+  return (parkableSurplusOf(donor) > 0 ? DONOR_RANK.surplus : DONOR_RANK.keptForPeak) + localityRank;
 }
 
 // Work goes before the next peak of the donor. For workers that the other pool only wants in reserve, the donor's
 // ratio of workers to kept workers must afterwards be no lower than the other pool's ratio of workers to required
 // workers.
 function canDonate(donor: PoolNeed, need: PoolNeed): boolean {
-  const isKept = donor.parkableSurplus <= 0;
-  const lacksForWork = need.workers < need.neededForWork;
+  const isKept = parkableSurplusOf(donor) <= 0;
+  const lacksForWork = need.workers < need.neededForWork || lacksSuitableWorkers(need);
   return (
-    donor.surplus > 0 &&
+    surplusOf(donor) > 0 &&
     (!isKept || lacksForWork || (donor.workers - 1) / donor.keptForPeak >= need.workers / need.required)
   );
 }
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -2,7 +2,8 @@
 import type { PoolLoad } from '../jobs/pool-load';
 import type { VmClaims } from '../jobs/vm-claims';
 import type { Worker } from '../jobs/worker';
-import type { PoolNeed } from './pool-needs';
+import type { PoolNeed } from './pool-need';
+import type { ShrunkVm } from './room-shortage';
 import type { PeakForecast } from './rotation-forecast';
 import type { MoveAnswer, MoveOrder } from './vm-moves';
 import type { VmInfo } from './wave';
@@ -10,7 +11,9 @@
 import { CLAIM_REASON } from '../jobs/vm-claims';
 import { selectDonor } from './donor-selection';
 import { decodeOnsets, encodeOnsets } from './onset-record';
+import { addVm, lacksSuitableWorkers, parkableSurplusOf, surplusOf } from './pool-need';
 import { PoolNeeds } from './pool-needs';
+import { hasShrunk } from './room-shortage';
 import { RotationForecast } from './rotation-forecast';
 import { VmMoves } from './vm-moves';
 
@@ -47,6 +50,7 @@
   readonly #idleSince = new Map<string, number>();
   readonly #moves = new VmMoves();
   readonly #needs: PoolNeeds;
+  #poolSizes = new Map<string, number>();
   #shortageLoggedAt = -Infinity;
   #vms: readonly VmInfo[] = [];
 
@@ -66,6 +70,10 @@
   /** Updates the VMs from a list that was requested at a monotonic time. */
   onVms(vms: readonly VmInfo[], requestedAt: number): void {
     this.#vms = vms;
+    this.#poolSizes = new Map();
+    for (const { pool } of vms) {
+      this.#poolSizes.set(pool, (this.#poolSizes.get(pool) ?? 0) + 1);
+    }
     this.#moves.onVms(vms, requestedAt, (vm) => this.fleet.workers.has(vm.workerId));
   }
 
@@ -100,19 +108,21 @@
       arriving: (pool, label) =>
         label === undefined
           ? this.#moves.arrivingCount(pool)
-          : this.#vms.filter((vm) => this.#moves.isArriving(vm, pool) && vm.labels.includes(label)).length,
+          : this.#arrivingVms(pool).filter((vm) => vm.labels.includes(label)).length,
+      arrivingVms: (pool) => this.#arrivingVms(pool),
       defaultWorkerCpuMilli: Math.max(
         0,
         ...[...this.fleet.workers.values()].map((item) => item.info.capacity.cpuMilli),
       ),
       moveDurationMs: this.#moves.moveDurationMs,
       now,
-      poolSize: (pool) => this.#vms.filter((vm) => vm.pool === pool).length,
+      poolSize: (pool) => this.#poolSizes.get(pool) ?? 0,
+      shrunkVms: this.#shrunkVms(),
       vmCount: this.#vms.length,
       wallNow,
     });
     this.#logShortages(
-      loads.filter((load) => surplusOf(needs, load.pool) < 0),
+      loads.filter((load) => surplusIn(needs, load.pool) < 0),
       needs,
       now,
     );
@@ -143,9 +153,10 @@
     for (const load of shortOfWorkers) {
       const { pool, reservedCpuMilli, waitingCpuMilli } = load;
       const arriving = this.#moves.arrivingCount(pool);
-      const lacks = -surplusOf(needs, pool);
+      const lacks = -surplusIn(needs, pool);
       const open = load.open.length;
-      this.log('pool-short', { arriving, lacks, open, pool, reservedCpuMilli, waitingCpuMilli });
+      const stranded = load.stranded.reduce((total, { count }) => total + count, 0);
+      this.log('pool-short', { arriving, lacks, open, pool, reservedCpuMilli, stranded, waitingCpuMilli });
     }
   }
 
@@ -171,11 +182,10 @@
       }
       available.delete(vm);
       orders.push(this.#move(vm, pool, now));
-      adjustWorkerCount(need, 1);
-      reduceLabelShortage(need, vm);
+      addVm(need, vm);
       const donor = needs.get(vm.pool);
       if (donor !== undefined) {
-        adjustWorkerCount(donor, -1);
+        donor.workers -= 1;
       }
     }
     return orders;
@@ -194,17 +204,33 @@
     for (const vm of this.#vms) {
       const need = needs.get(vm.pool);
       const idleSince = this.#idleSince.get(vm.workerId) ?? now;
-      if (need === undefined || need.parkableSurplus <= 0 || now - idleSince < PARK_AFTER_MS) {
+      if (need === undefined || parkableSurplusOf(need) <= 0 || now - idleSince < PARK_AFTER_MS) {
         continue;
       }
       if (this.#isAvailable(vm, sparePools, now)) {
         orders.push(this.#move(vm, sparePool, now));
-        adjustWorkerCount(need, -1);
+        need.workers -= 1;
       }
     }
     return orders;
   }
 
+  #arrivingVms(pool: string): VmInfo[] {
+    return this.#vms.filter((vm) => this.#moves.isArriving(vm, pool));
+  }
+
+  // VMs whose workers are smaller than the list of VMs states, by pool.
+  #shrunkVms(): Map<string, ShrunkVm[]> {
+    const shrunkVms = new Map<string, ShrunkVm[]>();
+    for (const { capacity: listed, pool, workerId } of this.#vms) {
+      const worker = this.fleet.workers.get(workerId)?.info.capacity;
+      if (listed !== undefined && worker !== undefined && hasShrunk({ listed, worker })) {
+        shrunkVms.set(pool, [...(shrunkVms.get(pool) ?? []), { listed, worker }]);
+      }
+    }
+    return shrunkVms;
+  }
+
   #move(vm: VmInfo, pool: string, now: number): MoveOrder {
     const worker = this.fleet.workers.get(vm.workerId);
     if (worker !== undefined) {
@@ -227,49 +253,35 @@
         this.#idleSince.set(id, now);
       }
     }
-    for (const id of [...this.#idleSince.keys()].filter((key) => !this.fleet.workers.has(key))) {
-      this.#idleSince.delete(id);
+    for (const id of this.#idleSince.keys()) {
+      if (!this.fleet.workers.has(id)) {
+        this.#idleSince.delete(id);
+      }
     }
   }
 }
 
-// Called when no VM is suitable for a pool. Without a VM that has a missing label, other VMs may still run the
-// rest of the pool's tasks, so the label requirement is dropped first; then the pool is skipped.
+// Called when no VM is suitable for a pool. Without a VM of the kind that is missing, other VMs may still run the
+// rest of the pool's tasks, so that requirement is dropped first; then the pool is skipped.
 function relaxOrSkip(pool: string, need: PoolNeed, skipped: Set<string>): void {
-  if (need.shortageByLabel.size === 0) {
+  if (!lacksSuitableWorkers(need)) {
     skipped.add(pool);
     return;
   }
+  need.roomShortages = [];
   need.shortageByLabel.clear();
-  need.surplus = need.workers - need.required;
-}
-
-function adjustWorkerCount(need: PoolNeed, change: 1 | -1): void {
-  need.workers += change;
-  need.surplus += change;
-  need.parkableSurplus += change;
-}
-
-function reduceLabelShortage(need: PoolNeed, vm: VmInfo): void {
-  for (const label of vm.labels) {
-    const shortage = need.shortageByLabel.get(label) ?? 0;
-    if (shortage > 1) {
-      need.shortageByLabel.set(label, shortage - 1);
-    } else {
-      need.shortageByLabel.delete(label);
-    }
-  }
 }
 
-function surplusOf(needs: ReadonlyMap<string, PoolNeed>, pool: string): number {
-  return needs.get(pool)?.surplus ?? 0;
+function surplusIn(needs: ReadonlyMap<string, PoolNeed>, pool: string): number {
+  const need = needs.get(pool);
+  return need === undefined ? 0 : surplusOf(need);
 }
 
 function findNeediestPool(
   needs: ReadonlyMap<string, PoolNeed>,
   skipped: ReadonlySet<string>,
 ): [string, PoolNeed] | undefined {
-  const candidates = [...needs].filter(([pool, need]) => !skipped.has(pool) && need.surplus < 0);
-  candidates.sort(([, a], [, b]) => a.surplus / a.required - b.surplus / b.required);
+  const candidates = [...needs].filter(([pool, need]) => !skipped.has(pool) && surplusOf(need) < 0);
+  candidates.sort(([, a], [, b]) => surplusOf(a) / a.required - surplusOf(b) / b.required);
   return candidates[0];
 }
--- a/packages/core/src/maintenance/pool-needs.ts
+++ b/packages/core/src/maintenance/pool-needs.ts
@@ -1,31 +1,18 @@
+import type { StepRun } from '../jobs/job-run';
 import type { PoolLoad } from '../jobs/pool-load';
+import type { PoolNeed } from './pool-need';
+import type { RoomShortage, ShrunkVm } from './room-shortage';
 import type { PeakForecast } from './rotation-forecast';
+import type { VmInfo } from './wave';
 import { PeakReserve } from './peak-reserve';
-
-/** Workers that a pool has and needs. */
-export interface PoolNeed {
-  /** Racks that hold the data of the pool's jobs. */
-  dataRacks: ReadonlySet<string>;
-  /** Workers that the pool keeps for its next peak. */
-  keptForPeak: number;
-  /** Workers for the tasks that are assigned or wait, and for a peak that begins or is due. */
-  neededForWork: number;
-  /** Workers beyond what the pool may need within the time that a VM takes to arrive. */
-  parkableSurplus: number;
-  /** Workers that the pool needs now, with those in reserve. */
-  required: number;
-  /** Missing workers for each label that waiting tasks require. */
-  shortageByLabel: Map<string, number>;
-  /** Workers beyond what the pool needs now; negative when it has too few. */
-  surplus: number;
-  /** Workers that the pool has, including those that are being moved to it. */
-  workers: number;
-}
+import { reduceShortages } from './room-shortage';
 
 /** Inputs of the computation of needs, in addition to the load. */
 export interface NeedInputs {
   /** Number of VMs that are being moved to a pool, either all or those with a label. */
   arriving: (pool: string, label?: string) => number;
+  /** VMs that are being moved to a pool. */
+  arrivingVms: (pool: string) => readonly VmInfo[];
   /** CPU capacity assumed for the workers of a pool without workers, in millicores; 0 when none is known. */
   defaultWorkerCpuMilli: number;
   /** Time that a VM takes to move from one pool to another, in ms. */
@@ -34,6 +21,8 @@
   now: number;
   /** Number of VMs in a pool. */
   poolSize: (pool: string) => number;
+  /** VMs whose workers are smaller than the list of VMs states, by pool. */
+  shrunkVms: ReadonlyMap<string, readonly ShrunkVm[]>;
   /** Number of VMs in all pools. */
   vmCount: number;
   /** Wall-clock time, in ms. */
@@ -64,6 +53,12 @@
 /** Time after the onset of a peak for which its expected height is provided for, in ms. */
 const PEAK_RISE_MS = 3000;
 
+/**
+ * Time after which a VM is moved for tasks that fit on no open worker, in ms. Before that, room mostly comes from
+ * tasks that end.
+ */
+const MAX_STRANDED_MS = 300;
+
 /** Computes how many workers each pool needs now and for the next expected peak. */
 export class PoolNeeds {
   readonly #reserve = new PeakReserve();
@@ -91,19 +86,14 @@
     const neededForWork = Math.max(busy, load.floor, this.#workersForPeak(load, pools, inputs));
     const required = Math.max(busy + HEADROOM_WORKERS, neededForWork);
     const keptForPeak = this.#workersToKeep(load, busy, pools, inputs);
-    const { nearLabels: dataRacks } = load;
-    const shortageByLabel = computeLabelShortages(load, inputs);
-    const shortage = sum(shortageByLabel.values());
-    const surplus = shortage > 0 ? Math.min(workers - required, -shortage) : workers - required;
-    const parkableSurplus = Math.min(surplus, workers - keptForPeak);
     return {
-      dataRacks,
+      dataRacks: load.nearLabels,
       keptForPeak,
       neededForWork,
-      parkableSurplus,
       required,
-      shortageByLabel,
-      surplus,
+      roomShortages: findRoomShortages(load, inputs),
+      shortageByLabel: computeLabelShortages(load, inputs),
+      shrunkVms: inputs.shrunkVms.get(load.pool) ?? [],
       workers,
     };
   }
@@ -138,6 +128,23 @@
   }
 }
 
+// Tasks of a step that run in turn are left to do so for as long as a VM takes to arrive.
+function findRoomShortages({ pool, stranded }: PoolLoad, inputs: NeedInputs): RoomShortage[] {
+  const { arrivingVms, moveDurationMs, now } = inputs;
+  const shortages: RoomShortage[] = [];
+  for (const { count, since, step } of stranded) {
+    if (now - since >= (isAtWork(step) ? moveDurationMs : MAX_STRANDED_MS)) {
+      shortages.push({ count, spec: step.spec });
+    }
+  }
+  return shortages.length === 0 ? [] : arrivingVms(pool).reduce(reduceShortages, shortages);
+}
+
+// The tasks of a long-running step serve users each by itself.
+function isAtWork({ spec, unfinishedCount, waitingCount }: StepRun): boolean {
+  return !spec.longRunning && waitingCount < unfinishedCount;
+}
+
 // Tasks that require a label may wait while workers without it are idle. Demand that fits into the free
 // capacity of workers with the label is not counted, since it is about to be assigned, unless the limit per worker
 // of a long-running step requires more of them.
--- a/packages/core/src/maintenance/wave.ts
+++ b/packages/core/src/maintenance/wave.ts
@@ -1,3 +1,5 @@
+import type { Demand } from '../jobs/job-spec';
+
 /** A maintenance wave requested by the operators. */
 export interface Wave {
   /** Time within which the maintenance of all VMs must begin, in ms. */
@@ -18,6 +20,8 @@
 
 /** A VM as the platform lists it. */
 export interface VmInfo {
+  /** Capacity of the VM's worker; undefined if it is not stated. */
+  capacity?: Demand | undefined;
   id: string;
   /** Labels that tasks may require of the worker on the VM, including its rack. */
   labels: readonly string[];
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -32,6 +32,7 @@
       open: [...this.workers.values()].filter((item) => item.info.pool === pool && item.isAssignable(now)),
       pool,
       reservedCpuMilli: 0,
+      stranded: [],
       waitingByLabel: this.labels.get(pool) ?? new Map(),
       waitingCpuMilli: this.waiting.get(pool) ?? 0,
     }));
--- a/packages/core/tests/maintenance/support/rotation-simulation.ts
+++ b/packages/core/tests/maintenance/support/rotation-simulation.ts
@@ -123,6 +123,7 @@
       open,
       pool,
       reservedCpuMilli,
+      stranded: [],
       waitingByLabel: new Map(),
       waitingCpuMilli,
     };
