fix(jobs): order a run to stop again that goes on after its worker's answer

A worker could be closed for the rest of a term, and a task could stay assigned to it: after the worker acknowledged an order to stop, the order was never repeated, although its reports still listed the run. While a worker lists a run that is not assigned to it, it gets no tasks. An acknowledgement can be without effect: the incarnation before gave it, and the new one then carried out a late order to start; a long-running task beside the run keeps the lease from ending.

An order to stop a run that has ended has no effect.

The tests "orders the stop of a run that is not assigned again when the worker lists it long after its answer" and "orders the stop of an assigned run again when ..." failed before: "expected [] to match object [ { run: 1, task: 'cancelled.0.0.0' } ]" and the same for 'j.0.0.0'.

Limits: a worker that acknowledges every order and stops nothing stays closed, as it must, since what its run uses is not known.

--- a/packages/core/src/jobs/orphaned-runs.ts
+++ b/packages/core/src/jobs/orphaned-runs.ts
@@ -1,8 +1,8 @@
 import type { ReportedRun } from './worker-report';
 
 interface OrphanedRun {
-  isStopAcknowledged: boolean;
   run: number;
+  stopAcknowledgedAt: number | undefined;
 }
 
 /** Runs that a worker listed in its newest report and that are not assigned to it; they use its capacity. */
@@ -20,23 +20,24 @@
     const added = rows.filter((row) => known.get(row.task)?.run !== row.run);
     this.#byTask = new Map(
       rows.map(({ run, task }) => {
-        return [task, { isStopAcknowledged: this.isStopAcknowledged(task, run), run }];
+        const stopAcknowledgedAt = this.stopAcknowledgedAt(task, run);
+        return [task, { run, stopAcknowledgedAt }];
       }),
     );
     return added;
   }
 
-  /** Whether the worker has acknowledged the order to stop a run. */
-  isStopAcknowledged(task: string, run: number): boolean {
+  /** Returns the monotonic time at which the worker acknowledged the order to stop a run, in ms. */
+  stopAcknowledgedAt(task: string, run: number): number | undefined {
     const known = this.#byTask.get(task);
-    return known?.run === run && known.isStopAcknowledged;
+    return known?.run === run ? known.stopAcknowledgedAt : undefined;
   }
 
-  /** Records that the worker acknowledged the order to stop a run. */
-  acknowledgeStop(task: string, run: number): void {
+  /** Records that the worker acknowledged the order to stop a run at a monotonic time in ms. */
+  acknowledgeStop(task: string, run: number, now: number): void {
     const known = this.#byTask.get(task);
     if (known?.run === run) {
-      known.isStopAcknowledged = true;
+      known.stopAcknowledgedAt = now;
     }
   }
 
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -6,6 +6,7 @@
 import { JOB_RECORD } from './job-record';
 import { encodeTaskRecord, encodeTaskTombstone } from './run-record';
 import { DECISION } from './scheduler-output';
+import { needsStop } from './stop-repeat';
 
 /** Number of crashes of a worker that a task may certainly have caused before its job is given up. */
 const MAX_CRASHES_CAUSED = 2;
@@ -84,22 +85,22 @@
     this.ctx.log(DECISION.stopped, { reason, run: task.run, task: task.name, worker: worker.info.id });
   }
 
-  /** Orders a worker to stop the orphaned runs of its newest report, until it has acknowledged that. */
-  stopOrphans(worker: Worker, rows: readonly ReportedRun[]): void {
+  /** Orders a worker to stop the orphaned runs of its newest report, until it acknowledges that and ends them. */
+  stopOrphans(worker: Worker, rows: readonly ReportedRun[], now: number): void {
     for (const { run, task } of worker.orphans.update(rows)) {
       this.ctx.log(DECISION.stopped, { reason: 'not-assigned', run, task, worker: worker.info.id });
     }
     for (const { run, task } of rows) {
-      if (!worker.orphans.isStopAcknowledged(task, run)) {
+      if (needsStop(worker.orphans.stopAcknowledgedAt(task, run), now)) {
         this.ctx.pending.stops.push({ run, task, worker });
       }
     }
   }
 
-  /** Sends the unacknowledged stop orders of a worker again, because they may have been lost. */
-  resendStops(worker: Worker): void {
+  /** Sends the stop orders of a worker again that it has not acknowledged, or whose runs have not ended since. */
+  resendStops(worker: Worker, now: number): void {
     for (const task of worker.runs.values()) {
-      if (task.phase === 'stopping' && task.stopAcknowledgedAt === undefined) {
+      if (task.phase === 'stopping' && needsStop(task.stopAcknowledgedAt, now)) {
         this.ctx.pending.stops.push({ run: task.run, task: task.name, worker });
       }
     }
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -182,14 +182,14 @@
     for (const row of findings.newEnds) {
       this.#runEnds.handleEnd(worker, row, now);
     }
-    this.#runControl.resendStops(worker);
+    this.#runControl.resendStops(worker, now);
     for (const task of findings.released) {
       this.#runControl.release(task, 'not-listed', now);
     }
     for (const task of findings.unconfirmed) {
       this.#runControl.stop(task, 'order-unanswered', now);
     }
-    this.#runControl.stopOrphans(worker, findings.orphans);
+    this.#runControl.stopOrphans(worker, findings.orphans, now);
     for (const task of worker.runs.values()) {
       this.#runControl.reportRunning(task.job);
     }
@@ -253,7 +253,7 @@
   /** Records that a worker acknowledged an order to stop a run. */
   onStopAcknowledged(order: StopOrder, now: number): void {
     const task = order.worker.runs.get(order.task);
-    order.worker.orphans.acknowledgeStop(order.task, order.run);
+    order.worker.orphans.acknowledgeStop(order.task, order.run, now);
     if (task?.run === order.run && task.phase === 'stopping') {
       task.stopAcknowledgedAt = now;
     }
--- a/packages/core/tests/jobs/reconcile.test.ts
+++ b/packages/core/tests/jobs/reconcile.test.ts
@@ -35,6 +35,13 @@
     }
     return plan;
   }
+
+  /** Acknowledges the orders to stop of a plan. */
+  acknowledge({ stops }: Plan): void {
+    for (const order of stops) {
+      this.scheduler.onStopAcknowledged(order, this.now);
+    }
+  }
 }
 
 describe('Reconciliation with a report', () => {
@@ -48,4 +55,29 @@
     harness.report(report([], [[2, 'j.0.0.1', 1, 'done']]));
     expect(harness.plan().states.at(-1)).toMatchObject({ id: 'j', state: 'completed' });
   });
+
+  // Guards against a worker that stays closed: it acknowledged an order to stop, and its run went on.
+  it('orders the stop of a run that is not assigned again when the worker lists it long after its answer', () => {
+    const harness = new Harness();
+    harness.report(report([['cancelled.0.0.0', 1]]));
+    harness.acknowledge(harness.plan());
+    harness.report(report([['cancelled.0.0.0', 1]]));
+    expect(harness.plan().stops).toEqual([]);
+    harness.now += 5000;
+    harness.report(report([['cancelled.0.0.0', 1]]));
+    expect(harness.plan().stops).toMatchObject([{ run: 1, task: 'cancelled.0.0.0' }]);
+  });
+
+  it('orders the stop of an assigned run again when the worker lists it long after its answer', () => {
+    const harness = new Harness();
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    harness.plan();
+    harness.scheduler.onCancel('j', harness.now);
+    harness.acknowledge(harness.plan());
+    harness.report(report([['j.0.0.0', 1]]));
+    expect(harness.plan().stops).toEqual([]);
+    harness.now += 5000;
+    harness.report(report([['j.0.0.0', 1]]));
+    expect(harness.plan().stops).toMatchObject([{ run: 1, task: 'j.0.0.0' }]);
+  });
 });
