fix(node): ignore the answer of the address that a worker has left

A worker with room could be left unused until its entry changed again: it restarts at another address while a request for its report is on the way to the earlier one. The entry with the new address is read first; then another process answers at the earlier address that it is not this worker.

Cause: the answer removed the worker, whose entry was current. The registry lists an entry again only when it changes, so nothing added the worker back. A closed connection at the earlier address in the same way marked the new incarnation as unresponsive, and as disconnected, which counts towards a crash of it.

The failure of a call to an address that is no longer the worker's is ignored now, and the worker is asked at its present address at once. That a later leader has called the worker still ends the term.

The tests "goes on with a worker that has moved to another address when its earlier one answers that it is replaced" and "... disconnected" failed before: "expected 'w1:1' to be 'w1:2'".

Limits: the order is decided by what this node has read when the answer arrives. A worker that restarts elsewhere and whose entry is read after the answer is removed and added again.

--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -96,7 +96,7 @@
 
   async #requestReport(): Promise<void> {
     const { ctx, worker } = this;
-    const { endsStored } = worker;
+    const { endsStored, info } = worker;
     const requestedAt = ctx.timers.mono();
     const res = await ctx.link.report({
       deadline: this.#nextLeaseDeadline(requestedAt),
@@ -106,7 +106,7 @@
       maySend: () => ctx.canExtendLeases(),
       signal: this.signal,
       waitMs: this.#reportWaitMs(),
-      worker: worker.info,
+      worker: info,
     });
     if (this.signal.aborted) {
       return;
@@ -118,7 +118,12 @@
       await this.#pauseAfterReport();
       return;
     }
-    await this.#handleFailure(res.error);
+    if (worker.info.address === info.address || res.error.kind === LINK_FAILURE.fenced) {
+      await this.#handleFailure(res.error);
+    } else {
+      // The worker has moved to another address since the call, which tells nothing about it.
+      ctx.link.disconnect(info);
+    }
   }
 
   async #handleFailure({ kind, message }: LinkError): Promise<void> {
--- a/packages/node/tests/worker-loops.test.ts
+++ b/packages/node/tests/worker-loops.test.ts
@@ -1,10 +1,11 @@
 import type { WorkerInfo, WorkerReport } from '@sequoiaquay/core/jobs';
+import type { Result } from 'neverthrow';
 import { Scheduler } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
-import { errAsync, ResultAsync } from 'neverthrow';
+import { err, errAsync, ok, ResultAsync } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
-import type { WorkerLink } from '../src/ports/worker-link';
+import type { LinkError, ReportCall, WorkerLink } from '../src/ports/worker-link';
 import { SCHEDULER_SETTINGS } from '../../core/tests/jobs/support/jobs';
 import { WorkerLoops } from '../src/worker-loops';
 import { quietLog } from './support/quiet-log';
@@ -29,7 +30,7 @@
 });
 
 function startLoops(
-  report: () => ReturnType<WorkerLink['report']>,
+  report: WorkerLink['report'],
   runs: (typeof RUN)[],
   info: WorkerInfo = { ...WORKER, pool: 'spare' },
 ): Scheduler {
@@ -106,6 +107,36 @@
     await expect.poll(() => requests.length).toBe(3);
   });
 
+  // Guards against a worker that is never used again: the registry lists it, and no further entry comes.
+  it.each(['replaced', 'disconnected'] as const)(
+    'goes on with a worker that has moved to another address when its earlier one answers that it is %s',
+    async (kind) => {
+      const answers: ((answer: Result<WorkerReport, LinkError>) => void)[] = [];
+      const addresses: string[] = [];
+      const report = (call: ReportCall): ReturnType<WorkerLink['report']> => {
+        addresses.push(call.worker.address);
+        return new ResultAsync(
+          new Promise((resolve) => {
+            answers.push(resolve);
+          }),
+        );
+      };
+      const scheduler = startLoops(report, [], { ...WORKER, pool: 'p' });
+      await expect.poll(() => addresses.length).toBe(1);
+      const bornAt = WORKER.bornAt + 1;
+      scheduler.onWorkerRegistered({ ...WORKER, address: 'w1:2', bornAt, pool: 'p' }, performance.now());
+      loops?.startMissing();
+      answers[0]?.(err({ kind, message: kind }));
+      await expect.poll(() => addresses.at(-1), { timeout: 200 }).toBe('w1:2');
+      expect(scheduler.workers.get(WORKER.id)).toMatchObject({
+        disconnection: undefined,
+        isUnresponsive: false,
+      });
+      answers[1]?.(ok({ ...REPORT, bornAt }));
+      await expect.poll(() => scheduler.workers.get(WORKER.id)?.isAssignable(performance.now())).toBe(true);
+    },
+  );
+
   it('runs the loop of a worker again after an unexpected error', async () => {
     let requests = 0;
     startLoops(() => {
