fix(node): log failures of the advice service at longer and longer intervals

While the advice service was down, each waiting step of a queue with advice wrote a line every 200 ms, which pushed other lines out of the log. The line now comes at the first, second, fourth, eighth failure in a row and so on, with their number.

Evidence: "logs few lines while the service fails, and goes on when it answers again" failed before with 64 lines in place of 7.

--- a/packages/node/src/permit-cache.ts
+++ b/packages/node/src/permit-cache.ts
@@ -28,6 +28,8 @@
  */
 export class PermitCache {
   readonly #adviceByStep = new Map<string, StepAdvice>();
+  /** Number of consecutive requests without a usable answer. */
+  #failures = 0;
   #isRequesting = false;
   readonly #waitingSteps = new Map<string, WaitingStep>();
 
@@ -100,6 +102,7 @@
     const timeoutMs = TIMEOUT_MARGIN_MS + decisionMs + perWorkerMs * workerIds.length;
     const advice = await service.requestAdvice({ signal: this.signal, step: name, timeoutMs, workerIds });
     if (advice.isOk()) {
+      this.#failures = 0;
       known.add(workers, advice.value, this.timers.mono());
       this.#adviceByStep.set(name, known);
       this.#forgetExpired();
@@ -108,12 +111,20 @@
         'advice received',
       );
     } else {
-      this.log.warn({ error: advice.error, step: name }, 'advice failed');
+      this.#logFailure(advice.error, name);
       await this.timers.sleep(RETRY_DELAY_MS, this.signal);
     }
     this.onSettled();
   }
 
+  // The line repeats while the failures last, at longer and longer intervals.
+  #logFailure(error: string, step: string): void {
+    this.#failures += 1;
+    if (Number.isInteger(Math.log2(this.#failures))) {
+      this.log.warn({ error, failures: this.#failures, step }, 'advice failed');
+    }
+  }
+
   // A step that waits keeps its answers, since they say which workers were asked about last.
   #forgetExpired(): void {
     const now = this.timers.mono();
--- a/packages/node/tests/permit-cache.test.ts
+++ b/packages/node/tests/permit-cache.test.ts
@@ -1,4 +1,5 @@
 import type { QueueConfig, StepRun } from '@sequoiaquay/core/jobs';
+import type { Logger } from '@sequoiaquay/runtime';
 import { JobRun, Worker } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
@@ -7,6 +8,7 @@
 import { job, step } from '../../core/tests/jobs/support/jobs';
 import { PermitCache } from '../src/permit-cache';
 import { quietLog } from './support/quiet-log';
+import { createRecordingLog } from './support/recording-log';
 import { JOB, WORKER } from './support/sample-job';
 
 const VALIDITY_MS = 100;
@@ -110,7 +112,10 @@
   }).flat();
 }
 
-function createCache(service: AdviceService | undefined): {
+function createCache(
+  service: AdviceService | undefined,
+  log: Logger = quietLog,
+): {
   cache: PermitCache;
   settledRequests: () => number;
   step: StepRun;
@@ -120,7 +125,7 @@
     settled += 1;
   };
   const { signal } = new AbortController();
-  const cache = new PermitCache(service, onSettled, new SystemTimerService(), quietLog, signal);
+  const cache = new PermitCache(service, onSettled, new SystemTimerService(), log, signal);
   const [sample] = new JobRun(JOB).occurrences.flatMap((occurrence) => occurrence.steps);
   if (sample === undefined) {
     throw new Error('the sample job has no step');
@@ -182,6 +187,21 @@
     expect(cache.allowedWorkers(QUEUE, step, workers)).toEqual(new Set(['w1']));
   });
 
+  it('logs few lines while the service fails, and goes on when it answers again', async () => {
+    const service = new FirstWorkerAdviceService();
+    service.failures = 64;
+    const lines: Record<string, unknown>[] = [];
+    const { cache, step } = createCache(service, createRecordingLog(lines));
+    for (let request = 0; request < 65; request += 1) {
+      cache.allowedWorkers(QUEUE, step, workers);
+      await vi.advanceTimersByTimeAsync(200);
+    }
+    expect(lines.filter(({ msg }) => msg === 'advice failed').map(({ failures }) => failures)).toEqual([
+      1, 2, 4, 8, 16, 32, 64,
+    ]);
+    expect(service.requests).toHaveLength(65);
+  });
+
   it('asks about all workers if there are more than fit into a request', async () => {
     const service = new SelectiveAdviceService(new Set(['w3', 'w240']));
     const { cache, step } = createCache(service);
