fix(core): withdraw a move that is not decided within two seconds

Callers' tasks waited for a worker whose VM was ordered to move without a clear answer: for ever while the service stayed silent, and for 15 s after each call without an answer when the order was refused later, although the worker was idle and their pool had no other one for them.

A move that is not decided 2 s after its first order is withdrawn and a refused one at once; the worker is reopened and the order is not repeated. An earlier call may still be carried out late. If the order is carried out, the runs are lost and start again: a cost, against tasks that would wait without an end.

The test "keeps a worker closed while an order without an answer may still be carried out" demanded the fault. Two tests replace it: the worker is closed while its order is repeated and for 2 s at most, and used last until 15 s after the last call without an answer. Before: "starts a waiting task on a worker whose move is not answered at all: expected [] to deeply equal [ 'a' ]", and nine more.

Limits: a task can wait 2 s for such a worker. A late order is carried out without notice. The risk is forgotten with the worker's incarnation and term.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -6,6 +6,7 @@
 import type { SchedulerContext } from './scheduler-context';
 import type { Task } from './task';
 import type { Worker } from './worker';
+import { canDisrupt } from '../maintenance/disruption-budget';
 import { FreeCapacity } from './free-capacity';
 import { IsolatedStarts } from './isolated-starts';
 import { chooseWorker, chooseWorkersForGang } from './placement';
@@ -17,6 +18,12 @@
  */
 export type AdviceLookup = (queue: QueueConfig, step: StepRun, workers: readonly Worker[]) => AllowedWorkers;
 
+/**
+ * Time for which a task of a step that limits its unavailable tasks waits for another worker than one whose VM may be
+ * taken without notice, in ms.
+ */
+const AT_RISK_DELAY_MS = 1500;
+
 /** Workers to which tasks of a pool can be assigned. */
 interface PoolWorkers {
   /** Those on which suspected tasks start alone, and the others. */
@@ -37,11 +44,26 @@
   /** Assigns the waiting tasks of the ready steps of a pool, as far as its workers have free capacity. */
   assignWaiting(pool: PoolState, now: number, wallNow: number): void {
     const workers = pool.assignableWorkers(now);
-    if (workers.length === 0) {
+    const steady = workers.filter((worker) => !worker.isAtRisk(now));
+    this.#assignTo(pool, steady, workers, now, wallNow);
+    if (steady.length < workers.length) {
+      this.#assignTo(pool, workers, workers, now, wallNow);
+    }
+  }
+
+  // Uses only some of the workers; advice is asked for all of them.
+  #assignTo(
+    pool: PoolState,
+    usable: readonly Worker[],
+    workers: readonly Worker[],
+    now: number,
+    wallNow: number,
+  ): void {
+    if (usable.length === 0) {
       return;
     }
-    const free = new FreeCapacity(workers);
-    const starts = new IsolatedStarts(workers, now);
+    const free = new FreeCapacity(usable);
+    const starts = new IsolatedStarts(usable, now);
     const queueOf = (run: JobRun): QueueConfig | undefined => this.ctx.getQueueConfig(run);
     // Advice is asked for before there is room.
     const mayAssign = (run: JobRun, step: StepRun): boolean =>
@@ -80,7 +102,7 @@
       }
     }
     for (const task of waiting.filter((item) => item.crashes.suspected === 0)) {
-      const worker = chooseWorker(task, starts.open, allowed);
+      const worker = chooseWorker(task, usableFor(task, starts.open, now), allowed);
       if (worker === undefined) {
         return;
       }
@@ -114,3 +136,11 @@
     });
   }
 }
+
+// An order that is carried out late must not make more tasks of a step unavailable than it tolerates, unless the task
+// would wait too long.
+function usableFor(task: Task, workers: readonly Worker[], now: number): readonly Worker[] {
+  const isTolerated =
+    task.step.spec.mayMiss === 0 || canDisrupt(task, now) || now - task.phaseSince >= AT_RISK_DELAY_MS;
+  return isTolerated ? workers : workers.filter((worker) => !worker.isAtRisk(now));
+}
--- a/packages/core/src/jobs/vm-claims.ts
+++ b/packages/core/src/jobs/vm-claims.ts
@@ -25,6 +25,13 @@
   readonly until: number;
 }
 
+/** Claim that was given up while an order for the VM may still be carried out. */
+export interface VmRisk {
+  readonly holder: string;
+  /** Monotonic time from which no order is carried out any more, in ms. */
+  readonly until: number;
+}
+
 /**
  * Closes workers whose VMs are about to be taken, and reopens them. A worker is open when nobody claims its VM. A
  * holder releases only its own claim, each claim ends by itself at its bound, and none outlives the incarnation of
@@ -38,13 +45,21 @@
     const { holder, reason, until } = claim;
     const known = worker.vmClaims.get(holder);
     worker.vmClaims.set(holder, { ...claim, since: known?.since ?? now });
+    worker.vmRisks.delete(holder);
     if (known === undefined) {
       this.log(DECISION.workerClosed, { forMs: until - now, holder, reason, worker: worker.info.id });
     }
   }
 
-  /** Ends the claim of a holder; `cause` says why in the log line. */
-  release(worker: Worker, holder: string, cause: string, now: number): void {
+  /**
+   * Ends the claim of a holder; `cause` says why in the log line. Until the monotonic time `riskUntil` an order of the
+   * holder may still be carried out: the worker is open, but runs only what fits on no other one.
+   */
+  release(worker: Worker, holder: string, cause: string, now: number, riskUntil = now): void {
+    worker.vmRisks.delete(holder);
+    if (riskUntil > now) {
+      worker.vmRisks.set(holder, { holder, until: riskUntil });
+    }
     const claim = worker.vmClaims.get(holder);
     if (claim === undefined) {
       return;
@@ -56,6 +71,7 @@
       holder,
       others: [...worker.vmClaims.keys()],
       reason: claim.reason,
+      riskMs: riskUntil - now,
       worker: worker.info.id,
     });
   }
@@ -67,6 +83,11 @@
         this.release(worker, holder, 'expired', now);
       }
     }
+    for (const { holder, until } of [...worker.vmRisks.values()]) {
+      if (until <= now) {
+        worker.vmRisks.delete(holder);
+      }
+    }
   }
 
   /** Ends all claims at the end of the worker's incarnation. */
@@ -74,5 +95,6 @@
     for (const holder of [...worker.vmClaims.keys()]) {
       this.release(worker, holder, 'restarted', now);
     }
+    worker.vmRisks.clear();
   }
 }
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -1,6 +1,6 @@
 import type { Demand } from './job-spec';
 import type { Task } from './task';
-import type { VmClaim } from './vm-claims';
+import type { VmClaim, VmRisk } from './vm-claims';
 import type { WorkerClosure } from './worker-closure';
 import { OrphanedRuns } from './orphaned-runs';
 import { CLOSURE } from './worker-closure';
@@ -72,6 +72,8 @@
   endsRead = 0;
   /** Claims to the VM of the worker, by holder; no new tasks are assigned while there are any. */
   readonly vmClaims = new Map<string, VmClaim>();
+  /** Orders for the VM of the worker that may still be carried out although the worker is open, by holder. */
+  readonly vmRisks = new Map<string, VmRisk>();
   /** Set from a closed or refused connection until the next report. */
   disconnection: Disconnection | undefined;
   /** Ids of the jobs whose runs are the consecutive failed ones. */
@@ -158,6 +160,11 @@
       : [...this.vmClaims.values()].find(({ until }) => until > now);
   }
 
+  /** Whether the VM may be taken without notice at a monotonic time in ms, by an order that was given up. */
+  isAtRisk(now: number): boolean {
+    return this.vmRisks.size > 0 && [...this.vmRisks.values()].some(({ until }) => until > now);
+  }
+
   /** Whether new tasks can be assigned at a monotonic time in ms; what orphaned runs use is not known. */
   isAssignable(now: number): boolean {
     return this.closure(now) === undefined;
--- a/packages/core/src/maintenance/donor-selection.ts
+++ b/packages/core/src/maintenance/donor-selection.ts
@@ -18,7 +18,7 @@
   pool: string,
   need: PoolNeed,
   needs: ReadonlyMap<string, PoolNeed>,
-  available: ReadonlySet<VmInfo>,
+  available: Iterable<VmInfo>,
 ): VmInfo | undefined {
   let best: VmInfo | undefined;
   let bestRank = Infinity;
--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -5,7 +5,7 @@
 import type { PoolNeed } from './pool-need';
 import type { ShrunkVm } from './room-shortage';
 import type { PeakForecast } from './rotation-forecast';
-import type { MoveAnswer, MoveOrder } from './vm-moves';
+import type { MoveAnswer, MoveOrder, VmMove } from './vm-moves';
 import type { VmInfo } from './wave';
 import type { MaintenanceLog } from './wave-planner';
 import { CLAIM_REASON } from '../jobs/vm-claims';
@@ -15,7 +15,7 @@
 import { PoolNeeds } from './pool-needs';
 import { hasShrunk } from './room-shortage';
 import { RotationForecast } from './rotation-forecast';
-import { VmMoves } from './vm-moves';
+import { MOVE_DECISION_LIMIT_MS, VmMoves } from './vm-moves';
 
 /** Loads, workers and operations that the pool balancer uses. */
 export interface BalancerFleet {
@@ -82,17 +82,19 @@
     const move = this.#moves.onAnswer(order, answer, now);
     this.log('move-answered', { answer, from: move?.from, pool: order.pool, vm: order.vm });
     const worker = move?.worker?.current();
-    if (worker === undefined || answer === 'unknown') {
-      return;
-    }
-    if (answer === 'moved') {
+    if (move?.stage === 'moved' && worker !== undefined) {
       this.fleet.onWorkerEnded(worker, now);
     }
-    if (this.fleet.workers.get(worker.info.id) === worker) {
-      this.fleet.vmClaims.release(worker, CLAIM_HOLDER, answer, now);
+    if (move !== undefined && move.stage !== 'ordered') {
+      this.#reopenWorker(move, answer, now);
     }
   }
 
+  /** Whether an order still has to be sent at a monotonic time. */
+  isWanted(order: MoveOrder, now: number): boolean {
+    return this.#moves.isWanted(order, now);
+  }
+
   /**
    * Returns the moves that are due.
    *
@@ -102,6 +104,9 @@
    */
   plan(now: number, wallNow: number, sparePools: ReadonlySet<string>): BalancePlan {
     this.#updateIdleSince(now);
+    for (const move of this.#moves.withdrawUndecided(now)) {
+      this.#reopenWorker(move, 'unanswered', now);
+    }
     const orders = this.#moves.ordersToRepeat(now);
     const loads = this.fleet.loads(now).filter((load) => !sparePools.has(load.pool));
     const { needs, onset } = this.#needs.update(loads, {
@@ -175,7 +180,8 @@
       found = findNeediestPool(needs, skipped)
     ) {
       const [pool, need] = found;
-      const vm = selectDonor(pool, need, needs, available);
+      const movable = [...available].filter((vm) => this.#moves.canMoveTo(vm, pool));
+      const vm = selectDonor(pool, need, needs, movable);
       if (vm === undefined) {
         relaxOrSkip(pool, need, skipped);
         continue;
@@ -207,7 +213,7 @@
       if (need === undefined || parkableSurplusOf(need) <= 0 || now - idleSince < PARK_AFTER_MS) {
         continue;
       }
-      if (this.#isAvailable(vm, sparePools, now)) {
+      if (this.#isAvailable(vm, sparePools, now) && this.#moves.canMoveTo(vm, sparePool)) {
         orders.push(this.#move(vm, sparePool, now));
         need.workers -= 1;
       }
@@ -234,13 +240,23 @@
   #move(vm: VmInfo, pool: string, now: number): MoveOrder {
     const worker = this.fleet.workers.get(vm.workerId);
     if (worker !== undefined) {
-      const claim = { holder: CLAIM_HOLDER, reason: CLAIM_REASON.move, until: Infinity };
-      this.fleet.vmClaims.claim(worker, claim, now);
+      const until = now + MOVE_DECISION_LIMIT_MS;
+      this.fleet.vmClaims.claim(worker, { holder: CLAIM_HOLDER, reason: CLAIM_REASON.move, until }, now);
     }
     this.log('vm-moved', { from: vm.pool, pool, vm: vm.id });
     return this.#moves.start(vm, pool, worker, now);
   }
 
+  // While an order may still be carried out, the worker runs only what fits on no other one.
+  #reopenWorker({ lateUntil, stage, worker: incarnation }: VmMove, cause: string, now: number): void {
+    const worker = incarnation?.current();
+    if (worker === undefined || this.fleet.workers.get(worker.info.id) !== worker) {
+      return;
+    }
+    const riskUntil = stage === 'withdrawn' ? lateUntil : now;
+    this.fleet.vmClaims.release(worker, CLAIM_HOLDER, cause, now, riskUntil);
+  }
+
   #isAvailable(vm: VmInfo, sparePools: ReadonlySet<string>, now: number): boolean {
     return this.#moves.canMove(vm, now) && (sparePools.has(vm.pool) || this.#idleSince.has(vm.workerId));
   }
--- a/packages/core/src/maintenance/vm-moves.ts
+++ b/packages/core/src/maintenance/vm-moves.ts
@@ -9,8 +9,8 @@
   vm: string;
 }
 
-/** Answers to an order to move a VM. */
-export type MoveAnswer = 'moved' | 'refused' | 'unknown';
+/** Answers to an order to move a VM. An order that was not sent has certainly not been carried out. */
+export type MoveAnswer = 'moved' | 'refused' | 'unknown' | 'unsent';
 
 /** Time after which a moved VM that hasn't arrived is no longer expected, in ms. */
 const MOVE_TIMEOUT_MS = 6000;
@@ -18,36 +18,54 @@
 /** Time after which an order without a clear answer is repeated, in ms. Repeating an order is harmless. */
 const ORDER_RETRY_MS = 500;
 
+/**
+ * Time after the first order at which a move without a clear answer is withdrawn, in ms. Its worker gets no tasks
+ * until then, which must be shorter than the 3 s that a task may wait while there is room for it.
+ */
+export const MOVE_DECISION_LIMIT_MS = 2000;
+
 /** Time after a refusal for which a VM isn't ordered to move, in ms. */
 const REFUSAL_BACKOFF_MS = 10_000;
 
+/** Time after a withdrawal for which a VM isn't ordered to move, in ms, so that its worker can be assigned tasks. */
+const WITHDRAWAL_BACKOFF_MS = 1000;
+
 /** Estimated duration of a move before one has been observed, in ms. */
 const INITIAL_MOVE_DURATION_MS = 2000;
 
 /** Weight of the newest move in the moving average of move durations. */
 const NEWEST_MOVE_WEIGHT = 0.1;
 
-/** Move of a VM that an answer decided. */
-export interface AnsweredMove {
-  from: string;
+/** Stages of a move: a withdrawn one is no longer ordered, but an earlier order may still be carried out. */
+type MoveStage = 'moved' | 'ordered' | 'withdrawn';
+
+/** Move of a VM, as far as answers have decided it. */
+export interface VmMove {
+  readonly from: string;
+  /** Monotonic time until which an order without an answer may still be carried out, in ms. */
+  readonly lateUntil: number;
+  readonly stage: MoveStage;
   /** Worker that ran on the VM when the move was first ordered; undefined if there was none. */
-  worker: WorkerIncarnation | undefined;
+  readonly worker: WorkerIncarnation | undefined;
 }
 
-interface PendingMove extends AnsweredMove, MoveOrder {
+interface TrackedMove extends MoveOrder, VmMove {
+  /** Whether it is only assumed that an order was sent, since it had no outcome when the move was withdrawn. */
+  isSendingAssumed: boolean;
+  lateUntil: number;
+  /** Monotonic time before which a withdrawn move is not ordered again, in ms. */
+  notBefore: number;
   orderedAt: number;
   /** Monotonic time of the last order, or of the answer that the VM moved, in ms. */
   since: number;
-  stage: 'moved' | 'ordered';
-  /** Monotonic time at which an order was last given up without an answer, in ms. */
-  unansweredAt: number;
+  stage: MoveStage;
 }
 
 /** Tracks the VMs that are being moved from one pool to another. */
 export class VmMoves {
   readonly #backoffUntil = new Map<string, number>();
   #moveDurationMs = INITIAL_MOVE_DURATION_MS;
-  readonly #moves = new Map<string, PendingMove>();
+  readonly #moves = new Map<string, TrackedMove>();
 
   /** Average time from an order until the VM's worker is registered in its new pool, in ms. */
   get moveDurationMs(): number {
@@ -56,54 +74,74 @@
 
   /** Number of VMs that are being moved to a pool. */
   arrivingCount(pool: string): number {
-    return [...this.#moves.values()].filter((move) => move.pool === pool).length;
+    return [...this.#moves.values()].filter((move) => move.pool === pool && move.stage !== 'withdrawn')
+      .length;
   }
 
   /** Whether a VM is being moved to a pool. */
   isArriving(vm: VmInfo, pool: string): boolean {
-    return this.#moves.get(vm.id)?.pool === pool;
+    const move = this.#moves.get(vm.id);
+    return move?.pool === pool && move.stage !== 'withdrawn';
   }
 
   /** Whether a VM may be ordered to move at a monotonic time. */
   canMove(vm: VmInfo, now: number): boolean {
+    const move = this.#moves.get(vm.id);
+    const isFree = move === undefined || (move.stage === 'withdrawn' && move.notBefore <= now);
     const isBackingOff = (this.#backoffUntil.get(vm.id) ?? 0) > now;
-    return vm.state === VM_STATE.up && !this.#moves.has(vm.id) && !isBackingOff;
+    return vm.state === VM_STATE.up && isFree && !isBackingOff;
+  }
+
+  /** Whether no order to move a VM to a different pool may still be carried out after an order for this pool. */
+  canMoveTo(vm: VmInfo, pool: string): boolean {
+    const move = this.#moves.get(vm.id);
+    return move === undefined || move.pool === pool;
+  }
+
+  /** Whether an order still has to be sent at a monotonic time. */
+  isWanted(order: MoveOrder, now: number): boolean {
+    const move = this.#moves.get(order.vm);
+    return (
+      move?.pool === order.pool && move.stage === 'ordered' && now - move.orderedAt < MOVE_DECISION_LIMIT_MS
+    );
   }
 
   /** Records the start of a move at a monotonic time and returns the order for it. */
   start(vm: VmInfo, pool: string, worker: Worker | undefined, now: number): MoveOrder {
     this.#moves.set(vm.id, {
       from: vm.pool,
+      isSendingAssumed: false,
+      lateUntil: this.#moves.get(vm.id)?.lateUntil ?? -Infinity,
+      notBefore: 0,
       orderedAt: now,
       pool,
       since: now,
       stage: 'ordered',
-      unansweredAt: -Infinity,
       vm: vm.id,
       worker: worker === undefined ? undefined : new WorkerIncarnation(worker),
     });
     return { pool, vm: vm.id };
   }
 
-  /**
-   * Records the answer to an order. Returns the move that it decided; undefined for an unknown order, and for
-   * a refusal while an earlier order without an answer may still be carried out.
-   */
-  onAnswer(order: MoveOrder, answer: MoveAnswer, now: number): AnsweredMove | undefined {
+  /** Records the answer to an order and returns its move; undefined for an order whose move is over. */
+  onAnswer(order: MoveOrder, answer: MoveAnswer, now: number): VmMove | undefined {
     const move = this.#moves.get(order.vm);
     if (move?.pool !== order.pool || move.stage === 'moved') {
       return undefined;
     }
-    if (answer === 'unknown') {
-      move.unansweredAt = now;
-    } else if (answer === 'moved') {
+    if (answer === 'moved') {
       move.stage = 'moved';
       move.since = now;
-    } else if (now - move.unansweredAt < LATE_VM_ORDER_WINDOW_MS) {
-      return undefined;
-    } else {
-      this.#moves.delete(order.vm);
+    } else if (answer === 'unknown') {
+      move.isSendingAssumed = false;
+      move.lateUntil = now + LATE_VM_ORDER_WINDOW_MS;
+    } else if (move.stage === 'withdrawn') {
+      this.#correctAssumption(move, now);
+    } else if (answer === 'refused') {
       this.#backoffUntil.set(order.vm, now + REFUSAL_BACKOFF_MS);
+      this.#withdraw(move, now);
+    } else if (move.lateUntil <= now) {
+      this.#withdraw(move, now);
     }
     return move;
   }
@@ -125,6 +163,10 @@
       if (isUp && (vm.pool !== move.pool || hasWorker(vm))) {
         this.#moves.delete(vm.id);
       }
+      // An order that was carried out late: its repetitions change nothing more.
+      if (move?.stage === 'withdrawn' && requestedAt > move.since && vm.pool === move.pool) {
+        this.#moves.delete(vm.id);
+      }
     }
   }
 
@@ -137,8 +179,38 @@
         orders.push({ pool: move.pool, vm });
       } else if (move.stage === 'moved' && now - move.since > MOVE_TIMEOUT_MS) {
         this.#moves.delete(vm);
+      } else if (move.stage === 'withdrawn' && move.lateUntil <= now && move.notBefore <= now) {
+        this.#moves.delete(vm);
       }
     }
     return orders;
   }
+
+  /** Withdraws the moves that have got no clear answer in time, and returns them. */
+  withdrawUndecided(now: number): VmMove[] {
+    const undecided = [...this.#moves.values()].filter(
+      (move) => move.stage === 'ordered' && now - move.orderedAt >= MOVE_DECISION_LIMIT_MS,
+    );
+    for (const move of undecided) {
+      if (move.lateUntil <= now) {
+        move.isSendingAssumed = true;
+        move.lateUntil = now + LATE_VM_ORDER_WINDOW_MS;
+      }
+      this.#withdraw(move, now);
+    }
+    return undecided;
+  }
+
+  #correctAssumption(move: TrackedMove, now: number): void {
+    if (move.isSendingAssumed) {
+      move.isSendingAssumed = false;
+      move.lateUntil = now;
+    }
+  }
+
+  #withdraw(move: TrackedMove, now: number): void {
+    move.stage = 'withdrawn';
+    move.since = now;
+    move.notBefore = now + WITHDRAWAL_BACKOFF_MS;
+  }
 }
