fix(node): reopen the worker of a VM whose order could not be sent

After a change of the leader callers' tasks waited for workers that were closed although nothing happened to them: an order for a VM isn't sent within the lease duration after an order of an earlier term, but its worker was closed all the while. The balancer learned nothing of an order that was not sent, and counted the VM as arriving in the pool that lacks it.

The loop now answers `unsent` for such an order, and the move is withdrawn without a risk for the worker. An order whose move was withdrawn while its time was being stored is not sent.

Before: "keeps workers open whose VMs another term has ordered so recently that no order may be sent: expected 57 to be +0" (closed in 57 of 60 samples), "does not send an order whose move was withdrawn while the time of the order was being stored: expected [ 'vm-a' ] to deeply equal []".

Limit: maintenance orders are still repeated as before.

--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -52,6 +52,9 @@
 /** Delay before a failed report to the operators is retried, in ms. */
 const REPORT_RETRY_DELAY_MS = 200;
 
+/** Outcome of an order that was not sent, so that it is certainly not carried out. */
+const UNSENT = 'unsent';
+
 const MAINTENANCE_ANSWERS: Readonly<Record<VmOrderOutcome, MaintenanceAnswer>> = {
   [VM_ORDER_OUTCOME.busy]: 'refused',
   [VM_ORDER_OUTCOME.done]: 'begun',
@@ -135,46 +138,53 @@
   }
 
   async #startMaintenance(order: MaintenanceOrder): Promise<void> {
-    const outcome = await this.#sendOrder(order.vm, (req) => this.ctx.vms.startMaintenance(req, order.wave));
-    if (outcome !== undefined) {
+    const isWanted = (): boolean => true;
+    const outcome = await this.#sendOrder(order.vm, isWanted, (req) =>
+      this.ctx.vms.startMaintenance(req, order.wave),
+    );
+    if (outcome !== undefined && outcome !== UNSENT) {
       this.ctx.planner.onAnswer(order, MAINTENANCE_ANSWERS[outcome], this.ctx.timers.mono());
       this.ctx.onChange();
     }
   }
 
   async #moveVm(order: MoveOrder): Promise<void> {
-    const outcome = await this.#sendOrder(order.vm, (req) => this.ctx.vms.moveToPool(req, order.pool));
+    const { balancer, timers, vms } = this.ctx;
+    const isWanted = (): boolean => balancer.isWanted(order, timers.mono());
+    const outcome = await this.#sendOrder(order.vm, isWanted, (req) => vms.moveToPool(req, order.pool));
     if (outcome !== undefined) {
-      this.ctx.balancer.onAnswer(order, MOVE_ANSWERS[outcome], this.ctx.timers.mono());
+      balancer.onAnswer(order, outcome === UNSENT ? 'unsent' : MOVE_ANSWERS[outcome], timers.mono());
       this.ctx.onChange();
     }
   }
 
-  // Returns undefined if the order was not sent; the planners then repeat it. The time of the order is stored
-  // before it is sent, so that a later term waits for the lease duration.
+  // Returns undefined while an earlier order for the VM is under way. The time of the order is stored before it is
+  // sent, so that a later term waits for the lease duration.
   async #sendOrder(
     vm: string,
+    isWanted: () => boolean,
     send: (req: VmOrder) => Promise<VmOrderOutcome>,
-  ): Promise<VmOrderOutcome | undefined> {
+  ): Promise<VmOrderOutcome | typeof UNSENT | undefined> {
     const { epoch, node, termLog, timers } = this.ctx;
-    if (
-      this.#pendingVms.has(vm) ||
-      this.#earlierOrders.hasRecentOrder(vm, timers.now(), this.ctx.leaseDurationMs)
-    ) {
+    if (this.#pendingVms.has(vm)) {
       return undefined;
     }
+    if (this.#earlierOrders.hasRecentOrder(vm, timers.now(), this.ctx.leaseDurationMs)) {
+      return UNSENT;
+    }
     this.#pendingVms.add(vm);
     const isStored = await termLog.append([VmOrderTimes.encode(vm, timers.now())]);
-    const canSend = isStored && this.ctx.isLeadershipConfirmed();
+    const maySend = (): boolean => this.ctx.isLeadershipConfirmed() && isWanted();
+    const canSend = isStored && maySend();
     const req: VmOrder = {
       epoch,
       holder: node,
-      maySend: () => this.ctx.isLeadershipConfirmed(),
+      maySend,
       signal: this.signal,
       timeoutMs: CALL_TIMEOUT_MS,
       vm,
     };
-    const outcome = canSend ? await send(req) : undefined;
+    const outcome = canSend ? await send(req) : UNSENT;
     this.#pendingVms.delete(vm);
     return this.signal.aborted ? undefined : outcome;
   }
