fix(core): let a pool with a task that fits nowhere give away its idle VMs

A pool of which a task requires a label that no VM has kept all of its idle VMs, for as long as the task waited: its need for the label counted as a shortage, which was dropped only when its turn came, after the pools that are shorter of workers had been skipped for want of a VM. Tasks of those pools waited beside idle VMs.

The pools that were skipped are tried again once another pool has turned out to have workers to give.

Evidence: the new test failed before: "expected [ 'busy.0.0.0' ] to have a length of 4 but got 1". Limit: the VMs are given only while they are idle.

--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -278,7 +278,8 @@
 }
 
 // Called when no VM is suitable for a pool. Without a VM of the kind that is missing, other VMs may still run the
-// rest of the pool's tasks, so that requirement is dropped first; then the pool is skipped.
+// rest of the pool's tasks, so that requirement is dropped first; then the pool is skipped. A pool that has
+// workers to give then may help the ones that were skipped before.
 function relaxOrSkip(pool: string, need: PoolNeed, skipped: Set<string>): void {
   if (!lacksSuitableWorkers(need)) {
     skipped.add(pool);
@@ -286,6 +287,9 @@
   }
   need.roomShortages = [];
   need.shortageByLabel.clear();
+  if (surplusOf(need) > 0) {
+    skipped.clear();
+  }
 }
 
 function surplusIn(needs: ReadonlyMap<string, PoolNeed>, pool: string): number {
--- a/packages/core/tests/maintenance/waiting-for-room.test.ts
+++ b/packages/core/tests/maintenance/waiting-for-room.test.ts
@@ -138,4 +138,19 @@
     fleet.run(5000);
     expect(fleet.started).toHaveLength(4);
   });
+
+  // Guards against a pool that waits, since the idle VMs of another one stay there for a task that fits nowhere.
+  it('moves the idle VMs of a pool with a task that fits nowhere to a pool that is shorter of workers', () => {
+    const fleet = new PoolFleet([
+      { id: 'a', pool: 'p' },
+      ...['q1', 'q2', 'q3', 'q4', 'q5', 'q6'].map((id) => ({ id, pool: 'q' })),
+    ]);
+    const lasting = step({ count: 3, demand: { ...NO_DEMAND, cpuMilli: 1000 }, longRunning: true });
+    fleet.add({ ...job('lasting', [lasting]), pool: 'q' });
+    fleet.add({ ...job('hopeless', [step({ demand: NO_DEMAND, requiredLabel: 'none' })]), pool: 'q' });
+    fleet.run(300);
+    fleet.add(job('busy', [step({ count: 4, demand: { ...NO_DEMAND, cpuMilli: 3000 }, longRunning: true })]));
+    fleet.run(MOVED_MS);
+    expect(fleet.started.filter((name) => name.startsWith('busy'))).toHaveLength(4);
+  });
 });
