test(core): guard against waiting for a VM whose unanswered order was then refused

A pool waited for up to 15 s for a VM that did not come: an order without an answer whose repetition was refused counted as arriving.

--- a/packages/core/tests/maintenance/waiting-for-room.test.ts
+++ b/packages/core/tests/maintenance/waiting-for-room.test.ts
@@ -153,4 +153,23 @@
     fleet.run(MOVED_MS);
     expect(fleet.started.filter((name) => name.startsWith('busy'))).toHaveLength(4);
   });
+
+  // Guards against a VM that is expected for 15 s after its order was refused, while another one could be moved.
+  it('moves another VM when an order without an answer is then refused', () => {
+    const spare = ['s1', 's2', 's3'].map((id) => ({ id, pool: SPARE_POOL }));
+    const fleet = new PoolFleet([{ id: 'a', pool: 'p' }, ...spare]);
+    const unanswered = new Set<string>();
+    fleet.answerMove = ({ vm }, now) => {
+      if (now < 500) {
+        unanswered.add(vm);
+        return 'unknown';
+      }
+      return unanswered.has(vm) ? 'refused' : 'moved';
+    };
+    fleet.add(
+      job('lasting', [step({ count: 2, demand: { ...NO_DEMAND, cpuMilli: 3000 }, longRunning: true })]),
+    );
+    fleet.run(5000);
+    expect(fleet.started).toHaveLength(2);
+  });
 });
