fix(core): order a refused VM again soon, and for other pools at once

A VM whose move was refused was not ordered again for 10 s, whatever the reason and the pool. A pool waited that long beside the only spare VM after the VM had been busy for a moment, as when the list of VMs was older than its maintenance; and a pool whose VMs are of another kind took spare VMs away from those that could use them.

A busy VM is now ordered again after 1.5 s, and a VM that was refused for one pool is still ordered for others. Joined with the withdrawal of undecided moves: a withdrawn move whose orders can no longer be carried out does not keep its VM from other pools.

Evidence: two new tests failed before: "expected [ 'small.0.0.0', 'large.0.0.0', …(1) ] to include 'small.0.0.1'" and "expected [ 'lasting.0.0.0' ] to have a length of 2 but got 1". Limit: where VMs of a kind fit few pools, each pool still tries each of them once in 10 s.

--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -180,7 +180,7 @@
       found = findNeediestPool(needs, skipped)
     ) {
       const [pool, need] = found;
-      const movable = [...available].filter((vm) => this.#moves.canMoveTo(vm, pool));
+      const movable = [...available].filter((vm) => this.#moves.canMoveTo(vm, pool, now));
       const vm = selectDonor(pool, need, needs, movable);
       if (vm === undefined) {
         relaxOrSkip(pool, need, skipped);
@@ -213,7 +213,7 @@
       if (need === undefined || parkableSurplusOf(need) <= 0 || now - idleSince < PARK_AFTER_MS) {
         continue;
       }
-      if (this.#isAvailable(vm, sparePools, now) && this.#moves.canMoveTo(vm, sparePool)) {
+      if (this.#isAvailable(vm, sparePools, now) && this.#moves.canMoveTo(vm, sparePool, now)) {
         orders.push(this.#move(vm, sparePool, now));
         need.workers -= 1;
       }
--- a/packages/core/src/maintenance/vm-moves.ts
+++ b/packages/core/src/maintenance/vm-moves.ts
@@ -10,7 +10,7 @@
 }
 
 /** Answers to an order to move a VM. An order that was not sent has certainly not been carried out. */
-export type MoveAnswer = 'moved' | 'refused' | 'unknown' | 'unsent';
+export type MoveAnswer = 'busy' | 'moved' | 'refused' | 'unknown' | 'unsent';
 
 /** Time after which a moved VM that hasn't arrived is no longer expected, in ms. */
 const MOVE_TIMEOUT_MS = 6000;
@@ -24,9 +24,12 @@
  */
 export const MOVE_DECISION_LIMIT_MS = 2000;
 
-/** Time after a refusal for which a VM isn't ordered to move, in ms. */
+/** Time after a refusal for which a VM isn't ordered to move to the same pool, in ms. */
 const REFUSAL_BACKOFF_MS = 10_000;
 
+/** Time for which a busy VM isn't ordered to move, in ms. It may have been listed as up shortly before. */
+const BUSY_BACKOFF_MS = 1500;
+
 /** Time after a withdrawal for which a VM isn't ordered to move, in ms, so that its worker can be assigned tasks. */
 const WITHDRAWAL_BACKOFF_MS = 1000;
 
@@ -63,9 +66,11 @@
 
 /** Tracks the VMs that are being moved from one pool to another. */
 export class VmMoves {
-  readonly #backoffUntil = new Map<string, number>();
+  readonly #busyUntil = new Map<string, number>();
   #moveDurationMs = INITIAL_MOVE_DURATION_MS;
   readonly #moves = new Map<string, TrackedMove>();
+  /** Monotonic times up to which pools are not tried for a VM, in ms, by VM and pool. */
+  readonly #refusedUntil = new Map<string, Map<string, number>>();
 
   /** Average time from an order until the VM's worker is registered in its new pool, in ms. */
   get moveDurationMs(): number {
@@ -88,14 +93,18 @@
   canMove(vm: VmInfo, now: number): boolean {
     const move = this.#moves.get(vm.id);
     const isFree = move === undefined || (move.stage === 'withdrawn' && move.notBefore <= now);
-    const isBackingOff = (this.#backoffUntil.get(vm.id) ?? 0) > now;
-    return vm.state === VM_STATE.up && isFree && !isBackingOff;
+    const isBusy = (this.#busyUntil.get(vm.id) ?? 0) > now;
+    return vm.state === VM_STATE.up && isFree && !isBusy;
   }
 
-  /** Whether no order to move a VM to a different pool may still be carried out after an order for this pool. */
-  canMoveTo(vm: VmInfo, pool: string): boolean {
+  /**
+   * Whether a VM may be ordered to move to a pool at a monotonic time: no order for a different pool may still be
+   * carried out after it, and its move to the pool has not been refused lately.
+   */
+  canMoveTo(vm: VmInfo, pool: string, now: number): boolean {
     const move = this.#moves.get(vm.id);
-    return move === undefined || move.pool === pool;
+    const isDecided = move === undefined || move.pool === pool || move.lateUntil <= now;
+    return isDecided && (this.#refusedUntil.get(vm.id)?.get(pool) ?? 0) <= now;
   }
 
   /** Whether an order still has to be sent at a monotonic time. */
@@ -137,8 +146,8 @@
       move.lateUntil = now + LATE_VM_ORDER_WINDOW_MS;
     } else if (move.stage === 'withdrawn') {
       this.#correctAssumption(move, now);
-    } else if (answer === 'refused') {
-      this.#backoffUntil.set(order.vm, now + REFUSAL_BACKOFF_MS);
+    } else if (answer === 'busy' || answer === 'refused') {
+      this.#backOff(order, answer, now);
       this.#withdraw(move, now);
     } else if (move.lateUntil <= now) {
       this.#withdraw(move, now);
@@ -201,6 +210,16 @@
     return undecided;
   }
 
+  #backOff({ pool, vm }: MoveOrder, answer: 'busy' | 'refused', now: number): void {
+    if (answer === 'busy') {
+      this.#busyUntil.set(vm, now + BUSY_BACKOFF_MS);
+      return;
+    }
+    const refusals = this.#refusedUntil.get(vm) ?? new Map<string, number>();
+    refusals.set(pool, now + REFUSAL_BACKOFF_MS);
+    this.#refusedUntil.set(vm, refusals);
+  }
+
   #correctAssumption(move: TrackedMove, now: number): void {
     if (move.isSendingAssumed) {
       move.isSendingAssumed = false;
--- a/packages/core/tests/maintenance/waiting-for-room.test.ts
+++ b/packages/core/tests/maintenance/waiting-for-room.test.ts
@@ -172,4 +172,29 @@
     fleet.run(5000);
     expect(fleet.started).toHaveLength(2);
   });
+
+  it('moves a VM that one pool can not use to another pool at once', () => {
+    const fleet = new PoolFleet([
+      { id: 'a', pool: 'p' },
+      { id: 'b', pool: 'q' },
+      { id: 'c', pool: 'q' },
+      SPARE,
+    ]);
+    fleet.answerMove = ({ pool }) => (pool === 'q' ? 'refused' : 'moved');
+    const lasting = step({ count: 9, demand: { ...NO_DEMAND, cpuMilli: 3500 }, longRunning: true });
+    fleet.add({ ...job('large', [lasting]), pool: 'q' });
+    fleet.add(job('small', [{ ...lasting, count: 2 }]));
+    fleet.run(MOVED_MS);
+    expect(fleet.started).toContain('small.0.0.1');
+  });
+
+  it('orders a VM again soon after it was busy', () => {
+    const fleet = new PoolFleet([{ id: 'a', pool: 'p' }, SPARE]);
+    fleet.answerMove = (_, now) => (now < 500 ? 'busy' : 'moved');
+    fleet.add(
+      job('lasting', [step({ count: 2, demand: { ...NO_DEMAND, cpuMilli: 3000 }, longRunning: true })]),
+    );
+    fleet.run(5000);
+    expect(fleet.started).toHaveLength(2);
+  });
 });
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -64,7 +64,7 @@
 };
 
 const MOVE_ANSWERS: Readonly<Record<VmOrderOutcome, MoveAnswer>> = {
-  [VM_ORDER_OUTCOME.busy]: 'refused',
+  [VM_ORDER_OUTCOME.busy]: 'busy',
   [VM_ORDER_OUTCOME.done]: 'moved',
   [VM_ORDER_OUTCOME.fenced]: 'unknown',
   [VM_ORDER_OUTCOME.refused]: 'refused',
