fix(node): ask the workers of a pool that is no longer a spare one

The tasks of a pool could wait for ever: a configuration takes the pool out of the spare ones, and its workers are registered already. No task is assigned to a worker before it has reported in the term, and workers of spare pools are not asked for reports.

Cause: the report loops of workers without one were started only when an entry of the registry was read or a term began, not when a configuration came. Entries change rarely.

A configuration now starts the missing loops as well.

The test "uses the workers of a pool that a configuration takes out of the spare ones" failed before: "expected [] to include 'start'".

--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -171,7 +171,7 @@
   /** Applies a configuration. */
   onConfig(cfg: FleetConfig): void {
     this.#scheduler.onConfig(cfg);
-    this.#schedulePlan();
+    this.#onFleetChange();
   }
 
   /** Adds a requested wave to the plans. */
@@ -218,7 +218,6 @@
       this.signal,
     );
     this.pools.run(this.signal);
-    this.#schedulePlan();
     await new Promise<void>((resolve) => {
       const finish = (): void => {
         void this.#termLog.append([]).then(() => {
@@ -257,8 +256,7 @@
       codec: ports.codec,
       log: this.#log,
       onChange: () => {
-        this.#startLoops();
-        this.#schedulePlan();
+        this.#onFleetChange();
       },
       scheduler: this.#scheduler,
       stream: ports.registry,
@@ -267,10 +265,12 @@
     return registry.follow(this.signal);
   }
 
-  // Reports are requested only once the tasks are restored: the end of an unknown task would be dropped.
-  #startLoops(): void {
+  // Called when workers or spare pools may have changed. Reports are requested only once the tasks are restored: the
+  // end of an unknown task would be dropped.
+  #onFleetChange(): void {
     if (this.#isRestored) {
       this.#workerLoops.startMissing();
+      this.#planTimer.schedule();
     }
   }
 
@@ -294,7 +294,7 @@
     const obsolete = [...recordsByJob.values()].flat();
     void this.#termLog.append(obsolete.map((record) => encodeTaskTombstone(record.task)));
     this.#isRestored = true;
-    this.#startLoops();
+    this.#onFleetChange();
     this.#startMaintenance();
     this.#log.info({ forgotten: obsolete.length, jobs: this.#scheduler.jobs.size }, 'jobs taken over');
   }
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, RunEnd, TaskRecord, WorkerReport } from '@sequoiaquay/core/jobs';
+import type { FleetConfig, JobRecord, RunEnd, TaskRecord, WorkerReport } from '@sequoiaquay/core/jobs';
 import { JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
@@ -8,6 +8,7 @@
 import type { AppendRequest, StoreError } from '../src/ports/keyed-stream';
 import type { ReportCall, StartCall, WorkerLink } from '../src/ports/worker-link';
 import type { TermContext } from '../src/term';
+import { config } from '../../core/tests/jobs/support/jobs';
 import { JobWriter } from '../src/job-writer';
 import { NodeMetrics } from '../src/node-metrics';
 import { StreamTail } from '../src/stream-tail';
@@ -225,6 +226,26 @@
     expect(link.started).toHaveLength(1);
   });
 
+  // Guards against workers that are asked for no report, so that the tasks of their pool wait: no entry of the
+  // registry comes with the configuration.
+  it('uses the workers of a pool that a configuration takes out of the spare ones', async () => {
+    const link = new RecordingLink();
+    const ctx = contextOf(link);
+    const cfgOf = (spare: boolean): FleetConfig => ({
+      ...config(),
+      pools: [{ enforcesCapacity: true, name: 'p', spare }],
+    });
+    let cfg = cfgOf(true);
+    ctx.cfg = () => cfg;
+    const term = new Term(ctx, startWith(), () => undefined, stop.signal, neverAborted);
+    void term.run();
+    await delay(QUIET_MS);
+    expect(link.calls).toEqual([]);
+    cfg = cfgOf(false);
+    term.onConfig(cfg);
+    await expect.poll(() => link.calls, { timeout: 3000 }).toContain('start');
+  });
+
   // Guards against an unexpected error in the decisions that ends the process, which also serves callers.
   it('ends with an error in the decisions, without an exception', async () => {
     const reasons: string[] = [];
