fix(node): ask a worker at once when its entry shows that it has restarted

Tasks could wait for up to a second although a worker with room for them had restarted and was registered again: no task is assigned to a new incarnation before its first report, and the report loop of an idle worker paused for a second between its checks. The same holds for a worker that was known only from a stored assignment, whose address comes with its entry.

Cause: an entry only started the loops of workers without one. It now also ends the pause of the loops of workers that must be asked before they are used. A worker that does not answer keeps the pauses between its calls, so entries of others cause no further calls to it.

The test "asks an idle worker at once when its entry shows a new incarnation" failed before: "expected 1 to be greater than 1" after 300 ms.

--- a/packages/node/src/worker-loops.ts
+++ b/packages/node/src/worker-loops.ts
@@ -16,11 +16,15 @@
     private readonly signal: AbortSignal,
   ) {}
 
-  /** Starts loops for the workers that have none. */
+  /** Starts loops for the workers that have none, and wakes those of workers that must be asked before they are used. */
   startMissing(): void {
     const { link, scheduler } = this.ctx;
     const spare = this.sparePools();
     for (const worker of scheduler.workers.values()) {
+      // An entry may have shown a new incarnation. A worker that does not answer keeps the pauses between its calls.
+      if (!worker.isFenced && !worker.isUnresponsive) {
+        this.wakeUp(worker);
+      }
       // A run that an earlier term assigned to the worker is released only after a report or without an answer.
       const isOff = spare.has(worker.info.pool) && worker.runs.size === 0;
       if (this.#loops.has(worker) || isOff) {
--- a/packages/node/tests/worker-loops.test.ts
+++ b/packages/node/tests/worker-loops.test.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import { Scheduler } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
-import { err, errAsync, ok, ResultAsync } from 'neverthrow';
+import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import type { LinkError, ReportCall, WorkerLink } from '../src/ports/worker-link';
@@ -137,6 +137,22 @@
     },
   );
 
+  // Guards against a worker that restarts while it is idle and is closed until the pause between checks ends.
+  it('asks an idle worker at once when its entry shows a new incarnation', async () => {
+    let requests = 0;
+    const report = (): ReturnType<WorkerLink['report']> => {
+      requests += 1;
+      return okAsync(REPORT);
+    };
+    const scheduler = startLoops(report, [], { ...WORKER, pool: 'p' });
+    await expect.poll(() => scheduler.workers.get(WORKER.id)?.isFenced).toBe(true);
+    await delay(50);
+    expect(requests).toBe(1);
+    scheduler.onWorkerRegistered({ ...WORKER, bornAt: WORKER.bornAt + 1, pool: 'p' }, performance.now());
+    loops?.startMissing();
+    await expect.poll(() => requests, { timeout: 300 }).toBeGreaterThan(1);
+  });
+
   it('runs the loop of a worker again after an unexpected error', async () => {
     let requests = 0;
     startLoops(() => {
