fix(jobs): release a run whose orders to stop get no answer

A task stayed assigned for ever, with its room reserved, on a worker whose reports arrive but that leaves orders unanswered: a start without an answer, or a move or a cancellation, is followed by an order to stop, and only its acknowledgement released the run. The lease never ended, since the reports extend it.

A run that is being stopped and is not listed in a report that was requested since is now released as well if it is known to have started, since it can't start twice, or if its order to start is so old that it is no longer executed (15 s, as the code assumes already for late orders to new incarnations).

Evidence: two tests of unanswered-orders.test.ts failed before with "expected [ 1 ] to deeply equal [ 1, 2 ]".

Limits: a start without an answer still takes 15 s to be given up if no order to stop gets an answer either.

--- a/packages/core/src/jobs/reconcile.ts
+++ b/packages/core/src/jobs/reconcile.ts
@@ -1,6 +1,7 @@
 import type { Task } from './task';
 import type { Worker } from './worker';
 import type { ReportedEnd, ReportedRun, WorkerReport } from './worker-report';
+import { LATE_ORDER_WINDOW_MS } from './worker';
 
 /** Differences between a report and the assignments of its worker. */
 export interface ReportFindings {
@@ -74,11 +75,19 @@
     findings.released.push(task);
   } else if (task.phase === 'unconfirmed' && task.phaseSince < askedAt) {
     findings.unconfirmed.push(task);
-  } else if (
-    task.phase === 'stopping' &&
-    task.stopAcknowledgedAt !== undefined &&
-    task.stopAcknowledgedAt < askedAt
-  ) {
+  } else if (task.phase === 'stopping' && hasStopped(task, askedAt)) {
     findings.released.push(task);
   }
 }
+
+// A worker whose reports arrive may leave all orders to stop unanswered.
+function hasStopped(
+  { isRestored, phaseSince, runningSince, stopAcknowledgedAt }: Task,
+  askedAt: number,
+): boolean {
+  const isRevoked = stopAcknowledgedAt !== undefined && stopAcknowledgedAt < askedAt;
+  const wasStarted = (isRestored || runningSince > -Infinity) && phaseSince < askedAt;
+  // The order to start was sent before the order to stop.
+  const isOrderVoid = askedAt - phaseSince > LATE_ORDER_WINDOW_MS;
+  return isRevoked || wasStarted || isOrderVoid;
+}
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -35,7 +35,7 @@
 }
 
 /** Time after which an unanswered order is no longer executed, in ms. */
-const LATE_ORDER_WINDOW_MS = 15_000;
+export const LATE_ORDER_WINDOW_MS = 15_000;
 
 /** Entry in the registry of an incarnation that is not known to run. */
 export interface UnconfirmedEntry {
