fix(core): start suspected tasks also on workers that answer slowly

A task that is suspected of crashing its worker, which starts only while the worker starts nothing else, could wait for ever: the worker was kept free for it for 0.5 s, and a start that the worker answered later than that was followed by further starts of a higher rank. And where the job of such a task had ended, the worker was kept free for nobody.

A worker is kept free for up to 2 s, longer than it may take to answer its orders (0.8 s), and only while the task waits and its job has not ended.

Limit: suspected tasks of a small pool still start one after the other.

--- a/packages/core/src/jobs/isolated-starts.ts
+++ b/packages/core/src/jobs/isolated-starts.ts
@@ -2,13 +2,17 @@
 import type { Task } from './task';
 import type { Worker } from './worker';
 import { chooseWorker } from './placement';
-import { isIsolating, isStartingTasks } from './worker-crash';
+import { isHeld, isIsolating, isStartingTasks } from './worker-crash';
 
 /** Largest share of the workers of a pool on which only a suspected task may start. */
 const MAX_ISOLATED_SHARE = 0.5;
 
-/** Time for which a worker starts no tasks so that a suspected task can start there alone, in ms. */
-const HOLD_MS = 500;
+/**
+ * Longest time for which a worker starts no tasks so that a suspected task can start there alone, in ms. It is longer
+ * than the worker may take to answer the orders that it has been sent; otherwise other tasks start there first, again
+ * and again.
+ */
+const MAX_HOLD_MS = 2000;
 
 /**
  * Chooses workers for tasks that are suspected of crashing theirs. Such a task starts on a worker that starts no
@@ -39,7 +43,7 @@
     const worker = chooseWorker(task, usable, allowed);
     if (worker !== undefined) {
       worker.isolatedTask = task;
-      worker.heldUntil = 0;
+      worker.heldFor = undefined;
       this.#open = this.#open.filter((other) => other !== worker);
     } else if (!isFull) {
       this.#holdWorker(task, allowed);
@@ -50,7 +54,8 @@
   #holdWorker(task: Task, allowed: AllowedWorkers): void {
     const worker = chooseWorker(task, this.#open, allowed);
     if (worker !== undefined) {
-      worker.heldUntil = this.now + HOLD_MS;
+      worker.heldFor = task;
+      worker.heldUntil = this.now + MAX_HOLD_MS;
       this.#updateOpen();
     }
   }
@@ -61,7 +66,7 @@
   }
 
   #isHeld(worker: Worker): boolean {
-    return worker.heldUntil > this.now;
+    return isHeld(worker, this.now);
   }
 
   #isQuiet(worker: Worker): boolean {
--- a/packages/core/src/jobs/waiting-tasks.ts
+++ b/packages/core/src/jobs/waiting-tasks.ts
@@ -7,7 +7,7 @@
 import type { CLOSURE } from './worker-closure';
 import { findMisfit } from './placement';
 import { computePoolUse } from './pool-use';
-import { isIsolating, isStartingTasks } from './worker-crash';
+import { isHeld, isIsolating, isStartingTasks } from './worker-crash';
 
 /** Reasons why a task with room on an open worker is not assigned to it, as they appear in the log. */
 export const HOLD = {
@@ -203,7 +203,7 @@
   if (task.crashes.suspected > 0) {
     return isStartingTasks(worker, now) ? HOLD.startsOthers : HOLD.isolated;
   }
-  if (worker.heldUntil > now || isIsolating(worker, now)) {
+  if (isHeld(worker, now) || isIsolating(worker, now)) {
     return HOLD.isolated;
   }
   return task.step.spec.gang ? HOLD.gang : HOLD.none;
--- a/packages/core/src/jobs/worker-crash.ts
+++ b/packages/core/src/jobs/worker-crash.ts
@@ -29,6 +29,11 @@
   }
 }
 
+/** Whether a worker starts no tasks at a monotonic time in ms, so that a suspected task can start there alone. */
+export function isHeld({ heldFor, heldUntil }: Worker, at: number): boolean {
+  return heldUntil > at && heldFor?.phase === 'waiting' && !heldFor.job.hasEnded;
+}
+
 /** Whether a suspected task is being started on a worker, so that no other task may start there. */
 export function isIsolating(worker: Worker, at: number): boolean {
   const { isolatedTask } = worker;
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -80,7 +80,9 @@
   readonly failedJobs = new Set<string>();
   /** Number of consecutive failed runs. */
   failuresInRow = 0;
-  /** Monotonic time until which no tasks start, so that a suspected task can start alone, in ms. */
+  /** Suspected task for which the worker starts no others, so that it can start alone. */
+  heldFor: Task | undefined;
+  /** Monotonic time until which it does so, in ms. */
   heldUntil = 0;
   /** Whether the tasks that may have crashed this incarnation have been recorded. */
   isCrashRecorded = false;
