fix(core): give up an evacuation that stalls and a maintenance order without answer

Callers' tasks waited for a worker that a wave kept closed without an end: a maintenance order that got no clear answer closed it until the service answered, and for 15 s after each call without an answer when it was refused later; a worker with a long-running task that its step could not miss was closed until that changed. With the only room for the rest of the step on that worker this never changed.

An evacuation is given up when no run has ended for 4 s, 2.5 s where only long-running tasks are left; a maintenance order after 2 s. The worker is reopened, and the VM selected again 3 s later, after those that were not tried. An order without an answer may still be carried out: its VM counts as down for 15 s, so that the maximum of the wave holds, its worker is used last, and a late answer that maintenance began counts in every stage. An order that was not sent, or that was given up meanwhile, is no longer repeated.

Before: "starts a waiting task on a worker whose maintenance order is not answered: expected [] to deeply equal [ 'a' ]", "starts a long-running task that waits for a worker which cannot be evacuated without it: expected [ [ 100, 'a' ] ] to have a length of 2 but got 1", "begins the maintenance of a VM that was given up ...: expected false to be true", "evacuates another VM of a wave when one cannot be emptied: expected [ 'vm-a' ] to deeply equal [ 'vm-a', 'vm-b' ]".

Limits: a worker with runs without checkpoints stays closed for up to 4 s, which is longer than a task of its pool may wait. A wave is late while the service is silent.

--- a/packages/core/src/charts/wave-vm.chart.ts
+++ b/packages/core/src/charts/wave-vm.chart.ts
@@ -8,14 +8,14 @@
 
 /**
  * Stages of a VM in a maintenance wave: it is evacuated, its maintenance is ordered and begins, and the VM
- * returns. A refused VM is selected again later. A VM whose maintenance an earlier leader recorded goes from
+ * returns. A refused VM is selected again later, and its maintenance may begin then by an earlier order. A VM whose maintenance an earlier leader recorded goes from
  * pending to maintenance directly.
  */
 export const waveVmChart: Chart<WaveStage, WaveEvent> = {
   initial: 'pending',
   states: {
     done: {},
-    evacuating: { order: 'ordered', refuse: 'pending' },
+    evacuating: { confirm: 'maintenance', order: 'ordered', refuse: 'pending' },
     maintenance: { return: 'done' },
     ordered: { confirm: 'maintenance', refuse: 'pending' },
     pending: { confirm: 'maintenance', select: 'evacuating' },
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -40,8 +40,8 @@
   reports: WaveReport[];
 }
 
-/** Answers to a maintenance order. */
-export type MaintenanceAnswer = 'begun' | 'refused' | 'unknown';
+/** Answers to a maintenance order. An order that was not sent has certainly not been carried out. */
+export type MaintenanceAnswer = 'begun' | 'refused' | 'unknown' | 'unsent';
 
 /** Logs a decision with the data that it is based on. */
 export type MaintenanceLog = (decision: string, data: Record<string, unknown>) => void;
@@ -55,6 +55,21 @@
 /** Largest share of a pool that may be evacuating or down at once, over all waves. */
 const MAX_UNAVAILABLE_SHARE = 0.5;
 
+/**
+ * Time without the end of a run after which the evacuation of a worker is given up, in ms. It must be longer than runs
+ * without checkpoints may go on, with the time that it takes to stop them.
+ */
+const EVACUATION_STALL_MS = 4000;
+
+/** The same for a worker that has only long-running tasks left, which may have to wait for room on it, in ms. */
+const LONG_RUNNING_STALL_MS = 2500;
+
+/** Time after the first order at which a VM without a clear answer is given up, in ms. */
+const ORDER_DECISION_LIMIT_MS = 2000;
+
+/** Time after a VM was given up for which it isn't selected again, in ms. */
+const POSTPONEMENT_MS = 3000;
+
 /** Time after a refusal for which a VM isn't selected again, in ms. */
 const REFUSAL_BACKOFF_MS = 1500;
 
@@ -121,7 +136,7 @@
   onAnswer(order: MaintenanceOrder, answer: MaintenanceAnswer, now: number): void {
     const run = this.#runs.get(order.wave);
     const vm = run?.vms.get(order.vm);
-    if (run === undefined || vm?.stage !== 'ordered') {
+    if (run === undefined || vm === undefined || vm.stage === 'maintenance' || vm.stage === 'done') {
       return;
     }
     this.log('maintenance-answered', { answer, vm: vm.id, wave: run.wave.id });
@@ -134,12 +149,18 @@
         this.#releaseWorker(run, vm, answer, now);
       }
     } else if (answer === 'unknown') {
-      vm.unansweredAt = now;
-    } else if (now - vm.unansweredAt >= LATE_VM_ORDER_WINDOW_MS) {
-      this.#postpone(run, vm, answer, now);
+      vm.lateUntil = now + LATE_VM_ORDER_WINDOW_MS;
+    } else if (vm.stage === 'ordered' && (answer === 'refused' || vm.lateUntil <= now)) {
+      this.#postpone(run, vm, answer, REFUSAL_BACKOFF_MS, now);
     }
   }
 
+  /** Whether an order still has to be sent at a monotonic time. */
+  isWanted(order: MaintenanceOrder, now: number): boolean {
+    const vm = this.#runs.get(order.wave)?.vms.get(order.vm);
+    return vm?.stage === 'ordered' && now - vm.orderedAt < ORDER_DECISION_LIMIT_MS;
+  }
+
   /** Returns the actions that are due at a monotonic time. */
   plan(now: number): WavePlan {
     const plan: WavePlan = { orders: [], records: this.#records, reports: [] };
@@ -154,20 +175,17 @@
   }
 
   #selectVms(run: WaveRun, now: number): void {
-    let selectable =
-      Math.min(run.wave.maxAtOnce, this.#requiredConcurrency(run, now)) - run.downCount - run.evacuatingCount;
+    const limit = Math.min(run.wave.maxAtOnce, this.#requiredConcurrency(run, now));
     const candidates = [...run.vms.values()]
       .filter((vm) => vm.stage === 'pending' && vm.notBefore <= now && this.#isUp(vm))
-      .sort((a, b) => this.#loadOf(a) - this.#loadOf(b));
+      .sort((a, b) => a.postponements - b.postponements || this.#loadOf(a) - this.#loadOf(b));
     for (const vm of candidates) {
-      if (selectable <= 0) {
-        return;
-      }
-      if (this.#isWithinPoolLimit(vm, now)) {
+      if (run.countInProgress(vm, now) < limit && this.#isWithinPoolLimit(vm, now)) {
         run.advance(vm, 'select', now);
-        this.#claimWorker(run, vm, now);
-        this.log('vm-emptied', { runs: this.#workerOf(vm)?.runs.size ?? 0, vm: vm.id, wave: run.wave.id });
-        selectable -= 1;
+        vm.progressAt = now;
+        vm.fewestRuns = this.#workerOf(vm)?.runs.size ?? 0;
+        this.#claimWorker(run, vm, now + EVACUATION_STALL_MS, now);
+        this.log('vm-emptied', { runs: vm.fewestRuns, vm: vm.id, wave: run.wave.id });
       }
     }
   }
@@ -183,11 +201,20 @@
   #evacuateVms(run: WaveRun, now: number): void {
     for (const vm of run.vms.values()) {
       if (vm.stage === 'evacuating' && !this.#isUp(vm)) {
-        this.#postpone(run, vm, 'not-up', now);
+        this.#postpone(run, vm, 'not-up', REFUSAL_BACKOFF_MS, now);
       }
       const worker = this.#workerOf(vm);
       if (vm.stage === 'evacuating' && worker !== undefined) {
-        this.#claimWorker(run, vm, now);
+        if (worker.runs.size < vm.fewestRuns) {
+          vm.fewestRuns = worker.runs.size;
+          vm.progressAt = now;
+        }
+        const until = vm.progressAt + stallLimitMs(worker);
+        if (until <= now) {
+          this.#postpone(run, vm, 'not-emptied', POSTPONEMENT_MS, now);
+          continue;
+        }
+        this.#claimWorker(run, vm, until, now);
         for (const task of selectTasksToMove(worker, now - vm.since, now)) {
           this.fleet.moveAway(task, holderOf(run), now);
         }
@@ -197,12 +224,18 @@
 
   #orderMaintenance(run: WaveRun, plan: WavePlan, now: number): void {
     for (const vm of run.vms.values()) {
+      if (vm.stage === 'ordered' && now - vm.orderedAt >= ORDER_DECISION_LIMIT_MS) {
+        // The last order may still be under way.
+        vm.lateUntil = Math.max(vm.lateUntil, now + LATE_VM_ORDER_WINDOW_MS);
+        this.#postpone(run, vm, 'unanswered', POSTPONEMENT_MS, now);
+      }
       const isEmpty = (this.#workerOf(vm)?.runs.size ?? 0) === 0;
-      const isDue = vm.stage === 'evacuating' && isEmpty && run.downCount < run.wave.maxAtOnce;
+      const isDue = vm.stage === 'evacuating' && isEmpty && run.countDown(vm, now) < run.wave.maxAtOnce;
       const isOverdue = vm.stage === 'ordered' && now - vm.since > ORDER_RETRY_MS;
       if (isDue) {
         run.advance(vm, 'order', now);
-        this.#claimWorker(run, vm, now);
+        vm.orderedAt = now;
+        this.#claimWorker(run, vm, now + ORDER_DECISION_LIMIT_MS, now);
       }
       if (isDue || isOverdue) {
         vm.since = now;
@@ -251,14 +284,14 @@
   }
 
   // Another worker may have come to the VM since the first one was closed.
-  #claimWorker(run: WaveRun, vm: WaveVm, now: number): void {
+  #claimWorker(run: WaveRun, vm: WaveVm, until: number, now: number): void {
     const worker = this.#workerOf(vm);
     if (vm.worker?.current() !== worker) {
       this.#releaseWorker(run, vm, 'replaced', now);
       vm.worker = worker === undefined ? undefined : new WorkerIncarnation(worker);
     }
     if (worker !== undefined) {
-      const claim = { holder: holderOf(run), reason: CLAIM_REASON.maintenance, until: Infinity };
+      const claim = { holder: holderOf(run), reason: CLAIM_REASON.maintenance, until };
       this.fleet.vmClaims.claim(worker, claim, now);
     }
   }
@@ -267,19 +300,25 @@
   #releaseWorker(run: WaveRun, vm: WaveVm, cause: string, now: number): void {
     const worker = vm.worker?.current();
     if (worker !== undefined && this.fleet.workers.get(worker.info.id) === worker) {
-      this.fleet.vmClaims.release(worker, holderOf(run), cause, now);
+      const riskUntil = vm.stage === 'pending' ? vm.lateUntil : now;
+      this.fleet.vmClaims.release(worker, holderOf(run), cause, now, riskUntil);
     }
   }
 
-  // The VM is selected again later.
-  #postpone(run: WaveRun, vm: WaveVm, cause: string, now: number): void {
+  // The VM is selected again later. An order for it may still be carried out until then.
+  #postpone(run: WaveRun, vm: WaveVm, cause: string, forMs: number, now: number): void {
     run.advance(vm, 'refuse', now);
-    vm.notBefore = now + REFUSAL_BACKOFF_MS;
+    vm.notBefore = now + forMs;
+    vm.postponements += 1;
     this.#releaseWorker(run, vm, cause, now);
-    vm.worker = undefined;
   }
 }
 
+function stallLimitMs(worker: Worker): number {
+  const hasEndingTask = [...worker.runs.values()].some(({ step }) => !step.spec.longRunning);
+  return hasEndingTask ? EVACUATION_STALL_MS : LONG_RUNNING_STALL_MS;
+}
+
 function holderOf(run: WaveRun): string {
   return `wave-${run.wave.id}`;
 }
--- a/packages/core/src/maintenance/wave-run.ts
+++ b/packages/core/src/maintenance/wave-run.ts
@@ -6,14 +6,22 @@
 
 /** A VM of a maintenance wave. */
 export interface WaveVm {
+  /** Fewest runs that the worker has had since the VM was selected. */
+  fewestRuns: number;
   readonly id: string;
+  /** Monotonic time until which an order without an answer may still be carried out, in ms. */
+  lateUntil: number;
   /** Monotonic time before which the VM is not selected again, in ms. */
   notBefore: number;
+  /** Monotonic time at which maintenance was first ordered since the VM was selected, in ms. */
+  orderedAt: number;
+  /** How often the VM was selected in vain. */
+  postponements: number;
+  /** Monotonic time at which the worker was selected, or since then had its last run removed, in ms. */
+  progressAt: number;
   /** Monotonic time at which the current stage began, in ms; an order that is repeated resets it. */
   since: number;
   stage: WaveStage;
-  /** Monotonic time at which an order was last given up without an answer, in ms. */
-  unansweredAt: number;
   /** Worker that is closed for the maintenance of the VM. */
   worker: WorkerIncarnation | undefined;
 }
@@ -34,11 +42,15 @@
   ) {
     for (const id of wave.vms) {
       this.vms.set(id, {
+        fewestRuns: 0,
         id,
+        lateUntil: -Infinity,
         notBefore: 0,
+        orderedAt: 0,
+        postponements: 0,
+        progressAt: 0,
         since: 0,
         stage: waveVmChart.initial,
-        unansweredAt: -Infinity,
         worker: undefined,
       });
     }
@@ -55,14 +67,14 @@
     return true;
   }
 
-  /** Number of VMs that are down for the wave, or may be. */
-  get downCount(): number {
-    return this.#count((vm) => DOWN_STAGES.has(vm.stage));
+  /** Number of VMs, without one of them, that are down for the wave, or may be at a monotonic time in ms. */
+  countDown(except: WaveVm, now: number): number {
+    return this.#count((vm) => vm !== except && mayBeDown(vm, now));
   }
 
-  /** Number of VMs that are being evacuated. */
-  get evacuatingCount(): number {
-    return this.#count((vm) => vm.stage === 'evacuating');
+  /** Number of VMs, without one of them, that are or may be down for the wave or are being evacuated. */
+  countInProgress(except: WaveVm, now: number): number {
+    return this.#count((vm) => vm !== except && (vm.stage === 'evacuating' || mayBeDown(vm, now)));
   }
 
   /** Number of VMs whose maintenance hasn't begun. */
@@ -74,3 +86,7 @@
     return [...this.vms.values()].filter(matches).length;
   }
 }
+
+function mayBeDown(vm: WaveVm, now: number): boolean {
+  return DOWN_STAGES.has(vm.stage) || (vm.stage !== 'done' && vm.lateUntil > now);
+}
--- a/packages/core/tests/maintenance/worker-closing.test.ts
+++ b/packages/core/tests/maintenance/worker-closing.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import type { MoveAnswer } from '../../src/jobs';
-import { job, step } from '../jobs/support/jobs';
+import { job, report, step } from '../jobs/support/jobs';
 import { MaintainedFleet } from './support/maintained-fleet';
 
 /** Longest time that a task may wait for a worker that is closed without need, in ms. */
@@ -148,4 +148,83 @@
     fleet.run(200 + MAX_WAIT_MS);
     expect(fleet.isOpen('a')).toBe(true);
   });
+
+  it('starts a waiting task on a worker whose maintenance order is not answered', () => {
+    const fleet = new MaintainedFleet(['a', { labels: ['big'] }], ['b']);
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-a'] }, 0);
+    fleet.run(100);
+    addBigTask(fleet);
+    fleet.run(100 + MAX_WAIT_MS);
+    expect(fleet.startsOf(BIG_TASK).map(([, id]) => id)).toEqual(['a']);
+  });
+
+  it('starts a long-running task that waits for a worker which cannot be evacuated without it', () => {
+    const fleet = new MaintainedFleet(['a', { labels: ['big'] }], ['b']);
+    const demand = { cpuMilli: 2000, gpus: 0, memoryMb: 100 };
+    addBigTask(fleet, { count: 2, demand, longRunning: true, mayMiss: 1 });
+    fleet.run(100);
+    fleet.scheduler.onReport(fleet.worker('a'), report([[BIG_TASK, 1]]), fleet.now, fleet.now);
+    const other = 'big.0.0.1';
+    expect(fleet.startsOf(other)).toEqual([[100, 'a']]);
+    fleet.run(200);
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-a'] }, fleet.now);
+    for (let second = 0; second < 6; second += 1) {
+      fleet.run(fleet.now + 1000);
+      const running: [string, number][] =
+        fleet.startsOf(other).length > 1
+          ? [
+              [BIG_TASK, 1],
+              [other, 2],
+            ]
+          : [[BIG_TASK, 1]];
+      fleet.scheduler.onReport(fleet.worker('a'), report(running), fleet.now, fleet.now);
+    }
+    expect(fleet.startsOf(other)).toHaveLength(2);
+  });
+
+  it('takes down no more VMs of a wave than allowed while an order without an answer may still be carried out', () => {
+    const fleet = new MaintainedFleet(['a'], ['b'], ['c'], ['d']);
+    fleet.answerMaintenance = () => 'unknown';
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-a', 'vm-b'] }, 0);
+    fleet.run(14_000);
+    expect(new Set(fleet.maintenanceOrders.map((order) => order.vm))).toEqual(new Set(['vm-a']));
+  });
+
+  it('begins the maintenance of a VM that was given up by the late answer to its order, and goes on', () => {
+    const fleet = new MaintainedFleet(['a'], ['b'], ['c'], ['d'], ['o', { pool: 'other' }]);
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-a', 'vm-b'] }, 0);
+    fleet.run(2500);
+    expect(fleet.isOpen('a')).toBe(true);
+    fleet.planner.onAnswer({ vm: 'vm-a', wave: 7 }, 'begun', fleet.now);
+    expect(fleet.scheduler.workers.has('a')).toBe(false);
+    fleet.updateVm('vm-a', { state: 'maintenance', workerId: '' });
+    fleet.run(5000);
+    expect(fleet.maintenanceOrders.filter((order) => order.vm === 'vm-b')).toEqual([]);
+    fleet.updateVm('vm-a', { state: 'up' });
+    fleet.run(6000);
+    expect(fleet.maintenanceOrders.filter((order) => order.vm === 'vm-b')).not.toEqual([]);
+  });
+
+  it('orders the maintenance of a VM again once the VM service answers', () => {
+    const fleet = new MaintainedFleet(['a'], ['b']);
+    fleet.answerMaintenance = () => (fleet.now > 4000 ? 'begun' : 'unknown');
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-a'] }, 0);
+    fleet.run(8000);
+    expect(fleet.scheduler.workers.has('a')).toBe(false);
+  });
+
+  it('evacuates another VM of a wave when one cannot be emptied', () => {
+    const fleet = new MaintainedFleet(['a', { labels: ['big'] }], ['b']);
+    const demand = { cpuMilli: 2000, gpus: 0, memoryMb: 100 };
+    addBigTask(fleet, { count: 2, demand, longRunning: true, mayMiss: 1 });
+    fleet.run(100);
+    fleet.scheduler.onJob(job('load', [step({ count: 4 })]), [], fleet.now, fleet.now);
+    fleet.run(200);
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-a', 'vm-b'] }, fleet.now);
+    fleet.run(10_000);
+    const emptied = fleet.decisions
+      .filter(({ decision }) => decision === 'vm-emptied')
+      .map(({ data }) => data.vm);
+    expect(emptied.slice(0, 2)).toEqual(['vm-a', 'vm-b']);
+  });
 });
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -138,12 +138,11 @@
   }
 
   async #startMaintenance(order: MaintenanceOrder): Promise<void> {
-    const isWanted = (): boolean => true;
-    const outcome = await this.#sendOrder(order.vm, isWanted, (req) =>
-      this.ctx.vms.startMaintenance(req, order.wave),
-    );
-    if (outcome !== undefined && outcome !== UNSENT) {
-      this.ctx.planner.onAnswer(order, MAINTENANCE_ANSWERS[outcome], this.ctx.timers.mono());
+    const { planner, timers, vms } = this.ctx;
+    const isWanted = (): boolean => planner.isWanted(order, timers.mono());
+    const outcome = await this.#sendOrder(order.vm, isWanted, (req) => vms.startMaintenance(req, order.wave));
+    if (outcome !== undefined) {
+      planner.onAnswer(order, outcome === UNSENT ? 'unsent' : MAINTENANCE_ANSWERS[outcome], timers.mono());
       this.ctx.onChange();
     }
   }
