--- a/packages/core/src/charts/wave-vm.chart.ts
+++ b/packages/core/src/charts/wave-vm.chart.ts
@@ -7,9 +7,9 @@
 export type WaveEvent = 'confirm' | 'order' | 'refuse' | 'return' | 'select';
 
 /**
- * Stages of a VM in a maintenance wave: it is evacuated, its maintenance is ordered and begins, and the VM
- * returns. A refused VM is selected again later, and its maintenance may begin then by an earlier order. A VM whose maintenance an earlier leader recorded goes from
- * pending to maintenance directly.
+ * Stages of a VM in a maintenance wave: it is evacuated, its maintenance is ordered and begins, and the VM returns. A
+ * VM that was refused or given up is selected again later; its maintenance may begin before that by an earlier order.
+ * A VM whose maintenance an earlier leader recorded goes from pending to maintenance directly.
  */
 export const waveVmChart: Chart<WaveStage, WaveEvent> = {
   initial: 'pending',
