fix(core): free all of a worker's capacity when its runs have ended

A task that needs a whole worker could wait for ever beside idle ones: demands may be fractions of a MB or of a thousandth of a core, and sums of them, reserved and freed one by one, left a remainder of about 1e-13, which the exact comparison with the capacity takes for something reserved.

Sums are rounded to a millionth of a unit.

Evidence: the new test failed before: "expected [] to have a length of 1 but got +0". Limit: callers that have been seen state whole numbers, for which nothing changes.

--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -34,6 +34,9 @@
   return leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
 }
 
+/** Steps of sums of demands in a thousandth of a core, an accelerator or a MB. */
+const SUMS_PER_UNIT = 1e6;
+
 /** Time after which an unanswered order is no longer executed, in ms. */
 export const LATE_ORDER_WINDOW_MS = 15_000;
 
@@ -281,9 +284,14 @@
     const { demand, fillsIdle, longRunning } = task.step.spec;
     const { gpus, memoryMb } = demand;
     const cpuMilli = fillsIdle ? 0 : sign * demand.cpuMilli;
-    this.reserved.cpuMilli += cpuMilli;
-    this.endingCpuMilli += longRunning ? 0 : cpuMilli;
-    this.reserved.memoryMb += sign * memoryMb;
-    this.reserved.gpus += sign * gpus;
+    this.reserved.cpuMilli = roundSum(this.reserved.cpuMilli + cpuMilli);
+    this.endingCpuMilli = roundSum(this.endingCpuMilli + (longRunning ? 0 : cpuMilli));
+    this.reserved.memoryMb = roundSum(this.reserved.memoryMb + sign * memoryMb);
+    this.reserved.gpus = roundSum(this.reserved.gpus + sign * gpus);
   }
 }
+
+// What is reserved and freed again must leave nothing, also of fractions that have no exact binary form.
+function roundSum(sum: number): number {
+  return Math.round(sum * SUMS_PER_UNIT) / SUMS_PER_UNIT;
+}
--- a/packages/core/tests/jobs/worker-capacity.test.ts
+++ b/packages/core/tests/jobs/worker-capacity.test.ts
@@ -141,4 +141,23 @@
     harness.report(report());
     expect(harness.plan().starts.map((order) => order.run)).toEqual([2, 2, 2]);
   });
+
+  // Guards against a worker that has no room for a large task, since sums of fractions left something reserved.
+  it('has all of its capacity free again when runs with fractional demands have ended', () => {
+    const harness = new Harness();
+    const fractions = [38.7, 296.4, 540.9, 796.4, 854.7];
+    fractions.forEach((cpuMilli, index) => {
+      harness.submit(`f${index}`, { demand: { cpuMilli, gpus: 0, memoryMb: 1 } });
+    });
+    const ids = harness.plan().starts.map(({ task }) => task.name);
+    harness.report(
+      report(
+        [],
+        fractions.map((_, index) => [index + 1, `f${index}.0.0.0`, 1, 'done']),
+      ),
+    );
+    harness.submit('large', { demand: { cpuMilli: 4000, gpus: 0, memoryMb: 1 } });
+    expect(ids).toHaveLength(fractions.length);
+    expect(harness.plan().starts).toHaveLength(1);
+  });
 });
