fix(jobs): keep the address of a worker when its previous entry is stored late

A worker with room could be called at an address that it has left, until its entry changed again: an entry of the incarnation before the known one, stored late, gave its address and closed the worker until it answered there.

Cause: keeps such an entry until a report decides, and treated it like an entry of an unknown incarnation. It is still kept, for an incarnation that started at the same time, but changes nothing before a report shows that incarnation.

The test "does not change the address when it is of the incarnation before" failed before: "expected 'a:1' to be 'a:2'".

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -121,14 +121,15 @@
   #update(worker: Worker, info: WorkerInfo, now: number): void {
     const isOlder = info.bornAt < worker.info.bornAt;
     worker.isDeregistered = false;
-    if (isOlder || info.bornAt === worker.previousBornAt) {
+    const isPrevious = info.bornAt === worker.previousBornAt;
+    if (isOlder || isPrevious) {
       // Either an old entry or a new incarnation whose clock was set back: the next report tells which.
       worker.unconfirmedEntry = { info, readAt: now };
     } else {
       worker.unconfirmedEntry = undefined;
       this.#applyInfo(worker, info, now, (task) => mayRunUnreported(worker, task));
     }
-    if (isOlder) {
+    if (isOlder && !isPrevious) {
       worker.info = { ...worker.info, address: info.address };
       worker.isFenced = false;
     }
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -113,6 +113,15 @@
     expect(harness.start()).toEqual(['j.0.0.0']);
   });
 
+  it('does not change the address when it is of the incarnation before', () => {
+    harness.register({ address: 'a:2', bornAt: 6000 });
+    harness.report(report([], [], 6000));
+    harness.register({ address: 'a:1', bornAt: 5000 });
+    expect(harness.worker.info.address).toBe('a:2');
+    harness.submit('j', 'p');
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
+
   it('applies to a third incarnation that started at the same time of day as the first', () => {
     harness.register({ bornAt: 2000 });
     harness.report(report([], [], 2000));
