fix(jobs): bound the time for which a run may be starting, and log overdue runs

A run whose order to start never has an outcome kept its task and its room until the end of the term, and nothing said so: `releaseExpired` leaves it alone, because an order that is still to be sent has not extended the lease. No order is known that gets no outcome, but nothing bounded one either.

After 10 s without an outcome the order now counts as unanswered: its sender drops it if it still waits, and otherwise it is revoked by an order to stop before the task runs again. Each run that stays between two phases for over 3 s is logged (`run-overdue`) with its phase, worker and reason: the explanations of waiting tasks cover only tasks that are not assigned.

Evidence: "are ordered again if their order to start never has an outcome" failed before with "expected [ 1, undefined ] to deeply equal [ 1, 2 ]".

Limits: while the store takes over 10 s for an append, its starts are planned again with the next number.

--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -48,6 +48,7 @@
   lost: 'run-lost',
   throttled: 'run-paced',
   orderRefused: 'order-refused',
+  overdue: 'run-overdue',
   stopped: 'run-stop-ordered',
   workerClosed: 'worker-closed',
   workerCrashed: 'worker-crashed',
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -15,6 +15,7 @@
 import { Assigner } from './assigner';
 import { JobRun } from './job-run';
 import { delayOrdersAfterRefusal } from './order-refusal';
+import { OverdueRuns } from './overdue-runs';
 import { computePoolLoad } from './pool-load';
 import { computePoolUse } from './pool-use';
 import { reconcile } from './reconcile';
@@ -49,6 +50,7 @@
   #isAssignmentPaused = false;
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
+  readonly #overdueRuns: OverdueRuns;
   readonly #quarantine: WorkerQuarantine;
   readonly #runEnds: RunEndHandler;
   readonly #waitingTasks = new WaitingTasks();
@@ -56,6 +58,7 @@
 
   constructor(settings: SchedulerSettings, log: DecisionLog, advice: AdviceLookup = () => new Set()) {
     this.#ctx = new SchedulerContext(settings, log);
+    this.#overdueRuns = new OverdueRuns(log);
     this.#runControl = new RunControl(this.#ctx);
     this.#quarantine = new WorkerQuarantine(this.#ctx);
     this.#runEnds = new RunEndHandler(this.#ctx, this.#runControl, this.#quarantine);
@@ -238,8 +241,7 @@
       return;
     }
     if (answer === START_ANSWER.noAnswer) {
-      worker.addUnansweredOrder(order, now);
-      task.applyEvent('lose', now);
+      this.#loseOrder(order, now);
       worker.isUnresponsive = true;
       return;
     }
@@ -291,6 +293,9 @@
         this.#directory.removeIfIdle(worker);
       }
       this.#moveStalledAndLeaving(worker, now);
+      for (const task of this.#overdueRuns.check(worker, now)) {
+        this.#loseOrder({ run: task.run, task, worker }, now);
+      }
     }
     for (const run of this.#ctx.jobs.values()) {
       if (run.addDueOccurrences(wallNow)) {
@@ -321,6 +326,12 @@
     }
   }
 
+  // The order may still be executed, so it has to be revoked. One that is not sent yet is dropped by its sender.
+  #loseOrder(order: StartOrder, now: number): void {
+    order.worker.addUnansweredOrder(order, now);
+    order.task.applyEvent('lose', now);
+  }
+
   #throttle(worker: Worker): void {
     for (const order of throttleBestEffortTasks(worker)) {
       this.#ctx.pending.throttles.push(order);
