fix(core): try all waiting tasks of a step on workers whose VM may be taken

A task of a step that limits its unavailable tasks, which after 1.5 s may use a worker whose VM may be taken without notice, waited on for as long as another task of its step, earlier in the list, had begun to wait since: the assignment of a step ended at the first task without a worker, though the workers that a task may use now depend on how long it has waited.

It ends there only if the task could have used every open worker.

Evidence: the new test failed before: "expected [] to deeply equal [ 'j.0.0.1' ]".

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -102,11 +102,14 @@
       }
     }
     for (const task of waiting.filter((item) => item.crashes.suspected === 0)) {
-      const worker = chooseWorker(task, usableFor(task, starts.open, now), allowed);
-      if (worker === undefined) {
+      const usable = usableFor(task, starts.open, now);
+      const worker = chooseWorker(task, usable, allowed);
+      if (worker !== undefined) {
+        this.#assign(task, worker, task.run + 1, now);
+      } else if (usable === starts.open) {
+        // None of the open workers fits any other task of the step either.
         return;
       }
-      this.#assign(task, worker, task.run + 1, now);
     }
   }
 
--- a/packages/core/tests/jobs/assigner.test.ts
+++ b/packages/core/tests/jobs/assigner.test.ts
@@ -188,6 +188,26 @@
   });
 });
 
+// Guards against a task that waits on although it may use a worker, since another task of its step may not yet.
+describe('a worker whose VM may be taken without notice', () => {
+  it('runs the task of a step that has waited longest, although one before it in the step has just begun to', () => {
+    const now = 10_000;
+    const scheduler = createScheduler([worker('risky')], []);
+    scheduler.workers.get('risky')?.vmRisks.set('holder', { holder: 'holder', until: Infinity });
+    scheduler.onJob(job('j', [step({ count: 2, longRunning: true, mayMiss: 1 })]), [], now, WALL_NOW);
+    const [first, second] = scheduler.jobs.get('j')?.tasks() ?? [];
+    for (const [task, waitedMs] of [
+      [first, 600],
+      [second, 1600],
+    ] as const) {
+      task?.assign(new Worker(worker('lost'), 0), 1, now - waitedMs);
+      task?.applyEvent('release', now - waitedMs);
+    }
+    scheduler.requestAssignment();
+    expect(scheduler.plan(now, WALL_NOW).starts.map(({ task }) => task.name)).toEqual(['j.0.0.1']);
+  });
+});
+
 function isLongRunning(jobs: readonly Job[], task: string): boolean {
   const [id, , stepIndex] = task.split('.');
   const found = jobs.find((item) => item.id === id);
