fix(jobs): leave runs of an earlier term to a new incarnation's report

Callers could see a task run twice at the same time after a change of leader: the earlier leader had met a worker's new incarnation through its report and started a run there, while the registry still held the entry of the incarnation before. The next leader restored the run, then read the new entry, took it for a restart and released the run as lost, so that the task started elsewhere beside it.

Cause: a restart that an entry shows released every restored run. Whether the earlier leader had met that incarnation is not known to a leader that has had no report from the worker.

Such a run is left to the first report now, which is requested at once, since the worker is not fenced: it is confirmed if listed and released if not. If no report comes, the end of the lease releases it. A closed connection in this term still releases it at the entry, so that crashes are counted as before.

The test "leaves a run of an earlier term to the next report, when that term had met the incarnation first" failed before: the plan had a start of run 2 on the other worker.

Limits: a connection that was only reset, with an entry that is read after that, still counts as the end of the earlier incarnation.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -183,7 +183,11 @@
 }
 
 // Whether the answer to its order has confirmed the run and no report has been read since. A worker that was found
-// unresponsive has been sent no orders since then, so that its earlier incarnation gave the answer.
+// unresponsive has been sent no orders since then, so that its earlier incarnation gave the answer. An earlier leader
+// may have known an incarnation that this one has not met.
 function mayRunUnreported(worker: Worker, task: Task): boolean {
+  if (task.isRestored && worker.lastReportAt === -Infinity) {
+    return worker.disconnection === undefined;
+  }
   return task.phase === 'running' && !worker.isUnresponsive && task.phaseSince > worker.lastReportAt;
 }
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -17,7 +17,11 @@
   }
 
   get worker(): Worker {
-    const found = this.scheduler.workers.get('a');
+    return this.find('a');
+  }
+
+  find(id: string): Worker {
+    const found = this.scheduler.workers.get(id);
     if (found === undefined) {
       throw new Error('the worker is not known');
     }
@@ -38,6 +42,13 @@
     this.scheduler.onJob({ ...job(id, [step({ count })]), pool }, [], this.now, 0);
   }
 
+  /** Adds a job of an earlier term whose task is assigned to the worker. */
+  restore(id: string, run: number): void {
+    const task = `${id}.0.0.0`;
+    const record = { checkpoint: '', failures: 0, run, state: 'assigned', task, workerId: 'a' } as const;
+    this.scheduler.onJob(job(id, [step()]), [record], this.now, 0);
+  }
+
   plan(): Plan {
     this.now += 10;
     this.scheduler.requestAssignment();
@@ -218,4 +229,26 @@
     expect(harness.plan()).toMatchObject({ starts: [], stops: [] });
     expect(harness.worker.runs.size).toBe(1);
   });
+
+  it('leaves a run of an earlier term to the next report, when that term had met the incarnation first', () => {
+    const harness = new Harness();
+    harness.scheduler.onWorkerRegistered(worker('b'), harness.now);
+    harness.scheduler.onReport(harness.find('b'), report(), harness.now, harness.now + 1);
+    harness.register({ bornAt: 1 });
+    harness.restore('j', 1);
+    harness.register({ bornAt: 2 });
+    expect(harness.plan().starts).toEqual([]);
+    harness.report(report([['j.0.0.0', 1]], [], 2));
+    expect(harness.plan()).toMatchObject({ starts: [], stops: [] });
+    expect(harness.worker.runs.size).toBe(1);
+  });
+
+  it('starts a task of an earlier term again when the next report does not list its run', () => {
+    const harness = new Harness();
+    harness.register({ bornAt: 1 });
+    harness.restore('j', 1);
+    harness.register({ bornAt: 2 });
+    harness.report(report([], [], 2));
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
 });
