fix: close no workers while the VM list is not available

While the VM service was down the balancer and the waves went on with the last list: workers were closed for orders that got no answer, up to two of three seconds each, and tasks of their pools waited for them.

When no list has come for 3 s and a further one fails, no move starts and no VM is selected for a wave until VMs are listed again. Orders that are under way are still decided within their bounds.

Limits: workers are still closed in the first 3 s, and a service that lists VMs but carries out no orders is found only by each order. Moves that would succeed while the list fails are not made.

--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -47,6 +47,7 @@
  * spare pool. A VM moves only while no task is assigned to its worker.
  */
 export class PoolBalancer {
+  #areVmsListed = true;
   readonly #idleSince = new Map<string, number>();
   readonly #moves = new VmMoves();
   readonly #needs: PoolNeeds;
@@ -67,8 +68,14 @@
     this.forecast.restore(decodeOnsets(records));
   }
 
+  /** Starts no more moves until VMs are listed again: the service hardly carries out orders that it gets now. */
+  onVmsUnavailable(): void {
+    this.#areVmsListed = false;
+  }
+
   /** Updates the VMs from a list that was requested at a monotonic time. */
   onVms(vms: readonly VmInfo[], requestedAt: number): void {
+    this.#areVmsListed = true;
     this.#vms = vms;
     this.#poolSizes = new Map();
     for (const { pool } of vms) {
@@ -258,7 +265,11 @@
   }
 
   #isAvailable(vm: VmInfo, sparePools: ReadonlySet<string>, now: number): boolean {
-    return this.#moves.canMove(vm, now) && (sparePools.has(vm.pool) || this.#idleSince.has(vm.workerId));
+    return (
+      this.#areVmsListed &&
+      this.#moves.canMove(vm, now) &&
+      (sparePools.has(vm.pool) || this.#idleSince.has(vm.workerId))
+    );
   }
 
   #updateIdleSince(now: number): void {
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -80,6 +80,7 @@
 
 /** Runs maintenance waves: evacuates VMs, orders their maintenance, and reports the progress. */
 export class WavePlanner {
+  #areVmsListed = true;
   #records: KeyedRecord[] = [];
   readonly #restoredKeys = new Set<string>();
   readonly #runs = new Map<number, WaveRun>();
@@ -115,8 +116,14 @@
     return true;
   }
 
+  /** Selects no more VMs until they are listed again: the service hardly carries out orders that it gets now. */
+  onVmsUnavailable(): void {
+    this.#areVmsListed = false;
+  }
+
   /** Updates the VMs from a list that was requested at a monotonic time. */
   onVms(vms: readonly VmInfo[], requestedAt: number): void {
+    this.#areVmsListed = true;
     this.#vms = new Map(vms.map((vm) => [vm.id, vm]));
     this.#vmsRequestedAt = requestedAt;
     for (const run of this.#runs.values()) {
@@ -175,6 +182,9 @@
   }
 
   #selectVms(run: WaveRun, now: number): void {
+    if (!this.#areVmsListed) {
+      return;
+    }
     const limit = Math.min(run.wave.maxAtOnce, this.#requiredConcurrency(run, now));
     const candidates = [...run.vms.values()]
       .filter((vm) => vm.stage === 'pending' && vm.notBefore <= now && this.#isUp(vm))
--- a/packages/core/tests/maintenance/support/maintained-fleet.ts
+++ b/packages/core/tests/maintenance/support/maintained-fleet.ts
@@ -113,6 +113,9 @@
     if (this.isListing) {
       this.planner.onVms(this.vms, this.now);
       this.balancer.onVms(this.vms, this.now);
+    } else {
+      this.planner.onVmsUnavailable();
+      this.balancer.onVmsUnavailable();
     }
     const waves = this.planner.plan(this.now);
     const moves = this.balancer.plan(this.now, this.now, new Set(['spare']));
--- a/packages/core/tests/maintenance/worker-closing.test.ts
+++ b/packages/core/tests/maintenance/worker-closing.test.ts
@@ -227,4 +227,21 @@
       .map(({ data }) => data.vm);
     expect(emptied.slice(0, 2)).toEqual(['vm-a', 'vm-b']);
   });
+
+  it('moves no VM and evacuates no worker while the VM list is not available', () => {
+    const fleet = new MaintainedFleet(['a'], ['b'], ['c'], ['o', { pool: 'other' }]);
+    fleet.run(100);
+    fleet.isListing = false;
+    fleet.run(200);
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-a'] }, fleet.now);
+    fleet.scheduler.onJob({ ...job('elsewhere', [step({ count: 8 })]), pool: 'other' }, [], 200, 200);
+    for (let round = 0; round < 100; round += 1) {
+      fleet.run(fleet.now + 100);
+      expect(['a', 'b', 'c'].filter((id) => !fleet.isOpen(id))).toEqual([]);
+    }
+    fleet.isListing = true;
+    fleet.run(fleet.now + 100);
+    expect(fleet.moveOrders).not.toEqual([]);
+    expect(fleet.maintenanceOrders).not.toEqual([]);
+  });
 });
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -46,6 +46,9 @@
 /** Interval between reads of the list of VMs, in ms. */
 const VM_LIST_INTERVAL_MS = 600;
 
+/** Age of the newest list from which on, once a further one has failed, no more VMs are selected, in ms. */
+const MAX_VM_LIST_AGE_MS = 3000;
+
 /** Timeout of a call to the VM service, or of a report to the operators, in ms. */
 const CALL_TIMEOUT_MS = 1500;
 
@@ -134,6 +137,15 @@
       this.ctx.balancer.onVms(listed.value, requestedAt);
     } else {
       this.ctx.log.warn({ error: listed.error }, 'VM list unavailable');
+      this.#reportUnavailable();
+    }
+  }
+
+  // A single list may fail.
+  #reportUnavailable(): void {
+    if (this.ctx.timers.mono() - this.#lastVmListAt > MAX_VM_LIST_AGE_MS) {
+      this.ctx.planner.onVmsUnavailable();
+      this.ctx.balancer.onVmsUnavailable();
     }
   }
 
--- a/packages/node/tests/maintenance-loop.test.ts
+++ b/packages/node/tests/maintenance-loop.test.ts
@@ -1,7 +1,7 @@
 import type { Worker } from '@sequoiaquay/core/jobs';
 import { PoolBalancer, Scheduler, WavePlanner } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
-import { okAsync, ResultAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { VmOrderOutcome, VmService } from '../src/ports/vm-service';
 import { config, job, report, SCHEDULER_SETTINGS, step, worker } from '../../core/tests/jobs/support/jobs';
@@ -34,6 +34,7 @@
 /** Loop on two idle workers of one pool and a job that waits for a VM in another pool. */
 class Harness {
   readonly moved: string[] = [];
+  isListing = true;
   moveOutcome: VmOrderOutcome = 'unknown';
   readonly scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
   readonly #stop = new AbortController();
@@ -110,7 +111,7 @@
       zone: 'z1',
     }));
     return {
-      listVms: () => okAsync(list),
+      listVms: () => (this.isListing ? okAsync(list) : errAsync('no answer')),
       moveToPool: (order) => {
         if (order.maySend()) {
           this.moved.push(order.vm);
@@ -146,6 +147,17 @@
     expect(harness.moved).not.toEqual([]);
   });
 
+  it('keeps workers open while the VM list is not available, and moves VMs once it is again', async () => {
+    harness = new Harness(1);
+    harness.loop.run(['vm-a', 'vm-b'].map((vm) => VmOrderTimes.encode(vm, Date.now())));
+    await harness.countClosed(700);
+    harness.isListing = false;
+    await harness.countClosed(3000);
+    expect(await harness.countClosed(10_000)).toBe(0);
+    harness.isListing = true;
+    expect(await harness.countClosed(2000)).toBeGreaterThan(0);
+  });
+
   it('does not send an order whose move was withdrawn while the time of the order was being stored', async () => {
     harness = new Harness(2500);
     harness.loop.run([]);
