fix(core): stop what an earlier leader has left of a gang that lost a member

Callers' gangs could wait for 3 s after a change of leader although there was room for them: the leader stores that a member is released and orders the others to stop, but is lost, or does not reach them. The next leader took the rest for running, and did not start the gang again until the workers ended it after their timeout for gangs, while its room was held.

The rest of a gang of which members wait is now ordered to stop when its job is taken over. The simulated cluster can give jobs gangs now, and has three scenarios with them.

--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -125,6 +125,15 @@
     }
   }
 
+  /** Stops the members of gangs of which others wait: the earlier leader that lost these may not have reached them. */
+  stopIncompleteGangs(run: JobRun, now: number): void {
+    for (const step of run.occurrences.flatMap((occurrence) => occurrence.steps)) {
+      if (step.spec.gang && step.waitingCount > 0) {
+        this.stopGang(step, now);
+      }
+    }
+  }
+
   /** Adds the record of a task to the plan. */
   storeTask(task: Task): void {
     this.ctx.pending.records.push(encodeTaskRecord(task.toRecord()));
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -361,6 +361,7 @@
     for (const task of run.tasks()) {
       this.#runControl.failIfExhausted(task, now);
     }
+    this.#runControl.stopIncompleteGangs(run, now);
   }
 }
 
--- a/packages/core/tests/jobs/scheduler-model.test.ts
+++ b/packages/core/tests/jobs/scheduler-model.test.ts
@@ -100,6 +100,23 @@
     },
   );
 
+  it.each<[name: string, faults: Faults]>([
+    ['answers are lost', { ...NONE, lostAnswer: 0.2 }],
+    ['leaders crash and workers are partitioned', { ...NONE, leaderCrash: 0.02, partition: 0.02 }],
+    [
+      'workers restart, are silent and fail runs while leaders crash',
+      { ...NONE, failingWorker: 0.01, leaderCrash: 0.01, restart: 0.01, silence: 0.01, slowStore: 0.02 },
+    ],
+  ])('ends all jobs with gangs and leaves none waiting: %s', (_, faults) => {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const cluster = new SimulatedCluster(seed, faults, 50, true);
+      cluster.run(FAULT_PHASE_MS, false);
+      cluster.run(RECOVERY_MS, true);
+      expect(cluster.violations, `seed ${seed}`).toEqual([]);
+      expect(cluster.ended.size, `seed ${seed}`).toBe(5);
+    }
+  });
+
   it('never runs a task on two workers at the same time, even when workers restart', () => {
     // Delayed orders are excluded: an order that reaches a new incarnation of its worker before any call of
     // the leader can't be revoked. docs/platform-design.md lists this as an open issue.
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -55,6 +55,7 @@
     seed: number,
     private readonly faults: Faults,
     private readonly maxAttempts = 50,
+    hasGangs = false,
   ) {
     this.#randomState = seed;
     this.#injected = new InjectedFaults(faults, () => this.#random());
@@ -73,7 +74,7 @@
       this.#workers.push(new SimulatedWorker(`w${index}`, RUNS_PER_WORKER, observer, this.#now));
     }
     for (let index = 0; index < 5; index += 1) {
-      this.#jobs.push(job(`j${index}`, [step({ count: 3 }), step({ after: [0], count: 2 })]));
+      this.#jobs.push(job(`j${index}`, [step({ count: 3 }), step({ after: [0], count: 2, gang: hasGangs })]));
     }
     this.#startLeader();
   }
