fix(core): treat jobs of a dropped queue as their queue was configured

A job whose queue was dropped from the configuration after it had been accepted had no limit of failed runs any more, the highest priority and no advice: a task that always fails ran for ever, ahead of the tasks of other queues. Where only some workers may run its steps, it was started without a permit on any of them; a worker that refuses a start gets no others for a while, so that other tasks waited as well.

The scheduler keeps the last configuration of up to 1,000 dropped queues.

Limit: a leader whose term began after the queue was dropped knows nothing of it; the limit would have to be stored with the job.

--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -22,6 +22,9 @@
   setAsideMs: number;
 }
 
+/** Most queues that are remembered after they were dropped from the configuration, for the jobs that they accepted. */
+const MAX_DROPPED_QUEUES = 1000;
+
 /** State that the components of the scheduler share. */
 export class SchedulerContext {
   #cfg: FleetConfig | undefined;
@@ -52,7 +55,9 @@
   set cfg(cfg: FleetConfig | undefined) {
     this.#cfg = cfg;
     // Of several queues with one name the first counts.
-    this.#queues = new Map((cfg?.queues ?? []).map((queue) => [queue.name, queue] as const).reverse());
+    const queues = new Map((cfg?.queues ?? []).map((queue) => [queue.name, queue] as const).reverse());
+    const dropped = [...this.#queues].filter(([name]) => !queues.has(name)).slice(-MAX_DROPPED_QUEUES);
+    this.#queues = new Map([...dropped, ...queues]);
   }
 
   /** Adds the ends that were read from a worker to those that are stored with the next plan. */
@@ -82,7 +87,10 @@
     return this.#cfg?.pools.find((pool) => pool.name === name);
   }
 
-  /** Returns the configuration of the queue that accepted a job; undefined if it is not configured. */
+  /**
+   * Returns the configuration of the queue that accepted a job. After the queue was dropped, this is its last one;
+   * undefined if none is known.
+   */
   getQueueConfig(run: JobRun): QueueConfig | undefined {
     return this.#queues.get(run.job.queue);
   }
