fix(core): give up a task that crashes workers beside other losses in their zone

A crash did not count while any other worker of the zone that had started nothing was lost in the same half second; with 350 VMs and a tenth of the jobs crashing, there is such a neighbour each time.

A suspected task starts alone. Crashes of workers that were starting only this task are counted on their own, whatever happens to the neighbours: after three the job is given up. A rack or a zone that is lost does not hit the 150 ms after the start of the same task three times. Two certain crashes are enough as before, and a sound task lost once with its rack keeps its job.

The new test failed before: the job was not given up. Limits: a restored run whose age is not known does not count as alone. Nodes of the earlier version skip records with the new count, as they do those of suspected tasks.

--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -11,6 +11,12 @@
 /** Number of crashes of a worker that a task may certainly have caused before its job is given up. */
 const MAX_CRASHES_CAUSED = 2;
 
+/**
+ * Number of crashes of workers that were starting only a task before its job is given up, also if other workers of
+ * their zones were lost at the same time: an outage does not hit the start of the same task again and again.
+ */
+const MAX_CRASHES_ALONE = 3;
+
 /** Stops runs, releases tasks and ends jobs, and adds the records and orders for that to the plan. */
 export class RunControl {
   constructor(private readonly ctx: SchedulerContext) {}
@@ -68,8 +74,11 @@
     const { crashes, failures, job, name, phase, run, step } = task;
     const limit = this.ctx.getQueueConfig(job)?.maxAttempts ?? Infinity;
     const hasFailed = !step.spec.longRunning && failures >= limit;
-    if (!job.hasEnded && phase !== 'done' && (hasFailed || crashes.caused >= MAX_CRASHES_CAUSED)) {
-      this.endJob(job, 'failed', now, { crashesCaused: crashes.caused, failures, limit, run, task: name });
+    const crashesWorkers = crashes.caused >= MAX_CRASHES_CAUSED || crashes.alone >= MAX_CRASHES_ALONE;
+    if (!job.hasEnded && phase !== 'done' && (hasFailed || crashesWorkers)) {
+      const { alone, caused } = crashes;
+      const cause = { crashesAlone: alone, crashesCaused: caused, failures, limit, run, task: name };
+      this.endJob(job, 'failed', now, cause);
     }
   }
 
--- a/packages/core/src/jobs/run-record.ts
+++ b/packages/core/src/jobs/run-record.ts
@@ -6,6 +6,8 @@
 
 /** Numbers of crashes of workers under a task. */
 export interface CrashCounts {
+  /** Crashes of workers that were starting no other task. */
+  alone: number;
   /** Crashes that the task has certainly caused. */
   caused: number;
   /** Last run that a crash was counted for; each counts once. */
@@ -31,7 +33,7 @@
 }
 
 /** Counts of a task that has not been suspected. */
-export const NO_CRASHES: Readonly<CrashCounts> = { caused: 0, lastRun: 0, suspected: 0 };
+export const NO_CRASHES: Readonly<CrashCounts> = { alone: 0, caused: 0, lastRun: 0, suspected: 0 };
 
 /** Key of the record that starts a term. */
 export const TERM_KEY = 'leader';
@@ -45,6 +47,7 @@
   z.int().default(0),
   z.int().default(0),
   z.int().default(0),
+  z.int().default(0),
 ]);
 
 const STATE_CODE = { assigned: 'a', done: 'd', waiting: 'w' } as const;
@@ -54,8 +57,8 @@
 /** Encodes the record of a task. */
 export function encodeTaskRecord(record: TaskRecord): KeyedRecord {
   const { checkpoint, failures, run, state, task, workerId } = record;
-  const { caused, lastRun, suspected } = record.crashes ?? NO_CRASHES;
-  const crashes = suspected > 0 ? [suspected, caused, lastRun] : [];
+  const { alone, caused, lastRun, suspected } = record.crashes ?? NO_CRASHES;
+  const crashes = suspected > 0 ? [suspected, caused, lastRun, alone] : [];
   return {
     key: `t.${task}`,
     value: JSON.stringify([STATE_CODE[state], run, workerId, failures, checkpoint, ...crashes]),
@@ -78,9 +81,9 @@
     return ok(undefined);
   }
   return parseJson(value, recordSchema)
-    .map(([code, run, workerId, failures, checkpoint, suspected, caused, lastRun]) => ({
+    .map(([code, run, workerId, failures, checkpoint, suspected, caused, lastRun, alone]) => ({
       checkpoint,
-      crashes: suspected > 0 ? { caused, lastRun, suspected } : undefined,
+      crashes: suspected > 0 ? { alone, caused, lastRun, suspected } : undefined,
       failures,
       run,
       state: STATE_BY_CODE[code],
--- a/packages/core/src/jobs/worker-crash.ts
+++ b/packages/core/src/jobs/worker-crash.ts
@@ -3,6 +3,8 @@
 
 /** Crash of a worker's process, and the tasks that may have caused it. */
 export interface WorkerCrash {
+  /** Whether the worker was starting the only suspect and no other task. */
+  isAlone: boolean;
   /** Whether the only suspect has certainly caused the crash. */
   isCertain: boolean;
   suspects: Task[];
@@ -64,7 +66,7 @@
     suspects.length === 1 &&
     suspects.every((task) => started.includes(task) || isOfUnknownAge(task)) &&
     !isPartOfOutage(worker, disconnected);
-  return { isCertain, suspects };
+  return { isAlone: started.length === 1, isCertain, suspects };
 }
 
 // A run of an earlier term that no report has listed since.
--- a/packages/core/src/jobs/worker-loss-handler.ts
+++ b/packages/core/src/jobs/worker-loss-handler.ts
@@ -92,11 +92,13 @@
     worker.isCrashRecorded = true;
     const suspects = crash.suspects.filter((task) => task.crashes.lastRun !== task.run);
     for (const task of suspects) {
+      task.crashes.alone += Number(crash.isAlone);
       task.crashes.caused += Number(crash.isCertain);
       task.crashes.lastRun = task.run;
       task.crashes.suspected += 1;
     }
     this.ctx.log(DECISION.workerCrashed, {
+      alone: crash.isAlone,
       certain: crash.isCertain,
       runs: worker.runs.size,
       suspectCount: suspects.length,
--- a/packages/core/tests/jobs/isolated-starts.test.ts
+++ b/packages/core/tests/jobs/isolated-starts.test.ts
@@ -7,7 +7,7 @@
 
 const SUSPECT: TaskRecord = {
   checkpoint: '',
-  crashes: { caused: 0, lastRun: 1, suspected: 1 },
+  crashes: { alone: 0, caused: 0, lastRun: 1, suspected: 1 },
   failures: 0,
   run: 1,
   state: 'waiting',
--- a/packages/core/tests/jobs/worker-crash.test.ts
+++ b/packages/core/tests/jobs/worker-crash.test.ts
@@ -83,11 +83,11 @@
     first.start();
     first.disconnect();
     const stored = first.records();
-    expect(stored.at(-1)?.crashes).toEqual({ caused: 1, lastRun: 1, suspected: 1 });
+    expect(stored.at(-1)?.crashes).toEqual({ alone: 1, caused: 1, lastRun: 1, suspected: 1 });
     const next = new SingleWorker(stored.slice(-1));
     next.disconnect();
     next.scheduler.onWorkerReplaced(next.worker, next.now);
-    expect(next.records().at(-1)?.crashes).toEqual({ caused: 1, lastRun: 1, suspected: 1 });
+    expect(next.records().at(-1)?.crashes).toEqual({ alone: 1, caused: 1, lastRun: 1, suspected: 1 });
     expect(next.scheduler.jobs.get('j')?.hasEnded).toBe(false);
   });
 
@@ -101,7 +101,29 @@
     }
     fleet.scheduler.onWorkerDisconnected(neighbour, fleet.now + 30);
     fleet.disconnect();
-    expect(fleet.records().at(-1)?.crashes).toEqual({ caused: 0, lastRun: 1, suspected: 1 });
+    expect(fleet.records().at(-1)?.crashes).toEqual({ alone: 1, caused: 0, lastRun: 1, suspected: 1 });
+  });
+
+  it('is blamed on a task that crashes its workers while other workers of their zone are lost each time', () => {
+    let isGivenUp: boolean | undefined;
+    const records = Array.from({ length: 3 }).reduce<TaskRecord[]>((stored) => {
+      const fleet = new SingleWorker(stored.slice(-1));
+      if (stored.length > 0) {
+        fleet.scheduler.onReport(fleet.worker, report(), fleet.now - 1, fleet.now);
+      }
+      fleet.start();
+      fleet.scheduler.onWorkerRegistered(worker('b'), fleet.now);
+      const neighbour = fleet.scheduler.workers.get('b');
+      if (neighbour !== undefined) {
+        fleet.scheduler.onWorkerDisconnected(neighbour, fleet.now + 30);
+      }
+      fleet.disconnect();
+      isGivenUp = fleet.scheduler.jobs.get('j')?.hasEnded;
+      fleet.scheduler.onWorkerReplaced(fleet.worker, fleet.now + 100);
+      return fleet.records();
+    }, []);
+    expect(records.at(-1)?.crashes).toMatchObject({ caused: 0, suspected: 3 });
+    expect(isGivenUp).toBe(true);
   });
 
   it('is not blamed on a task that had been running for long', () => {
