fix: read a worker's clock again when it refuses an order as late

A worker whose clock the leader has wrong refused every order (409, `late`): the deadline of a lease is computed from the reading of its last report, and an idle worker is asked for none. It was paused for a second, then got the next task with the same reading, so that its room was of no use until a report came for another reason; the leader's steady clock stands still while its machine is suspended, for example.

--- a/packages/core/src/jobs/order-refusal.ts
+++ b/packages/core/src/jobs/order-refusal.ts
@@ -15,6 +15,10 @@
     case START_ANSWER.noPermit:
     case START_ANSWER.stale:
       return;
+    case START_ANSWER.late:
+      worker.forgetClock();
+      worker.pausedUntil = Math.max(worker.pausedUntil, now + settings.roomPauseMs);
+      return;
     case START_ANSWER.noCapacity:
       worker.pausedUntil = Math.max(worker.pausedUntil, now + settings.roomPauseMs);
       return;
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -238,6 +238,12 @@
     this.lastReportAt = at;
   }
 
+  /** Forgets a clock reading that has proved wrong: the worker has to report before it gets further orders. */
+  forgetClock(): void {
+    this.#clock = undefined;
+    this.isFenced = false;
+  }
+
   /**
    * Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. The clock
    * of the new one starts anew: a deadline that was sent to the previous one lasts for `maxLeaseMs` there.
--- a/packages/core/tests/jobs/order-refusal.test.ts
+++ b/packages/core/tests/jobs/order-refusal.test.ts
@@ -37,6 +37,18 @@
     expect(startedOn(scheduler, 30)).toContain('k.0.0.0 a');
   });
 
+  it('for a deadline that has passed are not repeated with the same reading of the clock', () => {
+    const scheduler = startScheduler('a');
+    scheduler.onJob(job('j', [step()]), [], 10, 0);
+    const { worker: known } = refuseStart(scheduler, START_ANSWER.late, 20);
+    expect(known.extendLease(30, 4000)).toBeUndefined();
+    expect(startedOn(scheduler, 30)).toEqual([]);
+    scheduler.onReport(known, { ...report(), clockMs: 90_000 }, 35, 40);
+    scheduler.requestAssignment();
+    expect(startedOn(scheduler, 20 + SCHEDULER_SETTINGS.roomPauseMs)).toEqual(['j.0.0.0 a']);
+    expect(known.extendLease(50, 4000)).toBe(94_010);
+  });
+
   it('pause a worker that refuses for another reason, and do not end a longer pause', () => {
     const scheduler = startScheduler('a');
     scheduler.onJob(job('j', [step()]), [], 10, 0);
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -192,6 +192,24 @@
     expect(known?.isAssignable(performance.now())).toBe(true);
   });
 
+  it('asks an idle worker for a report once its clock has proved wrong', async () => {
+    const known = scheduler.workers.get(WORKER.id);
+    scheduler.onCancel(JOB_ID, performance.now());
+    for (const order of scheduler.plan(performance.now(), 0).stops) {
+      scheduler.onStopAcknowledged(order, performance.now());
+    }
+    link.current.hasStarted = false;
+    await vi.advanceTimersByTimeAsync(3000);
+    expect(known?.runs.size).toBe(0);
+    const { reports } = link.current;
+    await vi.advanceTimersByTimeAsync(3000);
+    expect(link.current.reports).toBe(reports);
+    known?.forgetClock();
+    await vi.advanceTimersByTimeAsync(1100);
+    expect(link.current.reports).toBeGreaterThan(reports);
+    expect(known?.extendLease(performance.now(), LEASE_MS)).toBeDefined();
+  });
+
   it('extends no lease while it is not permitted to', async () => {
     mayExtend = false;
     expect(await isRunKept(LEASE_MS + 1500)).toBe(false);
