fix: delay the task, not its worker, after an order that is refused as invalid

A task whose order every worker refuses (status 400) kept the workers of its pool from all other tasks in turn: each refusal paused the worker for a second, the task went on to the next one, and it came first again when a worker was free. Such a refusal is not a failed run, so the job is not given up either.

Status 400 is now an answer of its own, `invalid`. The task waits a second before it is assigned again, and the worker takes other tasks meanwhile; `task-waits` names the reason `order-invalid`.

Evidence: "of a task that every worker refuses as invalid keep no worker from other tasks" failed before with 4 of 8 tasks started, on the one worker that had not refused yet.

Limits: the job still tries once a second until it is cancelled.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -94,7 +94,7 @@
       this.#assignGang(step, starts.open, allowed, now);
       return;
     }
-    const waiting = step.tasks.filter((task) => task.phase === 'waiting');
+    const waiting = step.tasks.filter((task) => task.phase === 'waiting' && task.startsNotBefore <= now);
     for (const task of waiting.filter((item) => item.crashes.suspected > 0)) {
       const worker = starts.choose(task, allowed);
       if (worker !== undefined) {
@@ -114,7 +114,7 @@
   }
 
   #assignGang(step: StepRun, workers: readonly Worker[], allowed: AllowedWorkers, now: number): void {
-    if (step.waitingCount < step.tasks.length) {
+    if (step.waitingCount < step.tasks.length || step.tasks.some((task) => task.startsNotBefore > now)) {
       return;
     }
     const chosen = chooseWorkersForGang(step, workers, allowed);
--- a/packages/core/src/jobs/order-refusal.ts
+++ b/packages/core/src/jobs/order-refusal.ts
@@ -5,7 +5,7 @@
 
 /** Delays further orders after a worker has refused one, at a monotonic time in ms. */
 export function delayOrdersAfterRefusal(
-  { worker }: StartOrder,
+  { task, worker }: StartOrder,
   answer: StartAnswer,
   settings: SchedulerSettings,
   now: number,
@@ -15,6 +15,9 @@
     case START_ANSWER.noPermit:
     case START_ANSWER.stale:
       return;
+    case START_ANSWER.invalid:
+      task.startsNotBefore = now + settings.refusedPauseMs;
+      return;
     case START_ANSWER.late:
       worker.forgetClock();
       worker.pausedUntil = Math.max(worker.pausedUntil, now + settings.roomPauseMs);
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -46,6 +46,8 @@
   run = 0;
   /** Monotonic time at which the newest run was confirmed, in ms; long past for a run of an earlier term. */
   runningSince = -Infinity;
+  /** Monotonic time before which the task is not assigned, because its order was refused as invalid, in ms. */
+  startsNotBefore = 0;
   readonly step: StepRun;
   /** Monotonic time at which the worker acknowledged the order to stop, in ms; undefined before that. */
   stopAcknowledgedAt: number | undefined;
--- a/packages/core/src/jobs/waiting-tasks.ts
+++ b/packages/core/src/jobs/waiting-tasks.ts
@@ -17,6 +17,8 @@
   gang: 'gang',
   /** A task that may crash workers starts alone on the worker. */
   isolated: 'isolated',
+  /** A worker has just refused the order of the task as invalid. */
+  invalid: 'order-invalid',
   /** Nothing prevents the assignment. */
   none: 'none',
   /** The assignment is due and has not been made yet. */
@@ -200,6 +202,9 @@
   if (pool.needsAssignment) {
     return HOLD.planDue;
   }
+  if (task.step.tasks.some(({ startsNotBefore }) => startsNotBefore > now)) {
+    return HOLD.invalid;
+  }
   if (task.crashes.suspected > 0) {
     return isStartingTasks(worker, now) ? HOLD.startsOthers : HOLD.isolated;
   }
--- a/packages/core/src/jobs/worker-report.ts
+++ b/packages/core/src/jobs/worker-report.ts
@@ -54,6 +54,8 @@
   refused: 'refused',
   /** The worker has not enough free capacity. */
   noCapacity: 'room',
+  /** The order itself is at fault, so that other workers would refuse it as well. */
+  invalid: 'invalid',
   /** The deadline of the lease had passed on the worker's clock. */
   late: 'late',
   /** The worker refused the permit for the task's step, or there was none. */
--- a/packages/core/tests/jobs/order-refusal.test.ts
+++ b/packages/core/tests/jobs/order-refusal.test.ts
@@ -37,6 +37,25 @@
     expect(startedOn(scheduler, 30)).toContain('k.0.0.0 a');
   });
 
+  it('of a task that every worker refuses as invalid keep no worker from other tasks', () => {
+    const scheduler = startScheduler('a', 'b');
+    scheduler.onJob(job('j', [step()]), [], 10, 0);
+    const { task } = refuseStart(scheduler, START_ANSWER.invalid, 20);
+    scheduler.onJob(job('k', [step({ count: 8 })]), [], 20, 0);
+    expect(startedOn(scheduler, 30)).toHaveLength(8);
+    expect(task.phase).toBe('waiting');
+  });
+
+  it('of a task as invalid are repeated after a pause', () => {
+    const scheduler = startScheduler('a');
+    scheduler.onJob(job('j', [step()]), [], 10, 0);
+    refuseStart(scheduler, START_ANSWER.invalid, 20);
+    scheduler.requestAssignment();
+    expect(startedOn(scheduler, 1000)).toEqual([]);
+    scheduler.requestAssignment();
+    expect(startedOn(scheduler, 20 + SCHEDULER_SETTINGS.refusedPauseMs)).toEqual(['j.0.0.0 a']);
+  });
+
   it('for a deadline that has passed are not repeated with the same reading of the clock', () => {
     const scheduler = startScheduler('a');
     scheduler.onJob(job('j', [step()]), [], 10, 0);
