fix(core): keep no task waiting for a quarantined worker of its kind

A task that requires a label or accelerators could wait for 4 s, the length of a quarantine, although all capacity of the workers that it may run on was free: runs of other jobs had failed there.

Cause: a quarantine leaves half of a pool in use, but counted all workers of the pool, also those on which such a task cannot run.

Only workers that carry the same labels, apart from the rack, and accelerators if the worker has any, count as left. The only worker of its kind pauses like one that refused an order, for 1 s.

The tests "keeps no task waiting for the end of a quarantine of the only worker with ..." failed before: nothing was started after 2 s.

Limits: workers that differ only in size count as replacements, as do those that the advice service does not allow, and those that are full.

--- a/packages/core/src/jobs/worker-quarantine.ts
+++ b/packages/core/src/jobs/worker-quarantine.ts
@@ -7,9 +7,9 @@
 const MIN_FAILED_JOBS = 2;
 
 /**
- * Quarantines workers on which runs fail one after the other, or stall. At least half of the usable workers of a pool
- * are left: once there are as many without work, a worker only pauses like one that refused an order, so that tasks
- * never wait for the end of a quarantine.
+ * Quarantines workers on which runs fail one after the other, or stall. At least half of the usable workers of a kind
+ * are left in a pool: once there are as many without work, a worker only pauses like one that refused an order, so that
+ * tasks never wait for the end of a quarantine.
  */
 export class WorkerQuarantine {
   constructor(private readonly ctx: SchedulerContext) {}
@@ -44,8 +44,18 @@
 
   #leavesEnough(worker: Worker, now: number): boolean {
     const pool = this.ctx.getOrCreatePool(worker.info.pool);
-    const others = [...pool.workers].filter((other) => other !== worker && other.isAssignable(Infinity));
+    const others = [...pool.workers].filter(
+      (other) => other !== worker && other.isAssignable(Infinity) && canReplace(other, worker),
+    );
     const openCount = others.filter((other) => other.isAssignable(now)).length;
     return openCount > others.length - openCount;
   }
 }
+
+// Whether the tasks that require what a worker has, apart from its rack, can also run on another one.
+function canReplace(other: Worker, { info: { capacity, labels, rack } }: Worker): boolean {
+  return (
+    labels.every((label) => label === rack || other.info.labels.includes(label)) &&
+    (capacity.gpus === 0 || other.info.capacity.gpus > 0)
+  );
+}
--- a/packages/core/tests/jobs/worker-quarantine.test.ts
+++ b/packages/core/tests/jobs/worker-quarantine.test.ts
@@ -111,4 +111,27 @@
     const targets = harness.start().map((order) => order.worker.info.id);
     expect(new Set(targets)).toEqual(new Set(['a', 'b', 'c']));
   });
+
+  it.each([
+    ['the label', { labels: ['big'] }, { requiredLabel: 'big' }],
+    [
+      'the accelerators',
+      { capacity: { cpuMilli: 4000, gpus: 3, memoryMb: 1000 } },
+      { demand: { cpuMilli: 100, gpus: 1, memoryMb: 1 } },
+    ],
+  ])(
+    'keeps no task waiting for the end of a quarantine of the only worker with %s that it needs',
+    (_, parts, spec) => {
+      const harness = new Harness('b', 'c', 'd');
+      harness.scheduler.onWorkerRegistered(worker('a', parts), harness.now);
+      harness.report('a', report());
+      const only = harness.scheduler.workers.get('a');
+      for (let index = 0; index < 3; index += 1) {
+        harness.add(job(`j${index}`, [step(spec)]));
+      }
+      harness.failAll();
+      harness.now += MAX_WAIT_MS;
+      expect(harness.start().map((order) => order.worker)).toContain(only);
+    },
+  );
 });
