fix(core): report no unexplained wait before the next assignment is due

A line about waiting tasks could say `none`, which stands for a fault, for a worker whose pause, claim or hold had just ended: tasks are assigned again with the next tick, up to 100 ms later.

The time of the last assignment of a pool is kept, and a worker that was not usable then counts as `plan-due`.

The test "expects an assignment on a worker that has become usable since the last one" failed before: the reason was `none`.

Limits: a term that plans no more goes on to say `plan-due`.

--- a/packages/core/src/jobs/pool-state.ts
+++ b/packages/core/src/jobs/pool-state.ts
@@ -15,6 +15,8 @@
 
 /** Workers and jobs of one pool, as tracked by the leader. */
 export class PoolState {
+  /** Monotonic time at which tasks were last assigned, in ms. */
+  assignedAt = -Infinity;
   /** Whether anything changed since tasks were last assigned. */
   needsAssignment = true;
   readonly jobs = new Set<JobRun>();
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -312,6 +312,7 @@
     this.#isAssignmentPaused = !assign;
     for (const pool of this.#ctx.pools.values()) {
       if (pool.needsAssignment && assign) {
+        pool.assignedAt = now;
         pool.needsAssignment = false;
         this.#assigner.assignWaiting(pool, now, wallNow);
       }
--- a/packages/core/src/jobs/waiting-tasks.ts
+++ b/packages/core/src/jobs/waiting-tasks.ts
@@ -208,8 +208,15 @@
   if (task.crashes.suspected > 0) {
     return isStartingTasks(worker, now) ? HOLD.startsOthers : HOLD.isolated;
   }
-  if (isHeld(worker, now) || isIsolating(worker, now)) {
+  if (isIsolated(worker, now)) {
     return HOLD.isolated;
   }
+  if (worker.closure(pool.assignedAt) !== undefined || isIsolated(worker, pool.assignedAt)) {
+    return HOLD.planDue;
+  }
   return task.step.spec.gang ? HOLD.gang : HOLD.none;
 }
+
+function isIsolated(worker: Worker, at: number): boolean {
+  return isHeld(worker, at) || isIsolating(worker, at);
+}
--- a/packages/core/tests/jobs/waiting-tasks.test.ts
+++ b/packages/core/tests/jobs/waiting-tasks.test.ts
@@ -132,4 +132,24 @@
     expect(found?.byReason).toEqual({ silent: 200 });
     expect(JSON.stringify(found).length).toBeLessThan(2000);
   });
+
+  it('expects an assignment on a worker that has become usable since the last one', () => {
+    const [suspected] = new JobRun(job('00000000000000a2', [step()])).tasks();
+    for (const close of [
+      (item: Worker) => (item.pausedUntil = LATER - 10),
+      (item: Worker) => Object.assign(item, { heldFor: suspected, heldUntil: LATER - 10 }),
+    ]) {
+      const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+      scheduler.onConfig(config());
+      scheduler.onWorkerRegistered(worker('w1'), 0);
+      for (const item of scheduler.workers.values()) {
+        item.isFenced = true;
+        close(item);
+      }
+      scheduler.onJob(job('00000000000000a1', [step()]), [], 0, 0);
+      scheduler.waitingWithRoom(0);
+      scheduler.plan(LATER - 50, 0);
+      expect(scheduler.waitingWithRoom(LATER)[0]?.byReason).toEqual({ 'plan-due': 1 });
+    }
+  });
 });
