fix(core): assign no tasks before the first configuration

Nothing is assigned before the first configuration, and the limits are applied to the restored tasks with it. From the review: "failIfExhausted with an unconfigured queue has limit Infinity".

The fixtures of term.test.ts and worker-loops.test.ts had no configuration and have one now; what they check is unchanged.

Limits: a queue that is dropped and added again is not checked anew.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -47,6 +47,7 @@
 export class Scheduler {
   readonly #assigner: Assigner;
   readonly #directory: WorkerDirectory;
+  #areLimitsApplied = false;
   #isAssignmentPaused = false;
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
@@ -109,7 +110,7 @@
     return this.#waitingTasks.report(this.#ctx.pools, state, now);
   }
 
-  /** Applies a configuration. */
+  /** Applies a configuration. No tasks are assigned before the first one. */
   onConfig(cfg: FleetConfig): void {
     this.#ctx.cfg = cfg;
     this.requestAssignment();
@@ -309,9 +310,10 @@
    * `assign` is false, for example because the store is too slow for new assignments.
    */
   plan(now: number, wallNow: number, assign = true): Plan {
-    this.#isAssignmentPaused = !assign;
+    this.#applyFirstLimits(now);
+    this.#isAssignmentPaused = !assign || this.#ctx.cfg === undefined;
     for (const pool of this.#ctx.pools.values()) {
-      if (pool.needsAssignment && assign) {
+      if (pool.needsAssignment && !this.#isAssignmentPaused) {
         pool.assignedAt = now;
         pool.needsAssignment = false;
         this.#assigner.assignWaiting(pool, now, wallNow);
@@ -353,6 +355,17 @@
     }
   }
 
+  // The limits of failed runs were not known when jobs were taken over without a configuration.
+  #applyFirstLimits(now: number): void {
+    if (this.#areLimitsApplied || this.#ctx.cfg === undefined) {
+      return;
+    }
+    this.#areLimitsApplied = true;
+    for (const task of [...this.#ctx.jobs.values()].flatMap((run) => [...run.tasks()])) {
+      this.#runControl.failIfExhausted(task, now);
+    }
+  }
+
   #restore(run: JobRun, records: readonly TaskRecord[], now: number): void {
     const tasks = new Map([...run.tasks()].map((task) => [task.name, task]));
     for (const record of records) {
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -155,7 +155,7 @@
   const jobsTail = new StreamTail(jobsStream, tailSettings, () => undefined, timers, quietLog);
   void jobsTail.run(stop.signal);
   return {
-    cfg: () => undefined,
+    cfg: () => config(),
     jobs,
     jobsTail,
     log: quietLog,
--- a/packages/node/tests/worker-loops.test.ts
+++ b/packages/node/tests/worker-loops.test.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import type { LinkError, ReportCall, WorkerLink } from '../src/ports/worker-link';
+import { config } from '../../core/tests/jobs/support/jobs';
 import { SCHEDULER_SETTINGS } from '../../core/tests/jobs/support/jobs';
 import { WorkerLoops } from '../src/worker-loops';
 import { quietLog } from './support/quiet-log';
@@ -36,6 +37,7 @@
 ): Scheduler {
   stop = new AbortController();
   const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+  scheduler.onConfig(config());
   scheduler.onWorkerRegistered(info, 0);
   scheduler.onJob(JOB, runs, 0, 0);
   const link = { disconnect: () => undefined, report } as unknown as WorkerLink;
