fix(jobs): keep the runs of an incarnation that a late entry does not know

Callers could see a task run twice at the same time: a worker restarts twice in a row, the second time with its clock set back, and its entries are read late. A report shows the second incarnation, which is given runs. Then the entry of the first one is read; its start time is later, so it was taken for a third incarnation, and the runs were released and started elsewhere.

Entries are read in their order. Once a report has shown an incarnation, entries that are read before its own are older than it, whatever their start times say. They are now kept like those with an earlier start time, until a report that was requested after them decides.

The simulated registry of the model tests passes each change on once, some of them late, as the real one does. It used to pass the current entries on in each tick, which hid entries that are lost or late.

"keeps the runs of an incarnation that a report has shown when entries before its own are read" failed before: the plan had starts and stops.

Limits: an entry that its writer stores late, after the entry of the next incarnation was read, and whose start time is later, still releases runs.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -67,11 +67,10 @@
     if (askedAt < worker.incarnationKnownAt) {
       return false;
     }
-    const info =
-      entry?.info.bornAt === report.bornAt
-        ? entry.info
-        : this.#entryOfIncarnation(worker.info, report.bornAt);
+    const isEntryRead = entry?.info.bornAt === report.bornAt;
+    const info = isEntryRead ? entry.info : this.#entryOfIncarnation(worker.info, report.bornAt);
     this.#applyInfo(worker, info, now, (task) => listsRun(report, task));
+    worker.isEntryRead = isEntryRead;
     return true;
   }
 
@@ -119,17 +118,20 @@
   }
 
   #update(worker: Worker, info: WorkerInfo, now: number): void {
-    const isOlder = info.bornAt < worker.info.bornAt;
     worker.isDeregistered = false;
+    const { bornAt } = worker.info;
+    // Entries are read in their order: after a report has shown an incarnation, those before its own are old ones.
+    const isUncertain = info.bornAt < bornAt || (info.bornAt > bornAt && !worker.isEntryRead);
     const isPrevious = info.bornAt === worker.previousBornAt;
-    if (isOlder || isPrevious) {
-      // Either an old entry or a new incarnation whose clock was set back: the next report tells which.
+    if (isUncertain || isPrevious) {
+      // Either an old entry or one of a new incarnation whose clock may be set back: the next report tells which.
       worker.unconfirmedEntry = { info, readAt: now };
     } else {
       worker.unconfirmedEntry = undefined;
       this.#applyInfo(worker, info, now, (task) => mayRunUnreported(worker, task));
+      worker.isEntryRead = true;
     }
-    if (isOlder && !isPrevious) {
+    if (isUncertain && !isPrevious) {
       worker.info = { ...worker.info, address: info.address };
       worker.isFenced = false;
     }
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -109,10 +109,9 @@
   readonly runs = new Map<string, Task>();
   /** Start time of the previous incarnation, in ms since the epoch; undefined if none is known. */
   previousBornAt: number | undefined;
-  /**
-   * Newest entry, if its incarnation started before the known one by their clocks: the next report tells which of
-   * them runs.
-   */
+  /** Whether an entry of the current incarnation has been read; a report may show it before. */
+  isEntryRead = true;
+  /** Newest entry, if its incarnation may have run before the known one: the next report tells which of them runs. */
   unconfirmedEntry: UnconfirmedEntry | undefined;
   /** Whether the last call to the worker got no answer. */
   isUnresponsive = false;
--- a/packages/core/tests/jobs/scheduler-model.test.ts
+++ b/packages/core/tests/jobs/scheduler-model.test.ts
@@ -131,6 +131,20 @@
     }
   });
 
+  // Guards against a run that is released although a new incarnation was given it before its entry was read.
+  it('never runs a task on two workers at the same time, and uses all workers, when they restart unnoticed', () => {
+    const restarts = { registryLoss: 0.02, restart: 0.02, restartWithClockBehind: 0.02 };
+    const faults = { ...NONE, ...restarts, lateEntry: 0.7, leaderChange: 0.01 };
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const cluster = new SimulatedCluster(seed, faults);
+      cluster.run(FAULT_PHASE_MS, false);
+      cluster.run(RECOVERY_MS, true);
+      const found = cluster.violations.filter((text) => /while it runs|for no reason|could run/.test(text));
+      expect(found, `seed ${seed}`).toEqual([]);
+      expect(cluster.ended.size, `seed ${seed}`).toBe(5);
+    }
+  });
+
   it('never runs a task again after its end was acknowledged when workers restart and reports are late', () => {
     const faults = { ...NONE, lateReport: 0.3, registryLoss: 0.01, restart: 0.02 };
     for (let seed = 1; seed <= SEEDS; seed += 1) {
--- a/packages/core/tests/jobs/support/injected-faults.ts
+++ b/packages/core/tests/jobs/support/injected-faults.ts
@@ -6,6 +6,8 @@
   delayedOrder: number;
   /** Most of the runs that start on a worker fail, for up to `MAX_FAILING_MS`. */
   failingWorker: number;
+  /** A change of the registry is read up to `MAX_ENTRY_DELAY_MS` later; a probability per change. */
+  lateEntry: number;
   /** A report arrives up to `MAX_REPORT_DELAY_MS` later; a probability per report. */
   lateReport: number;
   /** Another leader takes over; the earlier one goes on until it learns of that. */
@@ -45,6 +47,7 @@
 export const NO_FAULTS: Faults = {
   delayedOrder: 0,
   failingWorker: 0,
+  lateEntry: 0,
   lateReport: 0,
   leaderChange: 0,
   leaderCrash: 0,
@@ -58,6 +61,7 @@
 };
 
 const MAX_CLOCK_STEP_MS = 3000;
+const MAX_ENTRY_DELAY_MS = 500;
 const MAX_FAILING_MS = 3000;
 const MAX_PARTITION_MS = 1800;
 const MAX_SILENCE_MS = 4000;
@@ -95,6 +99,11 @@
     return (this.#failingUntil.get(id) ?? 0) > now && this.random() < FAILING_SHARE;
   }
 
+  /** Returns the time after which a change of the registry is read, in ms. */
+  entryDelayMs(): number {
+    return this.#occurs(this.faults.lateEntry) ? MAX_ENTRY_DELAY_MS * this.random() : 0;
+  }
+
   /** Begins the faults of a tick. */
   inject(workers: readonly SimulatedWorker[], now: number): ClusterFaults {
     const { faults } = this;
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -4,6 +4,7 @@
 import { IdleJobCheck } from './idle-job-check';
 import { InjectedFaults, MAX_ORDER_DELAY_MS, MAX_REPORT_DELAY_MS } from './injected-faults';
 import { config, job, step } from './jobs';
+import { SimulatedRegistry, SimulatedRegistryReader } from './simulated-registry';
 import { MAX_LEASE_MS, SimulatedWorker } from './simulated-worker';
 
 const TICK_MS = 20;
@@ -17,6 +18,7 @@
   /** Time until which the leader is active, in ms; it stores nothing once a later leader has started. */
   activeUntil: number;
   epoch: number;
+  registry: SimulatedRegistryReader;
   scheduler: Scheduler;
   /** Time at which the last append is stored, in ms. */
   storedAt: number;
@@ -44,6 +46,7 @@
   #now = 1000;
   readonly #acknowledgedTasks = new Set<string>();
   readonly #records = new Map<string, string>();
+  readonly #registry = new SimulatedRegistry();
   readonly #rerunAfterDone = new Set<string>();
   readonly #running = new Map<string, string>();
   #randomState: number;
@@ -76,6 +79,7 @@
     for (let index = 0; index < 5; index += 1) {
       this.#jobs.push(job(`j${index}`, [step({ count: 3 }), step({ after: [0], count: 2, gang: hasGangs })]));
     }
+    this.#registry.update(this.#workers, this.#injected, this.#now);
     this.#startLeader();
   }
 
@@ -93,6 +97,7 @@
       for (const worker of this.#workers) {
         worker.advance(this.#now);
       }
+      this.#registry.update(this.#workers, this.#injected, this.#now);
       for (const leader of [...this.#leaders]) {
         this.#stepLeader(leader, calm);
       }
@@ -160,15 +165,14 @@
       ...config(),
       queues: config().queues.map((queue) => ({ ...queue, maxAttempts: this.maxAttempts })),
     });
-    for (const worker of this.#workers) {
-      scheduler.onWorkerRegistered(worker.info, this.#now);
-    }
+    const registry = new SimulatedRegistryReader(this.#registry, scheduler);
+    registry.read(this.#now);
     const records = this.#readTaskRecords();
     for (const item of this.#jobs.filter((known) => !this.#ended.has(known.id))) {
       const own = records.filter((record) => record.task.startsWith(`${item.id}.`));
       scheduler.onJob(item, own, this.#now, 0);
     }
-    this.#leaders.push({ epoch: this.#epoch, activeUntil: Infinity, scheduler, storedAt: 0 });
+    this.#leaders.push({ epoch: this.#epoch, activeUntil: Infinity, registry, scheduler, storedAt: 0 });
   }
 
   #readTaskRecords(): TaskRecord[] {
@@ -184,13 +188,7 @@
       return;
     }
     const { scheduler } = leader;
-    for (const worker of this.#workers) {
-      if (this.#injected.isRegistered(worker.id, this.#now)) {
-        scheduler.onWorkerRegistered(worker.info, this.#now);
-      } else {
-        scheduler.onWorkerDeregistered(worker.id);
-      }
-    }
+    leader.registry.read(this.#now);
     if (this.#now % REPORT_PERIOD_MS === 0) {
       for (const known of [...scheduler.workers.values()]) {
         this.#report(leader, known, calm);
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -218,6 +218,24 @@
     expect(plan.states.at(-1)).toMatchObject({ id: 'j', state: 'completed' });
   });
 
+  // Guards against a second run beside the first: a late entry of an incarnation that no report has shown was taken for
+  // that of a new one, since the clock was set back after it.
+  it('keeps the runs of an incarnation that a report has shown when entries before its own are read', () => {
+    const harness = new Harness();
+    harness.register({ bornAt: 1000 });
+    harness.report(report([], [], 2000));
+    harness.submit('j', 'p');
+    harness.start();
+    harness.report(report([['j.0.0.0', 1]], [], 2000));
+    harness.register({ bornAt: 3000 });
+    harness.report(report([['j.0.0.0', 1]], [], 2000));
+    expect(harness.plan()).toMatchObject({ starts: [], stops: [] });
+    harness.register({ bornAt: 2000 });
+    harness.register({ bornAt: 3000 });
+    harness.report(report([], [], 3000));
+    expect(harness.start()).toEqual(['j.0.0.0']);
+  });
+
   it('leaves a run that no report has listed yet to the next report, when the entry is read first', () => {
     const harness = new Harness();
     harness.register({ bornAt: 1 });
