fix: take an order that the VM service was too busy to accept as not carried out

An order that was answered 429 counted as one without an answer, though the service does nothing for calls beyond its rate: for 15 s its VM counted as down for the wave and was moved to no other pool, and its worker was used last.

Such an order is now repeated like before and withdrawn after 2 s, but leaves no risk: nothing that may still be carried out was sent.

--- a/packages/core/src/maintenance/vm-moves.ts
+++ b/packages/core/src/maintenance/vm-moves.ts
@@ -9,8 +9,11 @@
   vm: string;
 }
 
-/** Answers to an order to move a VM. An order that was not sent has certainly not been carried out. */
-export type MoveAnswer = 'busy' | 'moved' | 'refused' | 'unknown' | 'unsent';
+/**
+ * Answers to an order to move a VM. An order that was not sent, or for which there were too many calls (`limited`), has
+ * certainly not been carried out.
+ */
+export type MoveAnswer = 'busy' | 'limited' | 'moved' | 'refused' | 'unknown' | 'unsent';
 
 /** Time after which a moved VM that hasn't arrived is no longer expected, in ms. */
 const MOVE_TIMEOUT_MS = 6000;
@@ -53,6 +56,8 @@
 }
 
 interface TrackedMove extends MoveOrder, VmMove {
+  /** Whether an order may be under way. */
+  isOutstanding: boolean;
   /** Whether it is only assumed that an order was sent, since it had no outcome when the move was withdrawn. */
   isSendingAssumed: boolean;
   lateUntil: number;
@@ -119,6 +124,7 @@
   start(vm: VmInfo, pool: string, worker: Worker | undefined, now: number): MoveOrder {
     this.#moves.set(vm.id, {
       from: vm.pool,
+      isOutstanding: true,
       isSendingAssumed: false,
       lateUntil: this.#moves.get(vm.id)?.lateUntil ?? -Infinity,
       notBefore: 0,
@@ -138,6 +144,7 @@
     if (move?.pool !== order.pool || move.stage === 'moved') {
       return undefined;
     }
+    move.isOutstanding = false;
     if (answer === 'moved') {
       move.stage = 'moved';
       move.since = now;
@@ -149,7 +156,7 @@
     } else if (answer === 'busy' || answer === 'refused') {
       this.#backOff(order, answer, now);
       this.#withdraw(move, now);
-    } else if (move.lateUntil <= now) {
+    } else if (answer === 'unsent' && move.lateUntil <= now) {
       this.#withdraw(move, now);
     }
     return move;
@@ -185,6 +192,7 @@
     for (const [vm, move] of this.#moves) {
       if (move.stage === 'ordered' && now - move.since > ORDER_RETRY_MS) {
         move.since = now;
+        move.isOutstanding = true;
         orders.push({ pool: move.pool, vm });
       } else if (move.stage === 'moved' && now - move.since > MOVE_TIMEOUT_MS) {
         this.#moves.delete(vm);
@@ -201,7 +209,7 @@
       (move) => move.stage === 'ordered' && now - move.orderedAt >= MOVE_DECISION_LIMIT_MS,
     );
     for (const move of undecided) {
-      if (move.lateUntil <= now) {
+      if (move.isOutstanding && move.lateUntil <= now) {
         move.isSendingAssumed = true;
         move.lateUntil = now + LATE_VM_ORDER_WINDOW_MS;
       }
--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -40,8 +40,11 @@
   reports: WaveReport[];
 }
 
-/** Answers to a maintenance order. An order that was not sent has certainly not been carried out. */
-export type MaintenanceAnswer = 'begun' | 'refused' | 'unknown' | 'unsent';
+/**
+ * Answers to a maintenance order. An order that was not sent, or for which there were too many calls (`limited`), has
+ * certainly not been carried out.
+ */
+export type MaintenanceAnswer = 'begun' | 'limited' | 'refused' | 'unknown' | 'unsent';
 
 /** Logs a decision with the data that it is based on. */
 export type MaintenanceLog = (decision: string, data: Record<string, unknown>) => void;
@@ -146,6 +149,7 @@
     if (run === undefined || vm === undefined || vm.stage === 'maintenance' || vm.stage === 'done') {
       return;
     }
+    vm.isOutstanding = false;
     this.log('maintenance-answered', { answer, vm: vm.id, wave: run.wave.id });
     if (answer === 'begun') {
       run.advance(vm, 'confirm', now);
@@ -157,7 +161,7 @@
       }
     } else if (answer === 'unknown') {
       vm.lateUntil = now + LATE_VM_ORDER_WINDOW_MS;
-    } else if (vm.stage === 'ordered' && (answer === 'refused' || vm.lateUntil <= now)) {
+    } else if (vm.stage === 'ordered' && isDecisive(answer, vm, now)) {
       this.#postpone(run, vm, answer, REFUSAL_BACKOFF_MS, now);
     }
   }
@@ -235,8 +239,7 @@
   #orderMaintenance(run: WaveRun, plan: WavePlan, now: number): void {
     for (const vm of run.vms.values()) {
       if (vm.stage === 'ordered' && now - vm.orderedAt >= ORDER_DECISION_LIMIT_MS) {
-        // The last order may still be under way.
-        vm.lateUntil = Math.max(vm.lateUntil, now + LATE_VM_ORDER_WINDOW_MS);
+        vm.lateUntil = vm.isOutstanding ? now + LATE_VM_ORDER_WINDOW_MS : vm.lateUntil;
         this.#postpone(run, vm, 'unanswered', POSTPONEMENT_MS, now);
       }
       const isEmpty = (this.#workerOf(vm)?.runs.size ?? 0) === 0;
@@ -249,6 +252,7 @@
       }
       if (isDue || isOverdue) {
         vm.since = now;
+        vm.isOutstanding = true;
         plan.orders.push({ vm: vm.id, wave: run.wave.id });
       }
     }
@@ -329,6 +333,10 @@
   return hasEndingTask ? EVACUATION_STALL_MS : LONG_RUNNING_STALL_MS;
 }
 
+function isDecisive(answer: MaintenanceAnswer, vm: WaveVm, now: number): boolean {
+  return answer === 'refused' || (answer === 'unsent' && vm.lateUntil <= now);
+}
+
 function holderOf(run: WaveRun): string {
   return `wave-${run.wave.id}`;
 }
--- a/packages/core/src/maintenance/wave-run.ts
+++ b/packages/core/src/maintenance/wave-run.ts
@@ -9,6 +9,8 @@
   /** Fewest runs that the worker has had since the VM was selected. */
   fewestRuns: number;
   readonly id: string;
+  /** Whether an order may be under way. */
+  isOutstanding: boolean;
   /** Monotonic time until which an order without an answer may still be carried out, in ms. */
   lateUntil: number;
   /** Monotonic time before which the VM is not selected again, in ms. */
@@ -44,6 +46,7 @@
       this.vms.set(id, {
         fewestRuns: 0,
         id,
+        isOutstanding: false,
         lateUntil: -Infinity,
         notBefore: 0,
         orderedAt: 0,
--- a/packages/core/tests/maintenance/worker-closing.test.ts
+++ b/packages/core/tests/maintenance/worker-closing.test.ts
@@ -244,4 +244,15 @@
     expect(fleet.moveOrders).not.toEqual([]);
     expect(fleet.maintenanceOrders).not.toEqual([]);
   });
+
+  it('does not count a VM as down, or its worker as at risk, for orders that the service was too busy to accept', () => {
+    const fleet = createFleet('c', 'd', 'e', 'f', 'g');
+    fleet.answerMove = () => 'limited';
+    fleet.answerMaintenance = () => 'limited';
+    fleet.planner.onWave({ durationMs: 60_000, id: 7, maxAtOnce: 1, vms: ['vm-f', 'vm-g'] }, 0);
+    fleet.run(5000);
+    expect(fleet.scheduler.workers.size).toBe(7);
+    expect([...fleet.scheduler.workers.values()].filter((item) => item.isAtRisk(fleet.now))).toEqual([]);
+    expect(new Set(fleet.maintenanceOrders.map(({ vm }) => vm)).size).toBe(2);
+  });
 });
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -62,6 +62,7 @@
   [VM_ORDER_OUTCOME.busy]: 'refused',
   [VM_ORDER_OUTCOME.done]: 'begun',
   [VM_ORDER_OUTCOME.fenced]: 'unknown',
+  [VM_ORDER_OUTCOME.limited]: 'limited',
   [VM_ORDER_OUTCOME.refused]: 'refused',
   [VM_ORDER_OUTCOME.unknown]: 'unknown',
 };
@@ -70,6 +71,7 @@
   [VM_ORDER_OUTCOME.busy]: 'busy',
   [VM_ORDER_OUTCOME.done]: 'moved',
   [VM_ORDER_OUTCOME.fenced]: 'unknown',
+  [VM_ORDER_OUTCOME.limited]: 'limited',
   [VM_ORDER_OUTCOME.refused]: 'refused',
   [VM_ORDER_OUTCOME.unknown]: 'unknown',
 };
--- a/packages/node/src/ports/vm-service.ts
+++ b/packages/node/src/ports/vm-service.ts
@@ -8,6 +8,8 @@
   done: 'done',
   /** The VM has received orders with a higher fencing token. */
   fenced: 'fenced',
+  /** The service accepts no more calls for now and has done nothing. */
+  limited: 'limited',
   /** The order is not valid for the VM. */
   refused: 'refused',
   /** The outcome is not known, or the service is unavailable. */
