--- a/packages/core/src/jobs/vm-claims.ts
+++ b/packages/core/src/jobs/vm-claims.ts
@@ -14,7 +14,7 @@
 /** Reason for which the VM of a worker is about to be taken, or may have been. */
 export type ClaimReason = (typeof CLAIM_REASON)[keyof typeof CLAIM_REASON];
 
-/** Claim to the VM of a worker, which gets no tasks until then; several holders may claim the same VM. */
+/** Claim to the VM of a worker, which gets no tasks while it lasts; several holders may claim the same VM. */
 export interface VmClaim {
   /** Who closed the worker; others can't reopen it. */
   readonly holder: string;
--- a/packages/core/src/jobs/waiting-tasks.ts
+++ b/packages/core/src/jobs/waiting-tasks.ts
@@ -11,7 +11,7 @@
 
 /** Reasons why a task with room on an open worker is not assigned to it, as they appear in the log. */
 export const HOLD = {
-  /** The store is too slow for new assignments. */
+  /** The store is too slow for new assignments, or the leader has no configuration yet. */
   assignmentPaused: 'assignment-paused',
   /** The members of a gang start together, and not all of them fit. */
   gang: 'gang',
@@ -62,7 +62,7 @@
 export interface AssignmentState {
   /** Returns the workers that may run a step according to the last advice. */
   allowedWorkers: (step: StepRun) => AllowedWorkers;
-  /** Whether assignments are paused because the store is slow. */
+  /** Whether no tasks are assigned: the store is slow, or there is no configuration yet. */
   isPaused: boolean;
   maxAttempts: (run: JobRun) => number | undefined;
 }
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -34,7 +34,7 @@
   return leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
 }
 
-/** Steps of sums of demands in a thousandth of a core, an accelerator or a MB. */
+/** Resolution of sums of demands: parts of a thousandth of a core, of an accelerator or of a MB. */
 const SUMS_PER_UNIT = 1e6;
 
 /** Time after which an unanswered order is no longer executed, in ms. */
@@ -85,7 +85,7 @@
   failuresInRow = 0;
   /** Suspected task for which the worker starts no others, so that it can start alone. */
   heldFor: Task | undefined;
-  /** Monotonic time until which it does so, in ms. */
+  /** Monotonic time until which the worker starts no tasks but `heldFor`, in ms. */
   heldUntil = 0;
   /** Whether the tasks that may have crashed this incarnation have been recorded. */
   isCrashRecorded = false;
