--- a/review/support/executor.mjs
+++ b/review/support/executor.mjs
@@ -1,20 +1,17 @@
 /**
  * Stand-in of an executor, as a process of its own: one life of it, with its own clock, leases, fencing token and
  * ends. What a task does stands in its specification: {"ms": duration, "fails": true if it ends `failed`,
- * "lasts": true if it runs until it is stopped}. Arguments: id, port, capacity as JSON, longest lease in ms, and
- * options as JSON: `answerMs` delays the answers to starts.
+ * "lasts": true if it runs until it is stopped}. Arguments: id, port, capacity as JSON and longest lease in ms.
  */
 import { createServer } from 'node:http';
 import { Buffer } from 'node:buffer';
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
 import { clearTimeout, setTimeout } from 'node:timers';
-import { setTimeout as delay } from 'node:timers/promises';
 
-const [id, port, capacityText, maxHoldText, optionsText = '{}'] = process.argv.slice(2);
+const [id, port, capacityText, maxHoldText] = process.argv.slice(2);
 const capacity = JSON.parse(capacityText);
 const maxHoldMs = Number(maxHoldText);
-const options = JSON.parse(optionsText);
 const MAX_LISTED = 500;
 const STOP_MS = 50;
 const born = Date.now();
@@ -171,11 +168,8 @@
 
 async function dispatch(path, body) {
   switch (path) {
-    case '/run-start': {
-      const answer = startRun(body);
-      await delay(options.answerMs ?? 0);
-      return answer;
-    }
+    case '/run-start':
+      return startRun(body);
     case '/run-stop':
       return stopRun(body);
     case '/hold':
--- a/review/support/world.mjs
+++ b/review/support/world.mjs
@@ -13,6 +13,7 @@
 import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { Link } from './link.mjs';
 import { Store } from './store.mjs';
 
 const SUPPORT = dirname(fileURLToPath(import.meta.url));
@@ -89,20 +90,11 @@
   }
 
   /** Starts an executor and registers it, again under its id and address if it had run before. */
-  async startExecutor(
-    id,
-    { cpu = 16_000, kind = 'a', options = {}, pool, rack = 'r1', registerMs = 0, zone = 'z1' },
-  ) {
+  async startExecutor(id, { cpu = 16_000, hasLink = false, kind = 'a', pool, rack = 'r1', zone = 'z1' }) {
     const known = this.executors.get(id);
     const capacity = { cpu, gpus: 0, mem_mb: 65_536 };
     const [port] = known === undefined ? await findFreePorts(1) : [known.port];
-    const args = [
-      id,
-      String(port),
-      JSON.stringify(capacity),
-      String(BOUNDS.max_hold_ms),
-      JSON.stringify(options),
-    ];
+    const args = [id, String(port), JSON.stringify(capacity), String(BOUNDS.max_hold_ms)];
     const child = fork(join(SUPPORT, 'executor.mjs'), args, {
       stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
     });
@@ -124,13 +116,20 @@
       child.once('exit', () => reject(new NotRunError(`executor ${id} ended`)));
     });
     await ready;
+    executor.address = `127.0.0.1:${executor.port}`;
+    if (hasLink) {
+      const [linkPort] = await findFreePorts(1);
+      executor.link = new Link(linkPort, executor.port);
+      await executor.link.open();
+      executor.address = `127.0.0.1:${linkPort}`;
+    }
     const write = () => {
       if (!executor.isUp || this.executors.get(id) !== executor) {
         return;
       }
       executor.sequence += 1;
       const entry = {
-        address: `127.0.0.1:${executor.port}`,
+        address: executor.address,
         born: executor.born,
         capacity,
         cold_remaining_ms: 0,
@@ -144,18 +143,19 @@
       };
       this.store.put('keyed.servers', `servers/${id}`, JSON.stringify(entry));
     };
-    await delay(registerMs);
     write();
     this.#timers.push(setInterval(write, ENTRY_INTERVAL_MS));
     return executor;
   }
 
-  /** Stops the process of an executor where it stands: its machine is silent. */
-  freezeExecutor(id) {
-    const executor = this.executors.get(id);
-    executor.isUp = false;
-    executor.child.kill('SIGSTOP');
-    this.record('disruption', { executor: id, what: 'silent' });
+  /** Cuts an executor off from all nodes, with resets, for a time in ms; it runs on and reaches the store. */
+  async cutOff(id, forMs) {
+    const { link } = this.executors.get(id);
+    link.cut();
+    this.record('disruption', { executor: id, what: 'cut off' });
+    await delay(forMs);
+    await link.open();
+    this.record('disruption-ends', { executor: id });
   }
 
   /** Ends the process of an executor. Its entry is removed after three intervals unless it is back by then. */
@@ -289,7 +289,8 @@
     for (const { child } of this.nodes) {
       child?.kill('SIGKILL');
     }
-    for (const { child } of this.executors.values()) {
+    for (const { child, link } of this.executors.values()) {
+      link?.close();
       child.removeAllListeners('exit');
       child.kill('SIGKILL');
     }
