--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -32,7 +32,7 @@
     await world.startExecutor(`i-${number}`, {
       pool: 'furos',
       rack: `r${number % 2}`,
-      zone: `z${number % 3}`,
+      zone: `z${(number % 3) + 1}`,
     });
   }
   await world.startNodes(3);
--- a/review/support/executor.mjs
+++ b/review/support/executor.mjs
@@ -71,9 +71,10 @@
   return token < fencingToken;
 }
 
-const fits = () =>
-  [...runs.values()].length < (capacity.slots ?? Infinity) &&
-  [...runs.values()].reduce((sum, run) => sum + run.cpu, 0) <= capacity.cpu;
+/** Processor time that each task of the cases uses at most, in thousandths of a core. */
+const TASK_CPU = 1000;
+
+const fits = () => (runs.size + 1) * TASK_CPU <= capacity.cpu;
 
 function startRun(body) {
   const { run: number, specification, task } = body;
@@ -97,7 +98,7 @@
     return [409, { reason: 'room' }];
   }
   extendLease(body.deadline_ms);
-  const run = { cpu: 1000, lasts: work.lasts === true, ms: work.ms, number, startedAt: clockMs() };
+  const run = { lasts: work.lasts === true, ms: work.ms, number, startedAt: clockMs() };
   runs.set(task, run);
   emit('start', {
     checkpoint: body.last_checkpoint ?? '',
--- a/review/support/world.mjs
+++ b/review/support/world.mjs
@@ -98,7 +98,8 @@
     const child = fork(join(SUPPORT, 'executor.mjs'), args, {
       stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
     });
-    const executor = { capacity, child, id, isUp: true, pool, port, sequence: 0 };
+    const labels = [kind, rack];
+    const executor = { capacity, child, id, isUp: true, labels, pool, port, sequence: 0, zone };
     this.executors.set(id, executor);
     const ready = new Promise((resolve, reject) => {
       child.on('message', (message) => {
@@ -133,7 +134,7 @@
         born: executor.born,
         capacity,
         cold_remaining_ms: 0,
-        labels: [kind, rack],
+        labels,
         sequence: executor.sequence,
         service: pool,
         slots: 8,
@@ -311,14 +312,14 @@
   // The VM service lists one VM for each executor; no VM is moved or maintained in these cases.
   async #startVmService() {
     this.#vmServer = createServer((req, res) => {
-      const machines = [...this.executors.values()].map(({ capacity, id, isUp, pool }) => ({
+      const machines = [...this.executors.values()].map(({ capacity, id, isUp, labels, pool, zone }) => ({
         capacity,
         id,
-        labels: ['a', 'r1'],
+        labels,
         machine: `m-${id}`,
         pool,
         state: isUp ? 'up' : 'down',
-        zone: 'z1',
+        zone,
       }));
       const isList = req.method === 'GET' && req.url.startsWith('/machines');
       req.resume();
