fix(core): count a crash under a task once the end of the process is proven

Cause: a connection that is closed and then refused was counted as the end of the process, for the task whose order got no answer, and nothing took the count back. A cut with resets looks the same. A task whose order had not even been sent counted as well.

Change: such a crash is a suspicion, stored with the run, the incarnation and the address that it is about. It is counted when another incarnation runs under the id, or another worker at the address (status 421, or a later entry). A report of the same incarnation takes it back, also in the stored record; an entry that goes on being written puts it in doubt, so that the task no longer holds workers for an isolated start. Only a task whose start was confirmed is certainly the cause. A task may start, alone, while suspicions are open, five times in all; then it waits for proof, and a worker whose entry has been missing for 10 s counts as ended.

The fixtures of a held worker get a suspected task, since a worker is held for no other.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -11,6 +11,7 @@
 import { IsolatedStarts } from './isolated-starts';
 import { chooseWorker, chooseWorkersForGang } from './placement';
 import { DECISION } from './scheduler-output';
+import { awaitsProof } from './worker-crash';
 
 /**
  * Returns the ids of the workers that may run a step of a queue with placement advice. The set is empty
@@ -95,13 +96,13 @@
       return;
     }
     const waiting = step.tasks.filter((task) => task.phase === 'waiting' && task.startsNotBefore <= now);
-    for (const task of waiting.filter((item) => item.crashes.suspected > 0)) {
+    for (const task of waiting.filter((item) => item.isSuspected && !awaitsProof(item))) {
       const worker = starts.choose(task, allowed);
       if (worker !== undefined) {
         this.#assign(task, worker, task.run + 1, now);
       }
     }
-    for (const task of waiting.filter((item) => item.crashes.suspected === 0)) {
+    for (const task of waiting.filter((item) => !item.isSuspected)) {
       const usable = usableFor(task, starts.open, now);
       const worker = chooseWorker(task, usable, allowed);
       if (worker !== undefined) {
--- a/packages/core/src/jobs/run-record.ts
+++ b/packages/core/src/jobs/run-record.ts
@@ -4,7 +4,7 @@
 import type { KeyedRecord } from './job-record';
 import { parseJson } from './parse-json';
 
-/** Numbers of crashes of workers under a task. */
+/** Numbers of proven crashes of workers under a task. */
 export interface CrashCounts {
   /** Crashes of workers that were starting no other task. */
   alone: number;
@@ -16,6 +16,22 @@
   suspected: number;
 }
 
+/**
+ * Crash of a worker that a task may have caused, of which only closed connections are known: proof that the process
+ * has ended, or that it has not, may come later.
+ */
+export interface CrashSuspicion {
+  address: string;
+  /** Start time of the worker's incarnation, in ms since the epoch. */
+  bornAt: number;
+  /** Whether the worker was starting no other task. */
+  isAlone: boolean;
+  /** Whether the task is certainly the cause if the process has ended. */
+  isCertain: boolean;
+  run: number;
+  workerId: string;
+}
+
 /** State of a task, as stored by the leader. */
 export interface TaskRecord {
   /** Newest checkpoint; empty if there is none. */
@@ -27,6 +43,8 @@
   /** Number of the newest run; 0 before the first. */
   run: number;
   state: 'assigned' | 'done' | 'waiting';
+  /** Crashes that are neither proven nor disproved; undefined if there are none. */
+  suspicions?: readonly CrashSuspicion[] | undefined;
   task: string;
   /** Worker that runs the newest run, or may still list its end; empty before the first run and after its end. */
   workerId: string;
@@ -38,6 +56,8 @@
 /** Key of the record that starts a term. */
 export const TERM_KEY = 'leader';
 
+const suspicionSchema = z.tuple([z.string(), z.int(), z.string(), z.int(), z.boolean(), z.boolean()]);
+
 const recordSchema = z.tuple([
   z.enum(['a', 'd', 'w']),
   z.int(),
@@ -48,6 +68,7 @@
   z.int().default(0),
   z.int().default(0),
   z.int().default(0),
+  z.array(suspicionSchema).default([]),
 ]);
 
 const STATE_CODE = { assigned: 'a', done: 'd', waiting: 'w' } as const;
@@ -58,10 +79,12 @@
 export function encodeTaskRecord(record: TaskRecord): KeyedRecord {
   const { checkpoint, failures, run, state, task, workerId } = record;
   const { alone, caused, lastRun, suspected } = record.crashes ?? NO_CRASHES;
-  const crashes = suspected > 0 ? [suspected, caused, lastRun, alone] : [];
+  const suspicions = (record.suspicions ?? []).map(toSuspicionRow);
+  const counts = suspected > 0 || suspicions.length > 0 ? [suspected, caused, lastRun, alone] : [];
+  const open = suspicions.length > 0 ? [suspicions] : [];
   return {
     key: `t.${task}`,
-    value: JSON.stringify([STATE_CODE[state], run, workerId, failures, checkpoint, ...crashes]),
+    value: JSON.stringify([STATE_CODE[state], run, workerId, failures, checkpoint, ...counts, ...open]),
   };
 }
 
@@ -81,14 +104,25 @@
     return ok(undefined);
   }
   return parseJson(value, recordSchema)
-    .map(([code, run, workerId, failures, checkpoint, suspected, caused, lastRun, alone]) => ({
+    .map(([code, run, workerId, failures, checkpoint, suspected, caused, lastRun, alone, open]) => ({
       checkpoint,
       crashes: suspected > 0 ? { alone, caused, lastRun, suspected } : undefined,
       failures,
       run,
       state: STATE_BY_CODE[code],
+      suspicions: open.length > 0 ? open.map(toSuspicion) : undefined,
       task: key.slice(2),
       workerId,
     }))
     .mapErr((reason) => `record ${key}: ${reason}`);
 }
+
+function toSuspicionRow(suspicion: CrashSuspicion): z.infer<typeof suspicionSchema> {
+  const { address, bornAt, isAlone, isCertain, run, workerId } = suspicion;
+  return [workerId, bornAt, address, run, isAlone, isCertain];
+}
+
+function toSuspicion(row: z.infer<typeof suspicionSchema>): CrashSuspicion {
+  const [workerId, bornAt, address, run, isAlone, isCertain] = row;
+  return { address, bornAt, isAlone, isCertain, run, workerId };
+}
--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -42,6 +42,8 @@
 /** Logged decisions about jobs and workers. */
 export const DECISION = {
   assigned: 'task-assigned',
+  crashDisproved: 'crash-disproved',
+  crashSuspected: 'crash-suspected',
   ended: 'run-ended',
   moved: 'run-moved',
   jobEnded: 'job-ended',
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -179,8 +179,7 @@
     }
     worker.updateClock(report.clockMs, now);
     worker.isUnresponsive = false;
-    worker.disconnection = undefined;
-    worker.isCrashRecorded = false;
+    this.#workerLosses.handleReport(worker, askedAt);
     const findings = reconcile(worker, report, askedAt, now);
     worker.isFenced = true;
     for (const row of findings.newEnds) {
@@ -230,6 +229,13 @@
     return task.phase === 'starting' && task.run === order.run && task.worker === order.worker;
   }
 
+  /** Records that an order to start a run is being sent, so that the worker may carry it out. */
+  onStartSent({ run, task, worker }: StartOrder): void {
+    if (task.run === run && task.worker === worker) {
+      task.isOrderSent = true;
+    }
+  }
+
   /** Handles the outcome of an order to start a run. */
   onStartAnswer(order: StartOrder, answer: StartAnswer, now: number): void {
     const { task, worker } = order;
@@ -298,6 +304,7 @@
         this.#loseOrder({ run: task.run, task, worker }, now);
       }
     }
+    this.#workerLosses.releaseAwaitingProof(now);
     for (const run of this.#ctx.jobs.values()) {
       if (run.addDueOccurrences(wallNow)) {
         this.#ctx.getOrCreatePool(run.job.pool).needsAssignment = true;
@@ -373,6 +380,7 @@
       run.runningReported = true;
     }
     for (const task of run.tasks()) {
+      this.#workerLosses.restore(task, now);
       this.#runControl.failIfExhausted(task, now);
     }
     this.#runControl.stopIncompleteGangs(run, now);
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -1,9 +1,11 @@
 import type { TaskEvent, TaskPhase } from '../charts/task-run.chart';
 import type { JobRun, StepRun } from './job-run';
+import type { OpenSuspicion } from './open-suspicion';
 import type { CrashCounts, TaskRecord } from './run-record';
 import type { Worker } from './worker';
 import { transition } from '../charts/chart';
 import { taskRunChart } from '../charts/task-run.chart';
+import { openSuspicion, toStoredSuspicion } from './open-suspicion';
 import { NO_CRASHES } from './run-record';
 
 /** Maximum age of a worker's report for it to count as evidence that a task is active, in ms. */
@@ -18,7 +20,7 @@
    * that end has been read, so that it does not count again when the worker lists it to a later leader.
    */
   endExpectedFrom = '';
-  /** Crashes of workers under the task. */
+  /** Proven crashes of workers under the task. */
   crashes: CrashCounts = { ...NO_CRASHES };
   /** Number of failed runs. */
   failures = 0;
@@ -42,6 +44,8 @@
    * has received a call of the current term.
    */
   isRestored = false;
+  /** Whether the order to start the newest run has been sent. */
+  isOrderSent = false;
   /** Number of the newest run; 0 before the first run. */
   run = 0;
   /** Monotonic time at which the newest run was confirmed, in ms; long past for a run of an earlier term. */
@@ -51,6 +55,8 @@
   readonly step: StepRun;
   /** Monotonic time at which the worker acknowledged the order to stop, in ms; undefined before that. */
   stopAcknowledgedAt: number | undefined;
+  /** Crashes that are neither proven nor disproved. */
+  suspicions: OpenSuspicion[] = [];
   worker: Worker | undefined;
 
   constructor(name: string, job: JobRun, step: StepRun) {
@@ -84,6 +90,7 @@
   assign(worker: Worker, run: number, now: number): void {
     this.applyEvent('assign', now);
     this.endExpectedFrom = worker.info.id;
+    this.isOrderSent = false;
     this.isRestored = false;
     this.run = run;
     this.runningSince = -Infinity;
@@ -99,6 +106,7 @@
   restore(record: TaskRecord, worker: Worker | undefined, now: number): void {
     this.checkpoint = record.checkpoint;
     this.crashes = { ...(record.crashes ?? this.crashes) };
+    this.suspicions = (record.suspicions ?? []).map((suspicion) => openSuspicion(suspicion, now));
     this.failures = record.failures;
     this.run = record.run;
     if (record.state === 'done') {
@@ -112,6 +120,11 @@
     }
   }
 
+  /** Whether the task may crash its workers, so that it has to start alone. */
+  get isSuspected(): boolean {
+    return this.crashes.suspected > 0 || this.suspicions.some(({ isDoubted }) => !isDoubted);
+  }
+
   /** Whether a recent report of the worker shows the task as active. */
   isReportedActive(now: number): boolean {
     const { worker } = this;
@@ -134,6 +147,7 @@
       failures,
       run,
       state,
+      suspicions: this.suspicions.map(toStoredSuspicion),
       task: name,
       workerId: endExpectedFrom,
     };
--- a/packages/core/src/jobs/waiting-tasks.ts
+++ b/packages/core/src/jobs/waiting-tasks.ts
@@ -7,7 +7,7 @@
 import type { CLOSURE } from './worker-closure';
 import { findMisfit } from './placement';
 import { computePoolUse } from './pool-use';
-import { isHeld, isIsolating, isStartingTasks } from './worker-crash';
+import { awaitsProof, isHeld, isIsolating, isStartingTasks } from './worker-crash';
 
 /** Reasons why a task with room on an open worker is not assigned to it, as they appear in the log. */
 export const HOLD = {
@@ -25,6 +25,8 @@
   planDue: 'plan-due',
   /** The task may crash workers and starts alone, but the worker starts others. */
   startsOthers: 'starts-others',
+  /** The task may have crashed several workers, and it is not known whether their processes have ended. */
+  unproven: 'crashes-unproven',
 } as const;
 
 /** Reason why a worker does not run a waiting task. */
@@ -205,7 +207,10 @@
   if (task.step.tasks.some(({ startsNotBefore }) => startsNotBefore > now)) {
     return HOLD.invalid;
   }
-  if (task.crashes.suspected > 0) {
+  if (awaitsProof(task)) {
+    return HOLD.unproven;
+  }
+  if (task.isSuspected) {
     return isStartingTasks(worker, now) ? HOLD.startsOthers : HOLD.isolated;
   }
   if (isIsolated(worker, now)) {
--- a/packages/core/src/jobs/worker-crash.ts
+++ b/packages/core/src/jobs/worker-crash.ts
@@ -1,15 +1,21 @@
 import type { Task } from './task';
 import type { Worker } from './worker';
 
-/** Crash of a worker's process, and the tasks that may have caused it. */
+/** Apparent crash of a worker's process, and the tasks that may have caused it. */
 export interface WorkerCrash {
   /** Whether the worker was starting the only suspect and no other task. */
   isAlone: boolean;
-  /** Whether the only suspect has certainly caused the crash. */
+  /** Whether the only suspect is certainly the cause, if the process has ended. */
   isCertain: boolean;
   suspects: Task[];
 }
 
+/**
+ * Number of crashes under a task, proven or not, after which it starts again only once all are proven or disproved:
+ * proof may be late, and a task that crashes its workers must not start without limit until then.
+ */
+const MAX_UNPROVEN_CRASHES = 5;
+
 /** Time after its start within which a run that crashes its worker does so, in ms. */
 const START_CRASH_WINDOW_MS = 150;
 
@@ -31,9 +37,15 @@
   }
 }
 
+/** Whether a task starts no more until suspicions of it are proven or disproved. */
+export function awaitsProof({ crashes, suspicions }: Task): boolean {
+  const open = suspicions.filter(({ isDoubted }) => !isDoubted).length;
+  return open > 0 && crashes.suspected + open >= MAX_UNPROVEN_CRASHES;
+}
+
 /** Whether a worker starts no tasks at a monotonic time in ms, so that a suspected task can start there alone. */
 export function isHeld({ heldFor, heldUntil }: Worker, at: number): boolean {
-  return heldUntil > at && heldFor?.phase === 'waiting' && !heldFor.job.hasEnded;
+  return heldUntil > at && heldFor?.phase === 'waiting' && heldFor.isSuspected && !heldFor.job.hasEnded;
 }
 
 /** Whether a suspected task is being started on a worker, so that no other task may start there. */
@@ -49,8 +61,8 @@
 
 /**
  * Finds the tasks that may have crashed a worker: those that it had just started; without any, those that are
- * suspected already. Returns undefined if its process has not been seen to end; a worker that only stops
- * answering has lost its power or its network.
+ * suspected already. Returns undefined if its connections were not closed; a worker that only stops answering has lost
+ * its power or its network. Closed connections alone do not prove that the process has ended.
  *
  * @param disconnected Workers whose connections were closed lately.
  */
@@ -60,15 +72,25 @@
     return undefined;
   }
   const runs = [...worker.runs.values()];
-  const started = runs.filter((task) => isStartingUp(task, disconnection.at));
-  const suspects = started.length > 0 ? started : runs.filter((task) => task.crashes.suspected > 0);
+  const started = runs.filter((task) => mayHaveStarted(task, disconnection.at));
+  const suspects = started.length > 0 ? started : runs.filter((task) => task.isSuspected);
   const isCertain =
     suspects.length === 1 &&
-    suspects.every((task) => started.includes(task) || isOfUnknownAge(task)) &&
+    suspects.every((task) => wasJustConfirmed(task, disconnection.at) || isOfUnknownAge(task)) &&
     !isPartOfOutage(worker, disconnected);
   return { isAlone: started.length === 1, isCertain, suspects };
 }
 
+// An order that has not been sent cannot have started the task.
+function mayHaveStarted(task: Task, at: number): boolean {
+  return isStartingUp(task, at) && (task.phase !== 'starting' || task.isOrderSent);
+}
+
+// Without an answer to its order, the task was perhaps never under the worker.
+function wasJustConfirmed({ runningSince }: Task, at: number): boolean {
+  return at - runningSince <= START_CRASH_WINDOW_MS;
+}
+
 // A run of an earlier term that no report has listed since.
 function isOfUnknownAge(task: Task): boolean {
   return task.isRestored && task.phase === 'unconfirmed';
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -23,6 +23,7 @@
 
   /** Adds or updates a worker from its entry in the registry. */
   register(info: WorkerInfo, now: number): void {
+    this.losses.handleEntry(info, now);
     const known = this.ctx.workers.get(info.id);
     if (known === undefined) {
       const worker = new Worker(info, now);
--- a/packages/core/src/jobs/worker-loss-handler.ts
+++ b/packages/core/src/jobs/worker-loss-handler.ts
@@ -1,9 +1,11 @@
+import type { SuspicionFilter } from './crash-suspicions';
 import type { RunControl } from './run-control';
 import type { SchedulerContext } from './scheduler-context';
 import type { Task } from './task';
-import type { Worker } from './worker';
+import type { Worker, WorkerInfo } from './worker';
+import { CrashSuspicions, provesEnd } from './crash-suspicions';
 import { DECISION } from './scheduler-output';
-import { findCrash, isStartingTasks } from './worker-crash';
+import { awaitsProof, findCrash, isStartingTasks } from './worker-crash';
 
 /** Time for which a closed connection is remembered, in ms: longer than the leases of runs. */
 const DISCONNECTION_MEMORY_MS = 15_000;
@@ -11,9 +13,25 @@
 /** Most tasks that the log line about a crash names. */
 const MAX_LOGGED_SUSPECTS = 20;
 
+/** Time after which a worker whose entry has not come back counts as ended where a task awaits proof, in ms. */
+const GONE_AFTER_MS = 10_000;
+
+/** Proofs that the process of a worker has ended, as they appear in the log. */
+const PROOF = {
+  /** A later incarnation, or another worker at the address, is registered. */
+  entry: 'entry',
+  /** Its entry has not come back. */
+  gone: 'gone',
+  /** Another worker answers at its address. */
+  replaced: 'replaced',
+  /** Another incarnation runs under its id. */
+  restarted: 'restarted',
+} as const;
+
 /** Releases the runs of workers that are lost, and finds the tasks that crash them. */
 export class WorkerLossHandler {
   #disconnected: Worker[] = [];
+  readonly #suspicions = new CrashSuspicions();
 
   constructor(
     private readonly ctx: SchedulerContext,
@@ -22,20 +40,59 @@
 
   /**
    * Handles a call that found the connection to a worker closed or refused. A connection that is only reset can be
-   * opened again, so a crash counts from the second such call on. It is stored at once: the next leader could not
-   * tell which runs had just been started.
+   * opened again, so a crash is suspected from the second such call on. It is stored at once: the next leader could
+   * not tell which runs had just been started.
    */
   handleDisconnection(worker: Worker, now: number): void {
     if (worker.disconnection === undefined) {
       this.#remember(worker, now);
       return;
     }
-    for (const task of this.#recordCrash(worker)) {
+    for (const task of this.#suspect(worker, now)) {
+      this.runControl.storeTask(task);
+    }
+  }
+
+  /** Handles a report that the known incarnation of a worker gave to a request at the monotonic time `askedAt`, in ms. */
+  handleReport(worker: Worker, askedAt: number): void {
+    worker.disconnection = undefined;
+    worker.isCrashRecorded = false;
+    const { bornAt, id } = worker.info;
+    const cleared = this.#suspicions.withdraw(
+      (item) => item.workerId === id && item.bornAt === bornAt && item.notedAt <= askedAt,
+    );
+    if (cleared.length > 0) {
+      this.#log(DECISION.crashDisproved, cleared, { worker: id });
+    }
+    for (const task of cleared) {
       this.runControl.storeTask(task);
-      this.runControl.failIfExhausted(task, now);
     }
   }
 
+  /** Handles an entry in the registry, which may prove that a worker's process has ended, or that it goes on. */
+  handleEntry(info: WorkerInfo, now: number): void {
+    this.#confirm((item) => provesEnd(info, item), PROOF.entry, now);
+    this.#suspicions.doubt(info, now);
+  }
+
+  /** Handles the suspicions of a task that earlier terms have stored. */
+  restore(task: Task, now: number): void {
+    this.#suspicions.track(task);
+    if (task.suspicions.length > 0) {
+      const infos = [...this.ctx.workers.values()].map(({ info }) => info);
+      this.#confirm((item) => infos.some((info) => provesEnd(info, item)), PROOF.entry, now);
+    }
+  }
+
+  /** Treats workers whose entries have not come back as ended for tasks that await proof. */
+  releaseAwaitingProof(now: number): void {
+    const isGone: SuspicionFilter = ({ notedAt, workerId }, task) =>
+      awaitsProof(task) &&
+      now - notedAt >= GONE_AFTER_MS &&
+      this.ctx.workers.get(workerId)?.isDeregistered !== false;
+    this.#confirm(isGone, PROOF.gone, now);
+  }
+
   #remember(worker: Worker, now: number): void {
     worker.disconnection = { at: now, wasStarting: isStartingTasks(worker, now) };
     this.#disconnected = this.#disconnected.filter(
@@ -48,12 +105,18 @@
   releaseExpired(worker: Worker, now: number): void {
     // A starting run is kept: if its order has not been sent yet, it has not extended the lease.
     const lost = [...worker.runs.values()].filter((task) => task.phase !== 'starting');
-    this.#release(worker, lost, 'lease-ended', now);
+    const suspects = lost.length === 0 ? [] : this.#suspect(worker, now);
+    this.#release(lost, 'lease-ended', now);
+    for (const task of suspects) {
+      this.runControl.storeTask(task);
+    }
   }
 
   /** Releases the runs of a worker whose process has certainly ended and receives no more orders. */
   releaseAll(worker: Worker, reason: string, now: number): void {
-    this.#release(worker, [...worker.runs.values()], reason, now);
+    this.#suspect(worker, now);
+    this.#release([...worker.runs.values()], reason, now);
+    this.#confirmIncarnation(worker, PROOF.replaced, now);
   }
 
   /**
@@ -62,6 +125,7 @@
    */
   releaseAfterRestart(worker: Worker, now: number, mayHaveRun: (task: Task) => boolean): void {
     const runs = [...worker.runs.values()];
+    this.#suspect(worker, now, mayHaveRun);
     const lost = runs.filter((task) => (task.phase === 'running' || task.isRestored) && !mayHaveRun(task));
     for (const task of runs) {
       if (!lost.includes(task)) {
@@ -69,42 +133,60 @@
         task.applyEvent('lose', now);
       }
     }
-    this.#release(worker, lost, 'worker-restarted', now);
+    this.#release(lost, 'worker-restarted', now);
+    this.#confirmIncarnation(worker, PROOF.restarted, now);
   }
 
-  #release(worker: Worker, lost: readonly Task[], reason: string, now: number): void {
-    const suspects = lost.length === 0 ? [] : this.#recordCrash(worker);
+  #release(lost: readonly Task[], reason: string, now: number): void {
     for (const task of lost) {
       this.runControl.release(task, reason, now);
     }
-    for (const task of suspects) {
-      this.runControl.failIfExhausted(task, now);
-    }
   }
 
-  // A crash counts once: its runs may be released one after the other, and again by the next leader.
-  #recordCrash(worker: Worker): Task[] {
+  // A crash is noted once: its runs may be released one after the other, and again by the next leader.
+  #suspect(worker: Worker, now: number, isExcluded: (task: Task) => boolean = () => false): Task[] {
     const crash =
       worker.isCrashRecorded || worker.runs.size === 0 ? undefined : findCrash(worker, this.#disconnected);
     if (crash === undefined) {
       return [];
     }
     worker.isCrashRecorded = true;
-    const suspects = crash.suspects.filter((task) => task.crashes.lastRun !== task.run);
-    for (const task of suspects) {
-      task.crashes.alone += Number(crash.isAlone);
-      task.crashes.caused += Number(crash.isCertain);
-      task.crashes.lastRun = task.run;
-      task.crashes.suspected += 1;
+    const { isAlone, isCertain } = crash;
+    const { address, bornAt, id } = worker.info;
+    const suspects = crash.suspects.filter((task) => {
+      const suspicion = { address, bornAt, isAlone, isCertain, run: task.run, workerId: id };
+      return !isExcluded(task) && this.#suspicions.add(task, suspicion, now);
+    });
+    const runs = worker.runs.size;
+    this.#log(DECISION.crashSuspected, suspects, { alone: isAlone, certain: isCertain, runs, worker: id });
+    return suspects;
+  }
+
+  #confirmIncarnation({ info: { bornAt, id } }: Worker, proof: string, now: number): void {
+    this.#confirm((item) => item.workerId === id && item.bornAt === bornAt, proof, now);
+  }
+
+  #confirm(isProven: SuspicionFilter, proof: string, now: number): void {
+    const proven = this.#suspicions.confirm(isProven);
+    if (proven.length === 0) {
+      return;
     }
-    this.ctx.log(DECISION.workerCrashed, {
-      alone: crash.isAlone,
-      certain: crash.isCertain,
-      runs: worker.runs.size,
+    this.#log(DECISION.workerCrashed, proven, { proof });
+    for (const task of proven) {
+      this.runControl.storeTask(task);
+      this.runControl.failIfExhausted(task, now);
+    }
+  }
+
+  #log(
+    decision: (typeof DECISION)['crashDisproved' | 'crashSuspected' | 'workerCrashed'],
+    suspects: readonly Task[],
+    data: Readonly<Record<string, unknown>>,
+  ): void {
+    this.ctx.log(decision, {
+      ...data,
       suspectCount: suspects.length,
       suspects: suspects.slice(0, MAX_LOGGED_SUSPECTS).map((task) => task.name),
-      worker: worker.info.id,
     });
-    return suspects;
   }
 }
--- a/packages/core/tests/jobs/support/crashing-fleet.ts
+++ b/packages/core/tests/jobs/support/crashing-fleet.ts
@@ -1,4 +1,4 @@
-import type { Job, StartOrder, TaskRecord, Worker } from '../../../src/jobs';
+import type { Job, StartOrder, StopOrder, TaskRecord, Worker, WorkerInfo } from '../../../src/jobs';
 import { decodeTaskRecord, RUN_END, Scheduler, START_ANSWER } from '../../../src/jobs';
 import { config, SCHEDULER_SETTINGS, worker } from './jobs';
 
@@ -8,6 +8,9 @@
 const LEASE_MS = 4200;
 const REPORT_INTERVAL_MS = 100;
 
+/** Interval at which workers write their entries, in ms; an entry is removed after three silent ones. */
+const ENTRY_INTERVAL_MS = 1500;
+
 /** Time from a start to the crash that a crashing task causes, in ms. */
 const CRASH_DELAY_MS = 10;
 
@@ -21,22 +24,41 @@
   run: number;
 }
 
+/** Cut of a worker from the nodes, which resets connections; the worker runs on. */
+export interface Cut {
+  forMs: number;
+  /** Whether only the answers are lost, so that the worker carries out what it is ordered. */
+  losesAnswersOnly: boolean;
+  /** Whether the worker is cut off from the registry as well, which removes its entry. */
+  takesRegistry: boolean;
+}
+
 interface LiveWorker {
+  address: string;
+  bornAt: number;
+  cut: (Cut & { since: number }) | undefined;
   ends: { number: number; run: number; task: string }[];
+  /** Time of the newest entry in the registry, in ms. */
+  entryAt: number;
   id: string;
   isAlive: boolean;
+  isRegistered: boolean;
+  leaseEndsAt: number;
   runs: Map<string, LiveRun>;
   zone: string;
 }
 
-/** Simulates a leader and workers that some tasks crash shortly after their start. */
+/** Simulates a leader and workers that some tasks crash shortly after their start, and cuts of workers. */
 export class CrashingFleet {
   readonly ended = new Map<string, string>();
   readonly #events: { at: number; run: () => void }[] = [];
   #generation = 0;
   now = 1000;
   readonly #records = new Map<string, string>();
+  readonly #jobs: Job[];
   #scheduler: Scheduler;
+  /** Starts of tasks that were running; empty if there were none. */
+  readonly violations: string[] = [];
   /** Numbers of starts, by task. */
   readonly starts = new Map<string, number>();
   #workers: LiveWorker[] = [];
@@ -46,13 +68,14 @@
    * @param zones Zone of each worker.
    */
   constructor(
-    private readonly jobs: readonly Job[],
+    jobs: readonly Job[],
     private readonly crashing: ReadonlySet<string>,
     zones: readonly string[],
   ) {
-    for (const zone of zones) {
-      this.#addWorker(zone);
-    }
+    this.#jobs = [...jobs];
+    zones.forEach((zone, index) => {
+      this.#addWorker(zone, `a${index}:1`);
+    });
     this.#scheduler = this.#startLeader();
   }
 
@@ -61,6 +84,21 @@
     this.#scheduler = this.#startLeader();
   }
 
+  /** Adds an accepted job. */
+  submit(job: Job): void {
+    this.#jobs.push(job);
+    this.#scheduler.onJob(job, [], this.now, 0);
+  }
+
+  /** Cuts a worker off, by its position among those that are alive. */
+  cutOff(position: number, cut: Cut): void {
+    const alive = this.#workers.filter(({ isAlive }) => isAlive);
+    const target = alive[position % alive.length];
+    if (target !== undefined) {
+      target.cut ??= { ...cut, since: this.now };
+    }
+  }
+
   /** Advances the virtual clock by a duration in ms. */
   run(durationMs: number): void {
     const until = this.now + durationMs;
@@ -68,6 +106,7 @@
       this.now += TICK_MS;
       this.#runDueEvents();
       this.#endRuns();
+      this.#writeEntries();
       if (this.now % REPORT_INTERVAL_MS === 0) {
         this.#report();
       }
@@ -83,14 +122,14 @@
       () => undefined,
     );
     scheduler.onConfig(config());
-    for (const item of this.#workers.filter(({ isAlive }) => isAlive)) {
-      scheduler.onWorkerRegistered(worker(item.id, { zone: item.zone }), this.now);
+    for (const item of this.#workers.filter(({ isRegistered }) => isRegistered)) {
+      scheduler.onWorkerRegistered(toInfo(item), this.now);
     }
     const records: TaskRecord[] = [...this.#records].flatMap(([key, value]) => {
       const record = decodeTaskRecord(key, value)._unsafeUnwrap();
       return record === undefined ? [] : [record];
     });
-    for (const item of this.jobs.filter(({ id }) => !this.ended.has(id))) {
+    for (const item of this.#jobs.filter(({ id }) => !this.ended.has(id))) {
       const own = records.filter((record) => record.task.startsWith(`${item.id}.`));
       scheduler.onJob(item, own, this.now, 0);
     }
@@ -111,8 +150,7 @@
       known.endsStored = Math.max(known.endsStored, number);
     }
     for (const stop of plan.stops) {
-      this.#find(stop.worker)?.runs.delete(stop.task);
-      scheduler.onStopAcknowledged(stop, this.now);
+      this.#stop(scheduler, stop);
     }
     for (const { id, state } of plan.states.filter((item) => item.state !== 'running')) {
       this.ended.set(id, state);
@@ -123,18 +161,37 @@
     }
   }
 
+  #stop(scheduler: Scheduler, stop: StopOrder): void {
+    const target = this.#find(stop.worker);
+    if (target?.cut === undefined || target.cut.losesAnswersOnly) {
+      target?.runs.delete(stop.task);
+    }
+    if (target !== undefined && target.cut === undefined) {
+      scheduler.onStopAcknowledged(stop, this.now);
+    }
+  }
+
   #start(scheduler: Scheduler, order: StartOrder): void {
-    const { run, task } = order;
     const target = this.#find(order.worker);
-    if (target === undefined) {
+    if (target === undefined || order.worker.extendLease(this.now, LEASE_MS) === undefined) {
       scheduler.onStartAnswer(order, START_ANSWER.refused, this.now);
       return;
     }
-    order.worker.extendLease(this.now, LEASE_MS);
+    scheduler.onStartSent(order);
+    if (target.cut === undefined || target.cut.losesAnswersOnly) {
+      this.#carryOut(target, order);
+    }
+    const answer = target.cut === undefined ? START_ANSWER.started : START_ANSWER.noAnswer;
+    scheduler.onStartAnswer(order, answer, this.now);
+  }
+
+  #carryOut(target: LiveWorker, { run, task }: StartOrder): void {
+    target.leaseEndsAt = this.now + LEASE_MS;
     this.starts.set(task.name, (this.starts.get(task.name) ?? 0) + 1);
     const durationMs = task.step.spec.longRunning ? Infinity : RUN_MS;
+    const isRunning = this.#workers.some(({ isAlive, runs }) => isAlive && runs.has(task.name));
+    this.violations.push(...(isRunning ? [`${task.name} run ${run} starts while it runs`] : []));
     target.runs.set(task.name, { endsAt: this.now + durationMs, run });
-    scheduler.onStartAnswer(order, START_ANSWER.started, this.now);
     if (this.crashing.has(task.name)) {
       this.#events.push({
         at: this.now + CRASH_DELAY_MS,
@@ -157,8 +214,8 @@
     this.#events.push({
       at: this.now + RESTART_MS,
       run: () => {
-        const { id, zone } = this.#addWorker(lost.zone);
-        this.#scheduler.onWorkerRegistered(worker(id, { zone }), this.now);
+        const added = this.#addWorker(lost.zone, lost.address);
+        this.#scheduler.onWorkerRegistered(toInfo(added), this.now);
         const replaced = this.#scheduler.workers.get(lost.id);
         if (replaced !== undefined) {
           this.#scheduler.onWorkerReplaced(replaced, this.now);
@@ -167,15 +224,49 @@
     });
   }
 
-  #addWorker(zone: string): LiveWorker {
+  #addWorker(zone: string, address: string): LiveWorker {
     this.#generation += 1;
-    const added = { ends: [], id: `w${this.#generation}`, isAlive: true, runs: new Map(), zone };
+    const added: LiveWorker = {
+      address,
+      bornAt: this.now,
+      cut: undefined,
+      ends: [],
+      entryAt: this.now,
+      id: `w${this.#generation}`,
+      isAlive: true,
+      isRegistered: true,
+      leaseEndsAt: 0,
+      runs: new Map(),
+      zone,
+    };
     this.#workers.push(added);
     return added;
   }
 
+  // A worker writes its entry while it is alive and reaches the registry; the entry is removed after three intervals.
+  #writeEntries(): void {
+    for (const item of this.#workers) {
+      if (item.cut !== undefined && this.now - item.cut.since >= item.cut.forMs) {
+        item.cut = undefined;
+      }
+      const writes = item.isAlive && item.cut?.takesRegistry !== true;
+      const silentMs = this.now - item.entryAt;
+      if (writes && silentMs >= ENTRY_INTERVAL_MS) {
+        item.entryAt = this.now;
+        item.isRegistered = true;
+        this.#scheduler.onWorkerRegistered(toInfo(item), this.now);
+      } else if (item.isRegistered && silentMs >= 3 * ENTRY_INTERVAL_MS) {
+        item.isRegistered = false;
+        this.#scheduler.onWorkerDeregistered(item.id);
+      }
+    }
+  }
+
   #endRuns(): void {
     for (const item of this.#workers.filter(({ isAlive }) => isAlive)) {
+      if (this.now > item.leaseEndsAt) {
+        item.runs.clear();
+      }
       for (const [task, { run }] of [...item.runs].filter(([, { endsAt }]) => endsAt <= this.now)) {
         item.runs.delete(task);
         item.ends.push({ number: item.ends.length + 1, run, task });
@@ -184,14 +275,20 @@
   }
 
   #report(): void {
-    for (const known of [...this.#scheduler.workers.values()]) {
+    for (const known of [...this.#scheduler.workers.values()].filter(needsReport)) {
       const item = this.#find(known);
       if (item === undefined) {
         this.#scheduler.onWorkerDisconnected(known, this.now);
         continue;
       }
-      if (known.runs.size > 0) {
-        known.extendLease(this.now, LEASE_MS);
+      const isExtended =
+        known.runs.size > 0 && !known.isUnresponsive && known.extendLease(this.now, LEASE_MS) !== undefined;
+      if (isExtended && (item.cut === undefined || item.cut.losesAnswersOnly)) {
+        item.leaseEndsAt = this.now + LEASE_MS;
+      }
+      if (item.cut !== undefined) {
+        this.#scheduler.onWorkerDisconnected(known, this.now);
+        continue;
       }
       const ended = item.ends
         .filter(({ number }) => number > known.endsStored)
@@ -203,7 +300,7 @@
         run,
         task,
       }));
-      const report = { bornAt: 1, clockMs: this.now, ended, running };
+      const report = { bornAt: item.bornAt, clockMs: this.now, ended, running };
       this.#scheduler.onReport(known, report, this.now - 1, this.now);
     }
   }
@@ -220,3 +317,12 @@
     }
   }
 }
+
+// Idle workers are not asked, so a leader learns that one is cut off when it orders a run there.
+function needsReport({ endsRead, endsStored, isFenced, isUnresponsive, runs }: Worker): boolean {
+  return !isFenced || isUnresponsive || runs.size > 0 || endsStored < endsRead;
+}
+
+function toInfo({ address, bornAt, id, zone }: LiveWorker): WorkerInfo {
+  return worker(id, { address, bornAt, zone });
+}
--- a/packages/core/tests/jobs/waiting-tasks.test.ts
+++ b/packages/core/tests/jobs/waiting-tasks.test.ts
@@ -1,8 +1,16 @@
 import { describe, expect, it } from 'vitest';
-import type { StepSpec, Worker, WorkerInfo } from '../../src/jobs';
+import type { StepSpec, Task, Worker, WorkerInfo } from '../../src/jobs';
 import { JobRun, Scheduler } from '../../src/jobs';
 import { config, job, SCHEDULER_SETTINGS, step, worker } from './support/jobs';
 
+function suspectedTask(jobId: string): Task | undefined {
+  const [task] = new JobRun(job(jobId, [step()])).tasks();
+  if (task !== undefined) {
+    task.crashes.suspected = 1;
+  }
+  return task;
+}
+
 /** Time at which a task that was ready at 0 has waited long enough to be reported, in ms. */
 const LATER = 2500;
 
@@ -67,7 +75,7 @@
     'held for a suspected task',
     {
       close: first((item) => {
-        [item.heldFor] = new JobRun(job('00000000000000a2', [step()])).tasks();
+        item.heldFor = suspectedTask('00000000000000a2');
         item.heldUntil = LATER + 1;
       }),
     },
@@ -134,7 +142,7 @@
   });
 
   it('expects an assignment on a worker that has become usable since the last one', () => {
-    const [suspected] = new JobRun(job('00000000000000a2', [step()])).tasks();
+    const suspected = suspectedTask('00000000000000a2');
     for (const close of [
       (item: Worker) => (item.pausedUntil = LATER - 10),
       (item: Worker) => Object.assign(item, { heldFor: suspected, heldUntil: LATER - 10 }),
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -109,6 +109,7 @@
       this.ctx.scheduler.onStartAnswer(order, START_ANSWER.refused, timers.mono());
       return;
     }
+    this.ctx.scheduler.onStartSent(order);
     const answer = await link.start({
       body: task.job.job.spec.body,
       checkpoint: task.checkpoint,
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -57,6 +57,8 @@
 interface SenderState {
   answers: string[];
   canExtendLeases: boolean;
+  /** Runs whose orders were reported to the scheduler as being sent. */
+  sent: number[];
 }
 
 interface Started {
@@ -68,13 +70,14 @@
 }
 
 function startAll(count: number, linkBytesPerS: number | undefined): Started {
-  const state: SenderState = { answers: [], canExtendLeases: true };
+  const state: SenderState = { answers: [], canExtendLeases: true, sent: [] };
   const link = new HoldingLink();
   const metrics = new NodeMetrics();
   const stop = new AbortController();
   const scheduler = {
     isStartPending: () => true,
     onStartAnswer: (_order: StartOrder, answer: string) => state.answers.push(answer),
+    onStartSent: (order: StartOrder) => state.sent.push(order.run),
     onStopAcknowledged: () => undefined,
   } as unknown as Scheduler;
   const sender = new OrderSender(
@@ -123,13 +126,14 @@
   });
 
   it('sends no waiting order after the end of its term', async () => {
-    const { link, metrics, stop } = startAll(12, LINK_BYTES_PER_S);
+    const { link, metrics, state, stop } = startAll(12, LINK_BYTES_PER_S);
     stop.abort();
     link.answers.forEach((answer) => {
       answer();
     });
     await expect.poll(() => metrics.orders.count).toBe(0);
     expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
+    expect(state.sent).toHaveLength(ORDERS_PER_WINDOW);
   });
 
   it('refuses waiting orders to a worker that has become unresponsive without extending its lease', async () => {
