fix: let the process own its signals, from the first line to the exit

Cause: the listener for SIGHUP belonged to the settings watcher, which took it away when the shutdown began; Node then ends the process. On related paths a SIGHUP before the watcher ran ended a node that was starting, and the entry and control binaries had no listener at all.

Change: ProcessSignals belongs to the process and is installed by the first import of each long-running binary. Parts subscribe to it; a SIGHUP that comes before is remembered. Settings are reloaded until the process exits, since the requests of its last seconds need the newest addresses. A node or entry whose signal to stop came before it ran knows that it is stopping.

Conclusion: what remains is the time until the runtime has loaded the program; nothing is in progress by then.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -231,6 +231,9 @@
 
 function whenAborted(signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve();
+    }
     signal.addEventListener(
       'abort',
       () => {
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,3 +1,4 @@
+import '@sequoiaquay/runtime/install-signals';
 import '@sequoiaquay/runtime/install-fetch';
 import { runBinary } from '@sequoiaquay/runtime';
 import { runEntry } from './entry';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -172,6 +172,7 @@
   /** Runs the node until the signal aborts; resolves when it has stepped down as leader. */
   async run(stop: AbortSignal): Promise<void> {
     const { signal } = this.#abort;
+    this.#isStopRequested = stop.aborted;
     stop.addEventListener('abort', () => {
       this.#isStopRequested = true;
     });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,7 +7,7 @@
 export * from './metrics';
 export * from './schema-options';
 export * from './settings-file';
-export * from './shutdown';
+export * from './process-signals';
 export * from './timer-service';
 export * from './listen';
 export * from './rpc';
--- a/packages/runtime/src/run-binary.ts
+++ b/packages/runtime/src/run-binary.ts
@@ -4,8 +4,8 @@
 import type { SettingsError } from './settings-file';
 import type { TimerService } from './timer-service';
 import { createProcessLogger } from './logger';
+import { processSignals } from './process-signals';
 import { loadSettings, readSecret } from './settings-file';
-import { createShutdownSignal } from './shutdown';
 import { SystemTimerService } from './timer-service';
 
 /** Settings common to all binaries. */
@@ -50,7 +50,10 @@
   }
   const { cfg, secret } = loaded.value;
   const log = createProcessLogger(binary.name, cfg.logLevel).child({ process: cfg.name });
-  await binary.run(cfg, secret, log, new SystemTimerService(), createShutdownSignal());
+  processSignals.onReload(() => {
+    log.warn('SIGHUP ignored: the settings are read at the start only');
+  }, new AbortController().signal);
+  await binary.run(cfg, secret, log, new SystemTimerService(), processSignals.stop);
   process.exit(0);
 }
 
--- a/packages/runtime/src/settings-watcher.ts
+++ b/packages/runtime/src/settings-watcher.ts
@@ -1,6 +1,7 @@
 import type { ZodType } from 'zod';
 import { statSync } from 'node:fs';
 import type { Logger } from './logger';
+import type { ProcessSignals } from './process-signals';
 import type { TimerService } from './timer-service';
 import { loadSettings } from './settings-file';
 
@@ -26,14 +27,10 @@
   }
 
   /** Watches the file until the signal aborts. */
-  run(timers: TimerService, signal: AbortSignal): void {
-    const onSignal = (): void => {
+  run(timers: TimerService, signals: ProcessSignals, signal: AbortSignal): void {
+    signals.onReload(() => {
       this.reload('SIGHUP');
-    };
-    process.on('SIGHUP', onSignal);
-    signal.addEventListener('abort', () => {
-      process.off('SIGHUP', onSignal);
-    });
+    }, signal);
     timers.every(
       POLL_INTERVAL_MS,
       () => {
--- a/packages/runtime/tests/settings-watcher.test.ts
+++ b/packages/runtime/tests/settings-watcher.test.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import * as z from 'zod';
-import { SettingsWatcher, SystemTimerService } from '../src';
+import { processSignals, SettingsWatcher, SystemTimerService } from '../src';
 
 const schema = z.object({ level: z.string(), size: z.number() });
 const log = createLogger({ name: 'test', streams: [] });
@@ -35,7 +35,7 @@
   it('reloads the settings on SIGHUP without ending the process', async () => {
     const stop = new AbortController();
     const watcher = createWatcher();
-    watcher.run(new SystemTimerService(), stop.signal);
+    watcher.run(new SystemTimerService(), processSignals, stop.signal);
     writeFileSync(file, JSON.stringify({ level: 'debug', size: 1 }));
     process.kill(process.pid, 'SIGHUP');
     await expect.poll(() => watcher.current.level).toBe('debug');
--- a/tests/support/process.ts
+++ b/tests/support/process.ts
@@ -42,6 +42,11 @@
     return this.exited;
   }
 
+  /** Sends a signal without waiting for its effect. */
+  send(signal: 'SIGHUP' | 'SIGINT' | 'SIGTERM'): void {
+    this.#child.kill(signal);
+  }
+
   /** Suspends the process (SIGSTOP). */
   freeze(): void {
     this.#child.kill('SIGSTOP');
