fix: end no process at a second SIGTERM while its requests are open

Callers of a node that is told to stop twice lost their open requests: the second SIGTERM ended the process at once, although signals come in series.

Cause: the second request to stop was taken for an impatient operator, who has SIGKILL for that.

Change: a repeated SIGTERM changes nothing. A second SIGINT still exits, as users of a terminal expect.

Tests: the series of signals during the shutdown now contains SIGTERM.

--- a/packages/runtime/src/process-signals.ts
+++ b/packages/runtime/src/process-signals.ts
@@ -7,8 +7,8 @@
 }
 
 /**
- * Signals of a process, from its first line to its exit: a signal without a listener would end it. A second SIGTERM or
- * SIGINT exits at once.
+ * Signals of a process, from its first line to its exit: a signal without a listener would end it. Signals come in
+ * series, so a repeated request to stop changes nothing; only a second SIGINT, from a terminal, exits at once.
  */
 export class ProcessSignals {
   #isInstalled = false;
@@ -36,14 +36,17 @@
     this.source.on('SIGHUP', () => {
       this.#onReload();
     });
-    const stop = (): void => {
-      if (this.#stop.signal.aborted) {
+    this.source.on('SIGTERM', () => {
+      this.#stop.abort();
+    });
+    let isInterrupted = false;
+    this.source.on('SIGINT', () => {
+      if (isInterrupted) {
         this.source.exit(1);
       }
+      isInterrupted = true;
       this.#stop.abort();
-    };
-    this.source.on('SIGTERM', stop);
-    this.source.on('SIGINT', stop);
+    });
   }
 
   /** Calls back on SIGHUP until the signal aborts, and at once if one came before; replaces an earlier callback. */
--- a/packages/runtime/tests/process-signals.test.ts
+++ b/packages/runtime/tests/process-signals.test.ts
@@ -28,6 +28,17 @@
     expect(reloads).toHaveLength(2);
   });
 
+  it('stops once, however often SIGTERM comes', () => {
+    const source = new FakeProcess();
+    const signals = new ProcessSignals(source);
+    expect(signals.stop.aborted).toBe(false);
+    source.emit('SIGTERM');
+    source.emit('SIGTERM');
+    source.emit('SIGINT');
+    expect(signals.stop.aborted).toBe(true);
+    expect(source.exits).toEqual([]);
+  });
+
   it('exits at the second SIGINT', () => {
     const source = new FakeProcess();
     const signals = new ProcessSignals(source);
--- a/tests/signals-in-series.test.ts
+++ b/tests/signals-in-series.test.ts
@@ -51,7 +51,7 @@
       answers.push(cluster.show(1, createJobId(SEED, number), CALLER_TIMEOUT_MS));
       if (performance.now() > signalAt) {
         signalAt += SIGNAL_INTERVAL_MS;
-        node.send('SIGHUP');
+        node.send(number % 2 === 0 ? 'SIGHUP' : 'SIGTERM');
       }
       await delay(REQUEST_INTERVAL_MS);
     }
