fix: keep the limits of a job with its record after its queue is dropped

Cause: the configuration of dropped queues was remembered by the term of a leader, although the jobs live in the store; the next leader found no limit and took that for none. Priority, stretch, target and advice were lost in the same way: a job that needs permits waited for good.

Change: the record of a job states what its queue determined (JobPolicy). The queue in force goes first, then the record. A record of an earlier version whose queue is gone may fail once. The map of dropped queues is gone. Limits are applied with every configuration, as by a new leader.

The lookup of advice gets the policy in place of the queue, which assigner.test.ts tells by its figures in place of the name.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -1,4 +1,4 @@
-import type { QueueConfig } from './fleet-config';
+import type { JobPolicy } from './fleet-config';
 import type { JobRun, StepRun } from './job-run';
 import type { AllowedWorkers } from './placement';
 import type { PoolState } from './pool-state';
@@ -14,10 +14,10 @@
 import { awaitsProof } from './worker-crash';
 
 /**
- * Returns the ids of the workers that may run a step of a queue with placement advice. The set is empty
- * while the advice is not known.
+ * Returns the ids of the workers that may run a step of a job with placement advice. The set is empty while the advice
+ * is not known.
  */
-export type AdviceLookup = (queue: QueueConfig, step: StepRun, workers: readonly Worker[]) => AllowedWorkers;
+export type AdviceLookup = (policy: JobPolicy, step: StepRun, workers: readonly Worker[]) => AllowedWorkers;
 
 /**
  * Time for which a task of a step that limits its unavailable tasks waits for another worker than one whose VM may be
@@ -65,11 +65,11 @@
     }
     const free = new FreeCapacity(usable);
     const starts = new IsolatedStarts(usable, now);
-    const queueOf = (run: JobRun): QueueConfig | undefined => this.ctx.getQueueConfig(run);
+    const policyOf = (run: JobRun): JobPolicy | undefined => this.ctx.getPolicy(run);
     // Advice is asked for before there is room.
     const mayAssign = (run: JobRun, step: StepRun): boolean =>
-      free.mayFit(step.spec) || queueOf(run)?.advice !== undefined;
-    for (const { run, steps } of pool.rankWaitingJobs(mayAssign, queueOf, this.ctx.runTimes, wallNow)) {
+      free.mayFit(step.spec) || policyOf(run)?.advice !== undefined;
+    for (const { run, steps } of pool.rankWaitingJobs(mayAssign, policyOf, this.ctx.runTimes, wallNow)) {
       for (const step of steps) {
         if (mayAssign(run, step)) {
           this.#assignStep(run, step, { starts, workers }, now);
@@ -85,8 +85,8 @@
   }
 
   #assignStep(run: JobRun, step: StepRun, { starts, workers }: PoolWorkers, now: number): void {
-    const queue = this.ctx.getQueueConfig(run);
-    const allowed = queue?.advice === undefined ? undefined : this.findAllowedWorkers(queue, step, workers);
+    const policy = this.ctx.getPolicy(run);
+    const allowed = policy?.advice === undefined ? undefined : this.findAllowedWorkers(policy, step, workers);
     this.#lastAdvice.set(step, allowed);
     if (allowed?.size === 0) {
       return;
--- a/packages/core/src/jobs/fleet-config.ts
+++ b/packages/core/src/jobs/fleet-config.ts
@@ -1,19 +1,23 @@
-/** Queue that turns callers' requests with a host and path prefix into jobs of a pool. */
-export interface QueueConfig {
+/** What a queue determines for its jobs; a job keeps it after its queue was dropped. */
+export interface JobPolicy {
   /** Undefined if every worker of the pool may run every step. */
   advice: AdviceConfig | undefined;
-  host: string;
   /** Number of failed runs of a task after which its job fails. */
   maxAttempts: number;
-  name: string;
-  pathPrefix: string;
-  pool: string;
   /** Queues with a lower number are served first; 0 is the highest priority. */
   priority: number;
   /** Factor by which the critical path of a job is multiplied to get its expected time. */
   stretch: number;
   /** Time that is added to the stretched critical path of a job to get its expected time, in ms. */
   targetMs: number;
+}
+
+/** Queue that turns callers' requests with a host and path prefix into jobs of a pool. */
+export interface QueueConfig extends JobPolicy {
+  host: string;
+  name: string;
+  pathPrefix: string;
+  pool: string;
   timeoutMs: number;
 }
 
@@ -49,6 +53,11 @@
   version: number;
 }
 
+/** Returns what a queue determines for the jobs that it accepts. */
+export function toJobPolicy({ advice, maxAttempts, priority, stretch, targetMs }: QueueConfig): JobPolicy {
+  return { advice, maxAttempts, priority, stretch, targetMs };
+}
+
 /**
  * Returns the queue whose host and path prefix match a request, and the rest of the path. The longest
  * matching prefix wins. Returns undefined if no queue matches.
--- a/packages/core/src/jobs/job-rank.ts
+++ b/packages/core/src/jobs/job-rank.ts
@@ -1,4 +1,4 @@
-import type { QueueConfig } from './fleet-config';
+import type { JobPolicy } from './fleet-config';
 import type { JobRun } from './job-run';
 import type { RunTimeEstimator } from './run-time-estimator';
 
@@ -28,18 +28,18 @@
 /** Returns the rank of a job at a wall clock time in ms. */
 export function rankJob(
   run: JobRun,
-  queue: QueueConfig | undefined,
+  policy: JobPolicy | undefined,
   times: RunTimeEstimator,
   wallNow: number,
 ): JobRank {
   const longRunning = run.isLongRunning;
-  const priority = queue?.priority ?? 0;
+  const priority = policy?.priority ?? 0;
   const { acceptedAt, spec } = run.job;
   const releasedAt =
     spec.schedule === undefined
       ? acceptedAt
       : spec.schedule.firstAt + (run.occurrences.length - 1) * spec.schedule.intervalMs;
-  const expectedMs = (queue?.stretch ?? 1) * times.criticalPathMs(run, () => true) + (queue?.targetMs ?? 0);
+  const expectedMs = (policy?.stretch ?? 1) * times.criticalPathMs(run, () => true) + (policy?.targetMs ?? 0);
   const remainingMs = times.criticalPathMs(run, (step) => step.unfinishedCount > 0);
   const latestOnTimeStart = releasedAt + expectedMs - remainingMs;
   if (wallNow <= latestOnTimeStart) {
--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import * as z from 'zod';
+import type { JobPolicy } from './fleet-config';
 import type { Job } from './job-spec';
 import { parseJson } from './parse-json';
 
@@ -111,8 +112,19 @@
   tailTargetMs: z.number(),
 });
 
+/** Advice and the other parts of a job's policy, in this order. */
+const policySchema = z.tuple([
+  z.object({ decisionMs: z.number(), perWorkerMs: z.number(), validityMs: z.number() }).nullable(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+]);
+
 const jobSchema = z.object({
   acceptedAt: z.number(),
+  // A job must not be lost because its policy can't be read.
+  policy: policySchema.optional().catch(undefined),
   pool: z.string(),
   queue: z.string(),
   spec: z.object({
@@ -169,8 +181,9 @@
             ...deletions(record.id, submitted, running),
           ];
     case JOB_RECORD.submit: {
-      const { id, ...job } = record.job;
-      return [{ key: `${submitted}.${id}`, value: JSON.stringify(job) }];
+      const { id, policy, ...job } = record.job;
+      const value = JSON.stringify({ ...job, policy: policy && toPolicyRow(policy) });
+      return [{ key: `${submitted}.${id}`, value }];
     }
   }
 }
@@ -198,7 +211,10 @@
     return ok({ id, kind: JOB_RECORD.delete, prefix });
   }
   if (prefix === JOB_KEY_PREFIX.submitted) {
-    return parseJson(value, jobSchema).map((job) => ({ job: { id, ...job }, kind: JOB_RECORD.submit }));
+    return parseJson(value, jobSchema).map(({ policy, ...job }) => ({
+      job: { id, ...job, policy: policy && toPolicy(policy) },
+      kind: JOB_RECORD.submit,
+    }));
   }
   if (prefix === JOB_KEY_PREFIX.cancelled) {
     return ok({ id, kind: JOB_RECORD.cancel });
@@ -212,3 +228,13 @@
 function deletions(id: string, ...prefixes: JobKeyPrefix[]): KeyedRecord[] {
   return prefixes.map((prefix) => ({ key: `${prefix}.${id}`, value: undefined }));
 }
+
+function toPolicyRow(policy: JobPolicy): z.infer<typeof policySchema> {
+  const { advice, maxAttempts, priority, stretch, targetMs } = policy;
+  return [advice ?? null, maxAttempts, priority, stretch, targetMs];
+}
+
+function toPolicy(row: z.infer<typeof policySchema>): JobPolicy {
+  const [advice, maxAttempts, priority, stretch, targetMs] = row;
+  return { advice: advice ?? undefined, maxAttempts, priority, stretch, targetMs };
+}
--- a/packages/core/src/jobs/job-spec.ts
+++ b/packages/core/src/jobs/job-spec.ts
@@ -1,3 +1,5 @@
+import type { JobPolicy } from './fleet-config';
+
 /** Resources that one task reserves on a worker. */
 export interface Demand {
   /** Processor time, in thousandths of a core. */
@@ -63,6 +65,8 @@
   /** Wall clock time of the acceptance, in ms since the epoch. */
   acceptedAt: number;
   id: string;
+  /** What the queue determined at the acceptance; undefined in records of earlier versions. */
+  policy?: JobPolicy | undefined;
   /** Pool that runs the tasks, as configured when the job was accepted. */
   pool: string;
   /** Name of the queue that accepted the job. */
--- a/packages/core/src/jobs/pool-state.ts
+++ b/packages/core/src/jobs/pool-state.ts
@@ -1,4 +1,4 @@
-import type { QueueConfig } from './fleet-config';
+import type { JobPolicy } from './fleet-config';
 import type { JobRank } from './job-rank';
 import type { JobRun, StepRun } from './job-run';
 import type { RunTimeEstimator } from './run-time-estimator';
@@ -30,7 +30,7 @@
   /** Returns the jobs with ready steps that `mayAssign` accepts, in scheduling order. */
   rankWaitingJobs(
     mayAssign: (run: JobRun, step: StepRun) => boolean,
-    queueOf: (run: JobRun) => QueueConfig | undefined,
+    policyOf: (run: JobRun) => JobPolicy | undefined,
     times: RunTimeEstimator,
     wallNow: number,
   ): WaitingJob[] {
@@ -38,7 +38,7 @@
     for (const run of this.jobs) {
       const steps = run.readySteps().filter((step) => mayAssign(run, step));
       if (steps.length > 0) {
-        ranked.push({ rank: rankJob(run, queueOf(run), times, wallNow), run, steps });
+        ranked.push({ rank: rankJob(run, policyOf(run), times, wallNow), run, steps });
       }
     }
     return ranked.sort((a, b) => compareRanks(a.rank, b.rank));
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -72,7 +72,7 @@
   /** Ends the job of a task as failed if the task has failed, or crashed workers, as often as it may. */
   failIfExhausted(task: Task, now: number): void {
     const { crashes, failures, job, name, phase, run, step } = task;
-    const limit = this.ctx.getQueueConfig(job)?.maxAttempts ?? Infinity;
+    const limit = this.ctx.getPolicy(job)?.maxAttempts ?? Infinity;
     const hasFailed = !step.spec.longRunning && failures >= limit;
     const crashesWorkers = crashes.caused >= MAX_CRASHES_CAUSED || crashes.alone >= MAX_CRASHES_ALONE;
     if (!job.hasEnded && phase !== 'done' && (hasFailed || crashesWorkers)) {
--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -1,4 +1,4 @@
-import type { FleetConfig, PoolConfig, QueueConfig } from './fleet-config';
+import type { FleetConfig, JobPolicy, PoolConfig } from './fleet-config';
 import type { JobRun } from './job-run';
 import type { DecisionLog, Plan } from './scheduler-output';
 import type { Worker } from './worker';
@@ -22,8 +22,17 @@
   setAsideMs: number;
 }
 
-/** Most queues that are remembered after they were dropped from the configuration, for the jobs that they accepted. */
-const MAX_DROPPED_QUEUES = 1000;
+/**
+ * Policy of a job of a dropped queue whose record does not state it. Its tasks may fail once, since no queue allows
+ * fewer failed runs.
+ */
+const UNKNOWN_POLICY: JobPolicy = {
+  advice: undefined,
+  maxAttempts: 1,
+  priority: 0,
+  stretch: 1,
+  targetMs: 0,
+};
 
 /** State that the components of the scheduler share. */
 export class SchedulerContext {
@@ -35,7 +44,7 @@
   /** Plan in preparation, to which records and orders are added until the next `takePlan`. */
   pending: Plan = emptyPlan();
   readonly pools = new Map<string, PoolState>();
-  #queues: ReadonlyMap<string, QueueConfig> = new Map();
+  #policies: ReadonlyMap<string, JobPolicy> = new Map();
   readonly runTimes = new RunTimeEstimator();
   /** Known workers, including deregistered ones that may still run tasks. */
   readonly workers = new Map<string, Worker>();
@@ -55,9 +64,7 @@
   set cfg(cfg: FleetConfig | undefined) {
     this.#cfg = cfg;
     // Of several queues with one name the first counts.
-    const queues = new Map((cfg?.queues ?? []).map((queue) => [queue.name, queue] as const).reverse());
-    const dropped = [...this.#queues].filter(([name]) => !queues.has(name)).slice(-MAX_DROPPED_QUEUES);
-    this.#queues = new Map([...dropped, ...queues]);
+    this.#policies = new Map((cfg?.queues ?? []).map((queue) => [queue.name, queue] as const).reverse());
   }
 
   /** Adds the ends that were read from a worker to those that are stored with the next plan. */
@@ -88,11 +95,12 @@
   }
 
   /**
-   * Returns the configuration of the queue that accepted a job. After the queue was dropped, this is its last one;
-   * undefined if none is known.
+   * Returns the policy of a job: that of its queue or, once the queue is dropped, the one under which it was accepted.
+   * Undefined for a job whose record does not state it, while there is no configuration.
    */
-  getQueueConfig(run: JobRun): QueueConfig | undefined {
-    return this.#queues.get(run.job.queue);
+  getPolicy({ job }: JobRun): JobPolicy | undefined {
+    const known = this.#policies.get(job.queue) ?? job.policy;
+    return known ?? (this.#cfg === undefined ? undefined : UNKNOWN_POLICY);
   }
 
   /** Returns the pending plan and replaces it by an empty one. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -47,7 +47,7 @@
 export class Scheduler {
   readonly #assigner: Assigner;
   readonly #directory: WorkerDirectory;
-  #areLimitsApplied = false;
+  #areLimitsApplied = true;
   #isAssignmentPaused = false;
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
@@ -105,7 +105,7 @@
     const state = {
       allowedWorkers: (step: StepRun) => this.#assigner.lastAllowedWorkers(step),
       isPaused: this.#isAssignmentPaused,
-      maxAttempts: (run: JobRun) => this.#ctx.getQueueConfig(run)?.maxAttempts,
+      maxAttempts: (run: JobRun) => this.#ctx.getPolicy(run)?.maxAttempts,
     };
     return this.#waitingTasks.report(this.#ctx.pools, state, now);
   }
@@ -113,6 +113,7 @@
   /** Applies a configuration. No tasks are assigned before the first one. */
   onConfig(cfg: FleetConfig): void {
     this.#ctx.cfg = cfg;
+    this.#areLimitsApplied = false;
     this.requestAssignment();
   }
 
@@ -317,7 +318,7 @@
    * `assign` is false, for example because the store is too slow for new assignments.
    */
   plan(now: number, wallNow: number, assign = true): Plan {
-    this.#applyFirstLimits(now);
+    this.#applyLimits(now);
     this.#isAssignmentPaused = !assign || this.#ctx.cfg === undefined;
     for (const pool of this.#ctx.pools.values()) {
       if (pool.needsAssignment && !this.#isAssignmentPaused) {
@@ -362,9 +363,9 @@
     }
   }
 
-  // The limits of failed runs were not known when jobs were taken over without a configuration.
-  #applyFirstLimits(now: number): void {
-    if (this.#areLimitsApplied || this.#ctx.cfg === undefined) {
+  // The limits of failed runs may not have been known before, or may have changed with the configuration.
+  #applyLimits(now: number): void {
+    if (this.#areLimitsApplied) {
       return;
     }
     this.#areLimitsApplied = true;
--- a/packages/core/tests/jobs/assigner.test.ts
+++ b/packages/core/tests/jobs/assigner.test.ts
@@ -167,13 +167,13 @@
 
   it('asks for the advice on a step before a worker has room for it', () => {
     const cfg = config();
-    const advice = { decisionMs: 1, perWorkerMs: 1, validityMs: 1000 };
+    const advice = { decisionMs: 7, perWorkerMs: 1, validityMs: 1000 };
     const asked: string[] = [];
     const scheduler = new Scheduler(
       SCHEDULER_SETTINGS,
       () => undefined,
-      (queue, item) => {
-        asked.push(`${queue.name} ${item.spec.demand.cpuMilli}`);
+      (policy, item) => {
+        asked.push(`${String(policy.advice?.decisionMs)} ${item.spec.demand.cpuMilli}`);
         return new Set();
       },
     );
@@ -184,7 +184,7 @@
     }
     scheduler.onJob(job('j0', [step({ demand: { cpuMilli: 5000, gpus: 0, memoryMb: 0 } })]), [], 0, 0);
     expect(scheduler.plan(0, 0).starts).toEqual([]);
-    expect(asked).toEqual(['quick 5000']);
+    expect(asked).toEqual(['7 5000']);
   });
 });
 
--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -1,7 +1,7 @@
 import type { FleetConfig, JobSpec, JobState, JobTable } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
-import { findQueue, JOB_RECORD, JOB_STATE } from '@sequoiaquay/core/jobs';
+import { findQueue, JOB_RECORD, JOB_STATE, toJobPolicy } from '@sequoiaquay/core/jobs';
 import type { JobWriter } from './job-writer';
 import type { NodeMetrics } from './node-metrics';
 import type { StreamTail } from './stream-tail';
@@ -113,7 +113,14 @@
     if (!this.writer.isLikelyToSucceed(this.tail.reachableSince !== undefined)) {
       return this.#logAnswer(id, this.#notStoredAnswer(id));
     }
-    const job = { acceptedAt: this.timers.now(), id, pool: queue.pool, queue: queue.name, spec: spec.value };
+    const job = {
+      acceptedAt: this.timers.now(),
+      id,
+      policy: toJobPolicy(queue),
+      pool: queue.pool,
+      queue: queue.name,
+      spec: spec.value,
+    };
     const outcome = await this.writer.write({ job, kind: JOB_RECORD.submit }, this.#writeDeadline(req));
     if (outcome === WRITE_OUTCOME.refused) {
       return this.#logAnswer(id, this.#notStoredAnswer(id));
--- a/packages/node/src/permit-cache.ts
+++ b/packages/node/src/permit-cache.ts
@@ -1,4 +1,4 @@
-import type { AllowedWorkers, QueueConfig, StepRun, Worker } from '@sequoiaquay/core/jobs';
+import type { AllowedWorkers, JobPolicy, StepRun, Worker } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { parseTaskName } from '@sequoiaquay/core/jobs';
 import type { AdviceService } from './ports/advice-service';
@@ -15,7 +15,7 @@
 
 /** Step that waits for an answer about some workers. */
 interface WaitingStep {
-  queue: QueueConfig;
+  policy: JobPolicy;
   step: StepRun;
   /** Workers to which its tasks could be assigned. */
   workers: readonly Worker[];
@@ -51,13 +51,13 @@
    * Returns the ids of the workers that are known to be allowed to run a step. It requests permits for those about
    * which there is no valid answer.
    */
-  allowedWorkers(queue: QueueConfig, step: StepRun, workers: readonly Worker[]): AllowedWorkers {
+  allowedWorkers(policy: JobPolicy, step: StepRun, workers: readonly Worker[]): AllowedWorkers {
     const name = stepNameOf(step.tasks[0]?.name ?? '');
     const now = this.timers.mono();
     const advice = this.#adviceByStep.get(name);
     if (advice === undefined || advice.unanswered(workers, now).length > 0) {
       // A step that waits already keeps its place.
-      this.#waitingSteps.set(name, { queue, step, workers });
+      this.#waitingSteps.set(name, { policy, step, workers });
       void this.#requestWaiting();
     }
     return advice?.allowed(workers, now) ?? new Set();
@@ -88,17 +88,17 @@
   }
 
   async #requestFor(name: string, waiting: WaitingStep, service: AdviceService): Promise<void> {
-    const { queue, step } = waiting;
+    const { policy, step } = waiting;
     const now = this.timers.mono();
     const known = this.#adviceByStep.get(name) ?? new StepAdvice();
     const unanswered = known.unanswered(waiting.workers, now);
     const isWaiting = step.waitingCount > 0 && step.tasks[0]?.job.hasEnded === false;
-    if (this.signal.aborted || !isWaiting || unanswered.length === 0 || queue.advice === undefined) {
+    if (this.signal.aborted || !isWaiting || unanswered.length === 0 || policy.advice === undefined) {
       return;
     }
     const workers = unanswered.slice(0, MAX_WORKERS_PER_REQUEST);
     const workerIds = workers.map((worker) => worker.info.id);
-    const { decisionMs, perWorkerMs } = queue.advice;
+    const { decisionMs, perWorkerMs } = policy.advice;
     const timeoutMs = TIMEOUT_MARGIN_MS + decisionMs + perWorkerMs * workerIds.length;
     const advice = await service.requestAdvice({ signal: this.signal, step: name, timeoutMs, workerIds });
     if (advice.isOk()) {
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -1,5 +1,5 @@
 import type { FleetConfig, Job, JobRecord, JobSpec } from '@sequoiaquay/core/jobs';
-import { decodeJobRecord, encodeJobRecord, JobTable } from '@sequoiaquay/core/jobs';
+import { decodeJobRecord, encodeJobRecord, JobTable, toJobPolicy } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -91,6 +91,18 @@
     expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('unsure');
   });
 
+  it('stores what the queue determines for its jobs with the job', async () => {
+    expect((await createService().submit(REQ, ok(SPEC))).kind).toBe('accepted');
+    const [queue] = CONFIG.queues;
+    expect(queue && toJobPolicy(queue)).toMatchObject({
+      maxAttempts: queue?.maxAttempts,
+      stretch: queue?.stretch,
+    });
+    const [stored] = stream.records;
+    const decoded = decodeJobRecord(stored?.key ?? '', stored?.value)._unsafeUnwrap();
+    expect(decoded).toMatchObject({ job: { policy: queue && toJobPolicy(queue) }, kind: 'submit' });
+  });
+
   it('refuses a job because the store is unavailable when certainly nothing was stored', async () => {
     const callers = createService('refused', 'refused');
     const answer = await callers.submit(REQ, ok(SPEC));
