fix(core): size pools without workers by workers that have answered

A single registry entry of another writer, with a capacity that no worker has, made every pool without open workers ask for one VM only, so that its jobs waited.

Cause: the capacity assumed for such a pool was the largest of all known entries, whether their workers had ever answered or not.

Change: only workers that have answered in this term count; before the first has, the capacities in the list of VMs do.

--- a/packages/core/src/maintenance/pool-balancer.ts
+++ b/packages/core/src/maintenance/pool-balancer.ts
@@ -122,10 +122,7 @@
           ? this.#moves.arrivingCount(pool)
           : this.#arrivingVms(pool).filter((vm) => vm.labels.includes(label)).length,
       arrivingVms: (pool) => this.#arrivingVms(pool),
-      defaultWorkerCpuMilli: Math.max(
-        0,
-        ...[...this.fleet.workers.values()].map((item) => item.info.capacity.cpuMilli),
-      ),
+      defaultWorkerCpuMilli: this.#defaultWorkerCpuMilli(),
       moveDurationMs: this.#moves.moveDurationMs,
       now,
       poolSize: (pool) => this.#poolSizes.get(pool) ?? 0,
@@ -143,6 +140,16 @@
     return { orders, records: onset ? [this.#recordOnset(loads, wallNow)] : [] };
   }
 
+  // An entry in the registry that no worker has confirmed may state any capacity.
+  #defaultWorkerCpuMilli(): number {
+    const answered = [...this.fleet.workers.values()].filter((worker) => worker.isFenced);
+    const capacities =
+      answered.length > 0
+        ? answered.map((worker) => worker.info.capacity.cpuMilli)
+        : this.#vms.map((vm) => vm.capacity?.cpuMilli ?? 0);
+    return Math.max(0, ...capacities);
+  }
+
   #recordOnset(loads: readonly PoolLoad[], wallNow: number): KeyedRecord {
     const { forecast } = this;
     const next = forecast.nextPeak(
--- a/packages/core/tests/maintenance/pool-balancer.test.ts
+++ b/packages/core/tests/maintenance/pool-balancer.test.ts
@@ -54,6 +54,14 @@
   return { balancer, fleet };
 }
 
+/** Fleet whose pool `busy` has no worker, and waiting tasks for three of 4 cores. */
+function createFleetWithEmptyPool(): { balancer: PoolBalancer; fleet: Fleet } {
+  const fleet = new Fleet();
+  ['i1', 'i2', 'i3', 'i4'].forEach((id) => fleet.add('idle', id));
+  fleet.waiting.set('busy', 10_000);
+  return { balancer: new PoolBalancer(fleet, () => undefined), fleet };
+}
+
 function ordersAt(balancer: PoolBalancer, now: number): MoveOrder[] {
   return balancer.plan(now, now, SPARE).orders;
 }
@@ -304,3 +312,23 @@
     expect(ordersAt(balancer, 8000)).toEqual([]);
   });
 });
+
+// Guards against a registry entry of another writer that makes every pool without workers ask for one VM only.
+describe('VMs for a pool without workers', () => {
+  it('are not counted by the capacity of an entry that no worker has confirmed', () => {
+    const { balancer, fleet } = createFleetWithEmptyPool();
+    const capacity = { cpuMilli: 1e9, gpus: 0, memoryMb: 1e9 };
+    fleet.workers.set('odd', new Worker(worker('odd', { capacity, pool: 'idle' }), 0));
+    balancer.onVms(fleet.vms, 0);
+    expect(ordersAt(balancer, 10_000).length).toBeGreaterThanOrEqual(3);
+  });
+
+  it('are counted by the capacities of the listed VMs while no worker has answered', () => {
+    const { balancer, fleet } = createFleetWithEmptyPool();
+    fleet.workers.clear();
+    const capacity = { cpuMilli: 4000, gpus: 0, memoryMb: 1000 };
+    fleet.vms.forEach((vm) => Object.assign(vm, { capacity, pool: 'spare', workerId: '' }));
+    balancer.onVms(fleet.vms, 0);
+    expect(ordersAt(balancer, 10_000).length).toBeGreaterThanOrEqual(3);
+  });
+});
