fix(core): skip the record of a job that no node would have accepted

A record in the stream of jobs whose step has 1e9 tasks ended the process of every node that led, one after the other: the leader makes an object for each task. Callers of such a node lost their requests.

Cause: only submissions were checked for what a leader can hold; records of the stream were taken as they were.

Change: a record must hold a job that a node would accept, else it is skipped with a line.

--- a/packages/core/src/jobs/job-record.ts
+++ b/packages/core/src/jobs/job-record.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod';
 import type { JobPolicy } from './fleet-config';
 import type { Job } from './job-spec';
+import { findJobProblems } from './job-spec';
 import { parseJson } from './parse-json';
 
 /** Kinds of records in the stream of jobs. */
@@ -211,10 +212,7 @@
     return ok({ id, kind: JOB_RECORD.delete, prefix });
   }
   if (prefix === JOB_KEY_PREFIX.submitted) {
-    return parseJson(value, jobSchema).map(({ policy, ...job }) => ({
-      job: { id, ...job, policy: policy && toPolicy(policy) },
-      kind: JOB_RECORD.submit,
-    }));
+    return decodeSubmission(id, value).mapErr((reason) => `record ${key}: ${reason}`);
   }
   if (prefix === JOB_KEY_PREFIX.cancelled) {
     return ok({ id, kind: JOB_RECORD.cancel });
@@ -225,6 +223,16 @@
     : err(`record ${key} has the unknown state ${value}`);
 }
 
+// A job that no node would have accepted would take the memory of every leader.
+function decodeSubmission(id: string, value: string): Result<SubmitRecord, string> {
+  return parseJson(value, jobSchema).andThen(({ policy, ...job }) => {
+    const problems = findJobProblems(job.spec);
+    return problems.length > 0
+      ? err(problems.join(', '))
+      : ok({ job: { id, ...job, policy: policy && toPolicy(policy) }, kind: JOB_RECORD.submit });
+  });
+}
+
 function deletions(id: string, ...prefixes: JobKeyPrefix[]): KeyedRecord[] {
   return prefixes.map((prefix) => ({ key: `${prefix}.${id}`, value: undefined }));
 }
--- a/tests/support/node-cluster.ts
+++ b/tests/support/node-cluster.ts
@@ -59,7 +59,12 @@
   readonly nodes: NodeVm[] = [];
 
   private constructor(readonly store: StoreStandIn) {
-    store.append(OPERATORS_TOPIC, [{ key: 'config', value: JSON.stringify(createConfig()) }]);
+    this.configure();
+  }
+
+  /** Writes the configuration, as the operators do. */
+  configure(): void {
+    this.store.append(OPERATORS_TOPIC, [{ key: 'config', value: JSON.stringify(createConfig()) }]);
   }
 
   /** Starts a store with earlier jobs, and nodes with unlimited links; waits until all nodes are ready. */
