fix(node): go on after an unexpected error in one step of a reader or a term

An error outside of the handler of a record would have ended the process: in a reader's own step, in a round of maintenance or about the list of VMs, or with one job when a leader takes over. The next leader would have met the same record. No record is known that causes one; the paths were found by reading.

A page of newest records whose last key is not valid text is returned again by the store, since it can't be named to continue after it: the load never ended, and a node that can't load the registry never leads.

Change: these steps log the error and go on; a load ends at a page that is returned again.

Tests: four new ones fail with the parent's source (the load, the reader, the round of maintenance, the job) and pass now.

--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -96,12 +96,23 @@
     this.ctx.timers.every(
       PLAN_INTERVAL_MS,
       () => {
-        this.#planAndExecute();
+        this.#guard(() => {
+          this.#planAndExecute();
+        });
       },
       this.signal,
     );
   }
 
+  // An unexpected error, for example about one wave, must end neither the process nor the maintenance of other VMs.
+  #guard(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.ctx.log.error({ err: error }, 'step of the maintenance failed');
+    }
+  }
+
   #planAndExecute(): void {
     const { planner, timers } = this.ctx;
     if (!this.ctx.isLeadershipConfirmed()) {
@@ -135,8 +146,10 @@
     this.#isListingVms = false;
     this.#lastVmListAt = Math.max(this.#lastVmListAt, listed.isOk() ? requestedAt : this.#lastVmListAt);
     if (listed.isOk()) {
-      this.ctx.planner.onVms(listed.value, requestedAt);
-      this.ctx.balancer.onVms(listed.value, requestedAt);
+      this.#guard(() => {
+        this.ctx.planner.onVms(listed.value, requestedAt);
+        this.ctx.balancer.onVms(listed.value, requestedAt);
+      });
     } else {
       this.ctx.log.warn({ error: listed.error }, 'VM list unavailable');
       this.#reportUnavailable();
--- a/packages/node/src/newest-pages.ts
+++ b/packages/node/src/newest-pages.ts
@@ -64,8 +64,14 @@
   }
 
   #onPage(page: NewestPage, pageMs: number): void {
-    this.#afterKey = page.records.at(-1)?.key;
-    this.#hasMore = page.hasMore && this.#afterKey !== undefined;
+    const lastKey = page.records.at(-1)?.key;
+    // A key that is not valid text can't be named to continue after it, and the store returns the same page again.
+    const isRepeated = lastKey !== undefined && lastKey === this.#afterKey;
+    if (isRepeated) {
+      this.log.error({ ...this.progress, key: lastKey, stream: this.name }, 'page repeated, load ends there');
+    }
+    this.#afterKey = lastKey;
+    this.#hasMore = page.hasMore && lastKey !== undefined && !isRepeated;
     this.#bytes += contentBytes(page.records);
     this.#failuresInRow = 0;
     this.#keys += page.records.length;
--- a/packages/node/src/stream-tail.ts
+++ b/packages/node/src/stream-tail.ts
@@ -99,15 +99,25 @@
   /** Follows the stream until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const step = this.#isLoaded ? await this.#read(signal) : await this.#continueLoad(signal);
-      if (step.isErr()) {
-        await this.#onReadFailure(step.error, signal);
-      } else {
-        await this.#onStep(step.value, signal);
+      try {
+        await this.#step(signal);
+      } catch (error) {
+        this.log.error({ err: error, stream: this.settings.name }, 'step of a reader failed');
+        this.#reachableSince = undefined;
+        await this.timers.sleep(this.settings.retryDelayMs, signal);
       }
     }
   }
 
+  async #step(signal: AbortSignal): Promise<void> {
+    const step = this.#isLoaded ? await this.#read(signal) : await this.#continueLoad(signal);
+    if (step.isErr()) {
+      await this.#onReadFailure(step.error, signal);
+    } else {
+      await this.#onStep(step.value, signal);
+    }
+  }
+
   // After each page all new records are read, so that the store drops none of them before they are read.
   async #continueLoad(signal: AbortSignal): Promise<Result<ReadStep, StoreError>> {
     const load = (this.#load ??= this.#beginLoad());
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -1,4 +1,13 @@
-import type { FleetConfig, JobEntry, JobTable, Plan, StateRecord, Wave } from '@sequoiaquay/core/jobs';
+import type {
+  FleetConfig,
+  Job,
+  JobEntry,
+  JobTable,
+  Plan,
+  StateRecord,
+  TaskRecord,
+  Wave,
+} from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import {
   encodeTaskTombstone,
@@ -280,7 +289,7 @@
   }
 
   #restore(): void {
-    const { jobs, timers } = this.ctx;
+    const { jobs } = this.ctx;
     const cfg = this.ctx.cfg();
     if (cfg !== undefined) {
       this.#scheduler.onConfig(cfg);
@@ -288,7 +297,7 @@
     // Left-over records belong to jobs that have ended or are no longer known; they are deleted.
     const recordsByJob = groupByJob(this.start.tasks);
     for (const job of [...jobs.activeJobs()]) {
-      this.#scheduler.onJob(job, recordsByJob.get(job.id) ?? [], timers.mono(), timers.now());
+      this.#takeOver(job, recordsByJob.get(job.id) ?? []);
       recordsByJob.delete(job.id);
     }
     const obsolete = [...recordsByJob.values()].flat();
@@ -299,6 +308,16 @@
     this.#log.info({ forgotten: obsolete.length, jobs: this.#scheduler.jobs.size }, 'jobs taken over');
   }
 
+  // One job must not keep every node from leading.
+  #takeOver(job: Job, records: readonly TaskRecord[]): void {
+    const { timers } = this.ctx;
+    try {
+      this.#scheduler.onJob(job, records, timers.mono(), timers.now());
+    } catch (error) {
+      this.#log.error({ err: error, job: job.id }, 'job not taken over');
+    }
+  }
+
   #startMaintenance(): void {
     const { ownHeartbeatAgeMs, ports, settings, timers, waves } = this.ctx;
     const { codec, status, vms } = ports;
--- a/packages/node/tests/maintenance-loop.test.ts
+++ b/packages/node/tests/maintenance-loop.test.ts
@@ -165,4 +165,16 @@
     expect(harness.moved).toEqual([]);
     expect(harness.workers()[0]?.isAssignable(performance.now())).toBe(true);
   });
+
+  it('goes on after an unexpected error in a round of planning or about the list of VMs', async () => {
+    harness = new Harness(1);
+    const throwOnce = (): never => {
+      throw new Error('unexpected');
+    };
+    vi.spyOn(PoolBalancer.prototype, 'plan').mockImplementationOnce(throwOnce);
+    vi.spyOn(WavePlanner.prototype, 'onVms').mockImplementationOnce(throwOnce);
+    harness.loop.run([]);
+    await harness.countClosed(3000);
+    expect(harness.moved).not.toEqual([]);
+  });
 });
--- a/packages/node/tests/newest-pages.test.ts
+++ b/packages/node/tests/newest-pages.test.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '@sequoiaquay/runtime';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { createLogger } from 'bunyan';
+import { okAsync } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
 import { NewestPages } from '../src/newest-pages';
 import { MemoryStream } from './support/memory-stream';
@@ -35,4 +36,18 @@
     expect(failed[0]).toMatchObject({ error: 'no answer', keys: 1, pages: 1, stream: 'jobs' });
     expect(pages.progress).toMatchObject({ bytes: 600, failures: 3, keys: 100, pages: 100 });
   });
+
+  // Guards against a load that never ends since a key that is not valid text can't be continued after.
+  it('ends at a page that the store returns again', async () => {
+    const stream = new MemoryStream();
+    stream.records.push({ key: '\ufffd', offset: 0, value: 'x' });
+    stream.readNewestPage = () => okAsync({ end: 1, hasMore: true, records: [...stream.records] });
+    const lines: Record<string, unknown>[] = [];
+    const pages = new NewestPages(stream, 'registry', new SystemTimerService(), recordingLog(lines));
+    for (let calls = 0; pages.hasMore && calls < 10; calls += 1) {
+      await pages.readNext(100, signal);
+    }
+    expect(pages.progress.pages).toBe(2);
+    expect(lines.filter((line) => line.msg === 'page repeated, load ends there')).toHaveLength(1);
+  });
 });
--- a/packages/node/tests/stream-tail.test.ts
+++ b/packages/node/tests/stream-tail.test.ts
@@ -70,6 +70,23 @@
     expect([...seen.keys()]).toEqual(['a', 'b', 'c']);
   });
 
+  it('goes on after a read that throws', async () => {
+    const stream = new MemoryStream();
+    const read = stream.read.bind(stream);
+    let failures = 0;
+    stream.read = (req) => {
+      if (failures < 3) {
+        failures += 1;
+        throw new Error('unexpected');
+      }
+      return read(req);
+    };
+    add(stream, 'a', '1');
+    const tail = follow(stream);
+    await expect.poll(() => tail.isLoaded).toBe(true);
+    expect(seen.get('a')).toBe('1');
+  });
+
   it('goes on with the next record after an error while one is handled', async () => {
     const stream = new MemoryStream();
     add(stream, 'bad', '1');
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -196,6 +196,15 @@
     expect(link.started).toEqual([{ run: 1, task: `${JOB.id}.0.0.1` }]);
   });
 
+  it('takes over the other jobs after an unexpected error with one', async () => {
+    const link = new EndReportingWorker();
+    const jobs = new JobTable();
+    const odd = { ...JOB, id: '00000000000000f1', spec: { ...JOB.spec, steps: [undefined as never] } };
+    jobs.apply({ job: odd, kind: JOB_RECORD.submit });
+    runTerm(contextOf(link, jobs));
+    await expect.poll(() => link.started.map(({ task }) => task)).toContain(`${JOB.id}.0.0.1`);
+  });
+
   it('stops the runs of a cancelled job whose specification is deleted after a change of leader', async () => {
     const link = new RunningWorker();
     const jobs = new JobTable();
