test(core): keep the runs of a worker whose entry is odd for a while

Looked into for the odd entries of executors: an entry that is good, odd and good again while a run is on the worker. The run goes on under its lease, no other starts there meanwhile, and its end is read. Nothing had to change.

--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -270,3 +270,27 @@
     expect(harness.start()).toEqual(['j.0.0.0']);
   });
 });
+
+// Guards against a second run of a task, or a lost one, while another writer's entry stands in place of its worker's.
+describe('An entry that can not be used for a while', () => {
+  it('keeps the runs of its worker, which starts no others until its entry is back', () => {
+    const harness = new Harness();
+    harness.register({});
+    harness.report(report());
+    harness.submit('i', 'p');
+    expect(harness.start()).toEqual(['i.0.0.0']);
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.submit('j', 'p');
+    for (let count = 0; count < 50; count += 1) {
+      harness.now += 100;
+      harness.worker.extendLease(harness.now, 1000);
+      harness.report(report([['i.0.0.0', 1]]));
+      harness.scheduler.tick(harness.now, 0);
+      expect(harness.start()).toEqual([]);
+    }
+    harness.register({});
+    expect(harness.start()).toEqual(['j.0.0.0']);
+    harness.report(report([], [[1, 'i.0.0.0', 1, 'done']]));
+    expect(harness.scheduler.jobs.get('i')?.hasEnded).toBe(true);
+  });
+});
