fix(core): blame no task when the leader's own order may have ended its worker

A task that had just started on a worker whose VM an order may still take (a move or an upkeep that got no answer) counted as the certain cause when that order was carried out late: the process has ended, but not because of the task. Two such ends give its job up.

Change: while the VM is claimed, or at risk of a late order, its end proves nothing against a task.

Test: fails with the parent's source (alone 1, caused 1), passes now.

--- a/packages/core/src/jobs/worker-crash.ts
+++ b/packages/core/src/jobs/worker-crash.ts
@@ -3,7 +3,7 @@
 
 /** Apparent crash of a worker's process, and the tasks that may have caused it. */
 export interface WorkerCrash {
-  /** Whether the worker was starting the only suspect and no other task. */
+  /** Whether the worker was starting the only suspect and no other task, and no order for its VM was open. */
   isAlone: boolean;
   /** Whether the only suspect is certainly the cause, if the process has ended. */
   isCertain: boolean;
@@ -74,11 +74,18 @@
   const runs = [...worker.runs.values()];
   const started = runs.filter((task) => mayHaveStarted(task, disconnection.at));
   const suspects = started.length > 0 ? started : runs.filter((task) => task.isSuspected);
+  const isOrdered = isVmOrdered(worker, disconnection.at);
   const isCertain =
+    !isOrdered &&
     suspects.length === 1 &&
     suspects.every((task) => wasJustConfirmed(task, disconnection.at) || isOfUnknownAge(task)) &&
     !isPartOfOutage(worker, disconnected);
-  return { isAlone: started.length === 1, isCertain, suspects };
+  return { isAlone: !isOrdered && started.length === 1, isCertain, suspects };
+}
+
+// The process may have ended because an order of the leader, which may be carried out late, took its VM.
+function isVmOrdered(worker: Worker, at: number): boolean {
+  return worker.isAtRisk(at) || worker.vmClaim(at) !== undefined;
 }
 
 // An order that has not been sent cannot have started the task.
--- a/packages/core/tests/jobs/worker-crash.test.ts
+++ b/packages/core/tests/jobs/worker-crash.test.ts
@@ -324,6 +324,16 @@
     expect(fleet.records().at(-1)?.crashes).toEqual({ ...ONE_CRASH, caused: 0 });
   });
 
+  it('is not blamed on a task whose VM an order of the leader may have taken', () => {
+    const fleet = new SingleWorker();
+    fleet.start();
+    const holder = 'pool-balancer';
+    fleet.worker.vmRisks.set(holder, { holder, until: fleet.now + 5000 });
+    fleet.disconnect();
+    fleet.scheduler.onWorkerReplaced(fleet.worker, fleet.now);
+    expect(fleet.records().at(-1)?.crashes).toEqual({ ...ONE_CRASH, alone: 0, caused: 0 });
+  });
+
   it('keeps a task from starting without limit while it is not proven', () => {
     const suspicions = [1, 2, 3, 4, 5].map((run) => ({ ...SUSPICION, run, workerId: `lost${run}` }));
     const record = {
