test(node): hand in jobs with a step, as callers do

Seven tests of the caller service have failed since the record of a job that no node would have accepted is skipped: their job had no step, which every node refuses to accept. The tests ask for the same answers as before, for a job with a step.

--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -4,6 +4,7 @@
 import { ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { AppendFault } from './support/memory-stream';
+import { step } from '../../core/tests/jobs/support/jobs';
 import { CallerService } from '../src/caller-service';
 import { JobWriter } from '../src/job-writer';
 import { NodeMetrics } from '../src/node-metrics';
@@ -14,7 +15,7 @@
 
 const ID = '00000bb87a21d94b';
 const REQ = { host: 'h', path: `/q/${ID}`, timeoutMs: 600 };
-const SPEC: JobSpec = { body: 'work', steps: [] };
+const SPEC: JobSpec = { body: 'work', steps: [step()] };
 
 const JOB: Job = { acceptedAt: 0, id: ID, pool: 'p', queue: 'quick', spec: SPEC };
 
