test(review): show that one large job stops all queues

The records of a plan are appended in one call, whatever their size. Those of an accepted job of 45,000 best-effort tasks exceed what the store takes in a call. The leader repeats the refused call until its term ends, and so does each next one: nothing begins any more, on any queue.

Cause: TermLog neither splits a large append nor tells a call that the store refuses for good from one that it refuses for now.

--- a/review/support-2/store.mjs
+++ b/review/support-2/store.mjs
@@ -53,6 +53,9 @@
 async function append(topic, query, body) {
   const records = decode(body);
   if (body.length > CALL_BYTES || records.some((record) => record.length > RECORD_BYTES)) {
+    process.stdout.write(
+      `append of ${body.length} bytes and ${records.length} records refused, status 413\n`,
+    );
     return { body: {}, status: 413 };
   }
   if (topic.queued * APPEND_MS > MAX_QUEUED_MS) {
