--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,10 +1,10 @@
 // One job of many small best-effort tasks, for all of which there is room, and a small job of another queue after it.
 import { config, delay, freePorts, runCase } from '../support-2/site.mjs';
 
-const EXECUTORS = 8;
+const EXECUTORS = 16;
 const FINISH_MS = 14_000;
 const IDLE_MS = 3000;
-const TASKS = 45_000;
+const TASKS = 50_000;
 const TASKS_WITHOUT_TROUBLE = 2000;
 const LARGE = '/render/6a0e5a21d94b3601';
 const SMALL = '/quick/6b0e5a21d94b3601';
