fix(node): store a plan of any size in appends that the store takes

Cause: TermLog combined whole calls up to 32 KB, but sent a single call of any size as it was. A plan's records came as one append of 2.7 MB, above call_bytes (2,097,152); the store answered 413, the leader repeated it, and all later records of the term waited behind it. Change: records are taken one by one into appends of at most 32 KB, or call_bytes where that is smaller (the settings state both limits now). A call is confirmed once its last record is stored, so orders and acknowledgements still follow all records of their plan. What a term that ends on the way leaves is a prefix in the order of the decisions: ends before the assignments that use their room; members of a gang of which some are assigned are stopped by the next leader, as before; a gang of which only one member is stored as done is now done as a whole, else its others would have waited for good. Not yet: one plan still assigns all 50,000 tasks.

--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -134,6 +134,26 @@
     }
   }
 
+  /**
+   * Finishes the gangs of which one member is done, which stands for all of them: the earlier leader that read its end
+   * may not have stored it for the others.
+   */
+  finishDoneGangs(run: JobRun, now: number): void {
+    for (const step of run.occurrences.flatMap((occurrence) => occurrence.steps)) {
+      if (step.spec.gang && step.tasks.some(({ phase }) => phase === 'done')) {
+        this.finishGang(step, now);
+      }
+    }
+  }
+
+  /** Finishes the members of a gang that are not done. */
+  finishGang(step: StepRun, now: number): void {
+    for (const member of step.tasks.filter(({ phase }) => phase !== 'done')) {
+      member.applyEvent('finish', now);
+      this.storeTask(member);
+    }
+  }
+
   /** Stops the members of gangs of which others wait: the earlier leader that lost these may not have reached them. */
   stopIncompleteGangs(run: JobRun, now: number): void {
     for (const step of run.occurrences.flatMap((occurrence) => occurrence.steps)) {
--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -64,10 +64,8 @@
       return;
     }
     task.applyEvent('finish', now);
-    const others = task.step.spec.gang ? task.step.tasks.filter((member) => member !== task) : [];
-    for (const member of others) {
-      member.applyEvent('finish', now);
-      this.runControl.storeTask(member);
+    if (task.step.spec.gang) {
+      this.runControl.finishGang(task.step, now);
     }
     this.ctx.getOrCreatePool(task.job.job.pool).needsAssignment = true;
   }
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -384,6 +384,7 @@
       this.#workerLosses.restore(task, now);
       this.#runControl.failIfExhausted(task, now);
     }
+    this.#runControl.finishDoneGangs(run, now);
     this.#runControl.stopIncompleteGangs(run, now);
   }
 }
--- a/packages/core/tests/jobs/restored-gang.test.ts
+++ b/packages/core/tests/jobs/restored-gang.test.ts
@@ -28,4 +28,20 @@
     scheduler.onReport(known, report([], [[1, 'j.0.0.0', 1, 'stopped']]), 125, 130);
     expect(scheduler.plan(140, 0).starts).toMatchObject([{ run: 2 }, { run: 2 }]);
   });
+
+  it('is done when the earlier leader stored the end of one member only', () => {
+    const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+    scheduler.onConfig(config());
+    const done: TaskRecord = {
+      checkpoint: '',
+      failures: 0,
+      run: 1,
+      state: 'done',
+      task: 'j.0.0.0',
+      workerId: '',
+    };
+    const assigned: TaskRecord = { ...done, state: 'assigned', task: 'j.0.0.1', workerId: 'gone' };
+    scheduler.onJob(job('j', [step({ count: 2, gang: true })]), [done, assigned], 100, 0);
+    expect(scheduler.plan(120, 0).states).toMatchObject([{ id: 'j', state: 'completed' }]);
+  });
 });
--- a/packages/node/src/append-limits.ts
+++ b/packages/node/src/append-limits.ts
@@ -7,6 +7,17 @@
  */
 export const MAX_APPEND_BYTES = 32_768;
 
+/** Limits that the store sets on an append. */
+export interface AppendLimits {
+  /** Most bytes of the records of one append. */
+  callBytes: number;
+  /** Most bytes of a record. */
+  recordBytes: number;
+}
+
+/** Limits of a store that states none. */
+export const NO_APPEND_LIMITS: AppendLimits = { callBytes: Infinity, recordBytes: Infinity };
+
 /** Lowest rate at which an append is expected to be sent, in bytes per ms. */
 const MIN_BYTES_PER_MS = 100;
 
--- a/packages/node/src/node-settings.ts
+++ b/packages/node/src/node-settings.ts
@@ -1,5 +1,7 @@
 import { addressSchema } from '@sequoiaquay/runtime';
 import * as z from 'zod';
+import type { AppendLimits } from './append-limits';
+import { NO_APPEND_LIMITS } from './append-limits';
 
 const positiveNumber = z.number().positive();
 
@@ -43,6 +45,10 @@
   readinessAddress: addressSchema,
   /** Address of the platform's store. */
   storeAddress: addressSchema,
+  /** Most bytes of the records that the store takes in one call; omitted if not known. */
+  storeCallBytes: positiveNumber.optional(),
+  /** Most bytes of a record that the store takes; omitted if not known. */
+  storeRecordBytes: positiveNumber.optional(),
   /** Address of the service that manages the VMs of the pools; omitted if there is none. */
   vmServiceAddress: addressSchema.optional(),
 });
@@ -50,6 +56,15 @@
 /** Settings of a node. */
 export type NodeSettings = z.infer<typeof nodeSettingsSchema>;
 
+/** Returns the limits that the store sets on an append. */
+export function appendLimits(settings: NodeSettings): AppendLimits {
+  const { storeCallBytes, storeRecordBytes } = settings;
+  return {
+    callBytes: storeCallBytes ?? NO_APPEND_LIMITS.callBytes,
+    recordBytes: storeRecordBytes ?? NO_APPEND_LIMITS.recordBytes,
+  };
+}
+
 const BYTES_PER_MBIT = 125_000;
 
 /** Returns the capacity of the machine's link in each direction, in bytes a second; undefined if not known. */
--- a/packages/node/src/term-log.ts
+++ b/packages/node/src/term-log.ts
@@ -1,14 +1,19 @@
 import type { KeyedRecord } from '@sequoiaquay/core/jobs';
 import type { TimerService } from '@sequoiaquay/runtime';
+import type { AppendLimits } from './append-limits';
 import type { KeyedStream, StoreError } from './ports/keyed-stream';
 import { AdaptiveTimeout } from './adaptive-timeout';
-import { MAX_APPEND_BYTES, sendAllowanceMs } from './append-limits';
+import { MAX_APPEND_BYTES, NO_APPEND_LIMITS, sendAllowanceMs } from './append-limits';
 import { STORE_FAILURE } from './ports/keyed-stream';
-import { contentBytes } from './record-bytes';
+import { storedBytes } from './record-bytes';
 
 interface PendingAppend {
   records: readonly KeyedRecord[];
+  /** Number of its records that are stored or in flight. */
+  sentCount: number;
   settle: (isStored: boolean) => void;
+  /** Monotonic time at which its first record was sent, in ms; undefined before that. */
+  startedAt: number | undefined;
 }
 
 /** Delay before a failed append or read is retried, in ms. */
@@ -18,14 +23,14 @@
 const MAX_APPEND_RECORDS = 2000;
 
 /**
- * Writes the records of a term to the stream of runs. Each append is conditional on the end of the stream.
- * On a conflict, either an earlier append of the same records succeeded and its answer was lost, or another
+ * Writes the records of a term to the stream of runs, in their order and in appends of a bounded size: a term that
+ * ends on the way leaves the first records of a call. Each append is conditional on the end of the stream. On a conflict, either an earlier append of the same records succeeded and its answer was lost, or another
  * leader has written, which ends the term.
  */
 export class TermLog {
   #isWriting = false;
   #end: number;
-  #inFlightSince: number | undefined;
+  readonly #maxBytes: number;
   readonly #storeTimeout = new AdaptiveTimeout();
   #queue: PendingAppend[] = [];
 
@@ -35,13 +40,16 @@
     private readonly onLost: (reason: string) => void,
     private readonly timers: TimerService,
     private readonly signal: AbortSignal,
+    limits: AppendLimits = NO_APPEND_LIMITS,
   ) {
     this.#end = end;
+    this.#maxBytes = Math.min(MAX_APPEND_BYTES, limits.callBytes);
   }
 
-  /** Time since the append in flight was started, in ms, including retries; 0 if there is none. */
+  /** Time since the first record of the call in progress was sent, in ms, including retries; 0 if there is none. */
   get appendDelayMs(): number {
-    return this.#inFlightSince === undefined ? 0 : this.timers.mono() - this.#inFlightSince;
+    const startedAt = this.#queue[0]?.startedAt;
+    return startedAt === undefined ? 0 : this.timers.mono() - startedAt;
   }
 
   /**
@@ -53,7 +61,7 @@
       return Promise.resolve(!this.signal.aborted);
     }
     return new Promise((resolve) => {
-      this.#queue.push({ records, settle: resolve });
+      this.#queue.push({ records, sentCount: 0, settle: resolve, startedAt: undefined });
       if (!this.#isWriting) {
         this.#isWriting = true;
         void this.#drainQueue();
@@ -63,11 +71,11 @@
 
   async #drainQueue(): Promise<void> {
     while (this.#queue.length > 0 && !this.signal.aborted) {
-      const batch = this.#dequeueBatch();
-      const isStored = await this.#storeRecords(batch.flatMap((pending) => pending.records));
-      for (const pending of batch) {
-        pending.settle(isStored);
+      const isStored = await this.#storeRecords(this.#takeBatch());
+      if (!isStored) {
+        break;
       }
+      this.#settleStored();
     }
     for (const pending of this.#queue.splice(0)) {
       pending.settle(false);
@@ -75,22 +83,36 @@
     this.#isWriting = false;
   }
 
-  #dequeueBatch(): PendingAppend[] {
+  // A record that exceeds the bound by itself is sent alone.
+  #takeBatch(): KeyedRecord[] {
+    const batch: KeyedRecord[] = [];
     let bytes = 0;
-    let recordCount = 0;
-    const batchSize = this.#queue.findIndex(({ records }) => {
-      bytes += contentBytes(records);
-      recordCount += records.length;
-      return bytes > MAX_APPEND_BYTES || recordCount > MAX_APPEND_RECORDS;
-    });
-    return this.#queue.splice(0, batchSize === -1 ? this.#queue.length : Math.max(1, batchSize));
+    for (const pending of this.#queue) {
+      for (const record of pending.records.slice(pending.sentCount, pending.sentCount + MAX_APPEND_RECORDS)) {
+        bytes += storedBytes([record]);
+        if (batch.length > 0 && (bytes > this.#maxBytes || batch.length >= MAX_APPEND_RECORDS)) {
+          return batch;
+        }
+        batch.push(record);
+        pending.sentCount += 1;
+        pending.startedAt ??= this.timers.mono();
+      }
+    }
+    return batch;
+  }
+
+  #settleStored(): void {
+    const unstored = this.#queue.findIndex(({ records, sentCount }) => sentCount < records.length);
+    const count = unstored === -1 ? this.#queue.length : unstored;
+    for (const pending of this.#queue.splice(0, count)) {
+      pending.settle(true);
+    }
   }
 
   async #storeRecords(records: readonly KeyedRecord[]): Promise<boolean> {
     if (records.length === 0) {
       return !this.signal.aborted;
     }
-    this.#inFlightSince = this.timers.mono();
     const allowanceMs = sendAllowanceMs(records);
     let isPossiblyStored = false;
     while (!this.signal.aborted) {
@@ -122,7 +144,6 @@
 
   #onStored(records: readonly KeyedRecord[]): boolean {
     this.#end += records.length;
-    this.#inFlightSince = undefined;
     return true;
   }
 
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -26,7 +26,7 @@
 import { WRITE_OUTCOME } from './job-writer';
 import { earlierLeasesEndAt, LEASE_MS, MAX_HEARTBEAT_AGE_MS } from './lease-times';
 import { MaintenanceLoop } from './maintenance-loop';
-import { linkBytesPerS } from './node-settings';
+import { appendLimits, linkBytesPerS } from './node-settings';
 import { OrderSender } from './order-sender';
 import { PermitCache } from './permit-cache';
 import { PlanTimer } from './plan-timer';
@@ -108,7 +108,14 @@
   ) {
     const { ports, timers } = ctx;
     this.#log = ctx.log.child({ epoch: start.epoch });
-    this.#termLog = new TermLog(ports.runs, start.runsEnd, onLost, timers, signal);
+    this.#termLog = new TermLog(
+      ports.runs,
+      start.runsEnd,
+      onLost,
+      timers,
+      signal,
+      appendLimits(ctx.settings),
+    );
     this.#planTimer = new PlanTimer(
       this.#guard(() => {
         this.#plan();
--- a/packages/node/tests/support/memory-stream.ts
+++ b/packages/node/tests/support/memory-stream.ts
@@ -9,6 +9,7 @@
   StoreError,
   StreamPage,
 } from '../../src/ports/keyed-stream';
+import { contentBytes } from '../../src/record-bytes';
 
 /** Fault of an append: its answer is lost after or before it is carried out, or it is refused. */
 export type AppendFault = 'lost-after' | 'lost-before' | 'none' | 'refused';
@@ -23,6 +24,8 @@
   first = 0;
   /** Whether the next pages of newest records get no answer, in order; later pages are returned. */
   newestFaults: boolean[] = [];
+  /** Most bytes of keys and values that an append may have; a larger one is refused. */
+  maxAppendBytes = Infinity;
   /** Keys after which pages of newest records were requested, in order. */
   readonly newestRequests: (string | undefined)[] = [];
   /** Called with each page of newest records before it is returned. */
@@ -42,6 +45,9 @@
     if (fault === 'lost-before') {
       return errAsync({ kind: 'lost', message: 'no answer', offset: undefined });
     }
+    if (contentBytes(req.records) > this.maxAppendBytes) {
+      return errAsync({ kind: 'refused', message: 'too large', offset: undefined });
+    }
     const offset = this.records.length;
     if (req.expectedEnd !== undefined && req.expectedEnd !== offset) {
       return errAsync({ kind: 'conflict', message: 'another end', offset });
--- a/packages/node/tests/term-log.test.ts
+++ b/packages/node/tests/term-log.test.ts
@@ -74,4 +74,24 @@
     }
     expect(stream.records).toHaveLength(2000);
   });
+
+  // Otherwise one wide plan is refused again and again, and all records behind it wait.
+  it('stores a plan of any size in appends that the store takes, in order', async () => {
+    const { log, stream } = createLog();
+    stream.maxAppendBytes = 40_000;
+    const plan = Array.from({ length: 5000 }, (_, index) => ({ key: `t.j.0.0.${index}`, value: 'x'.repeat(40) }));
+    const stored = log.append(plan);
+    const next = log.append([RECORD]);
+    expect(await Promise.all([stored, next])).toEqual([true, true]);
+    expect(stream.records.map(({ key }) => key)).toEqual([...plan, RECORD].map(({ key }) => key));
+  });
+
+  it('reports a plan as not stored when the term ends between two of its appends', async () => {
+    const { log, stream } = createLog('none', 'lost-before');
+    const plan = Array.from({ length: 2000 }, () => ({ ...RECORD, value: 'x'.repeat(40) }));
+    const stored = log.append(plan);
+    await expect.poll(() => stream.appends.length).toBe(2);
+    stream.records.push({ key: 'leader', offset: stream.records.length, value: 'other' });
+    expect(await stored).toBe(false);
+  });
 });
