--- a/packages/node/tests/term-log.test.ts
+++ b/packages/node/tests/term-log.test.ts
@@ -79,7 +79,10 @@
   it('stores a plan of any size in appends that the store takes, in order', async () => {
     const { log, stream } = createLog();
     stream.maxAppendBytes = 40_000;
-    const plan = Array.from({ length: 5000 }, (_, index) => ({ key: `t.j.0.0.${index}`, value: 'x'.repeat(40) }));
+    const plan = Array.from({ length: 5000 }, (_, index) => ({
+      key: `t.j.0.0.${index}`,
+      value: 'x'.repeat(40),
+    }));
     const stored = log.append(plan);
     const next = log.append([RECORD]);
     expect(await Promise.all([stored, next])).toEqual([true, true]);
