fix(core): let a wide job start its tasks beside those of others

Cause: one plan assigned all tasks of the step, so that 50,000 records and orders stood before those of any other job, and the leader lost its term meanwhile. Counting the neighbours of a task walked through all runs of a worker, and through all tasks of a step. Change: a step has at most 256 orders to start unanswered; answers make room for the next ones. Workers and steps count what placement asks for.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -25,6 +25,12 @@
  */
 const AT_RISK_DELAY_MS = 1500;
 
+/**
+ * Most tasks of a step whose orders to start are not answered. The orders of a wide step would otherwise delay those of
+ * all other jobs.
+ */
+const MAX_STARTING_TASKS = 256;
+
 /** Workers to which tasks of a pool can be assigned. */
 interface PoolWorkers {
   /** Those on which suspected tasks start alone, and the others. */
@@ -74,6 +80,7 @@
         if (mayAssign(run, step)) {
           this.#assignStep(run, step, { starts, workers }, now);
           free.update();
+          pool.needsAssignment ||= isStartLimited(step);
         }
       }
     }
@@ -103,6 +110,9 @@
       }
     }
     for (const task of waiting.filter((item) => !item.isSuspected)) {
+      if (isStartLimited(step)) {
+        return;
+      }
       const usable = usableFor(task, starts.open, now);
       const worker = chooseWorker(task, usable, allowed);
       if (worker !== undefined) {
@@ -141,6 +151,10 @@
   }
 }
 
+function isStartLimited(step: StepRun): boolean {
+  return step.startingCount >= MAX_STARTING_TASKS;
+}
+
 // An order that is carried out late must not make more tasks of a step unavailable than it tolerates, unless the task
 // would wait too long.
 function usableFor(task: Task, workers: readonly Worker[], now: number): readonly Worker[] {
--- a/packages/core/src/jobs/job-run.ts
+++ b/packages/core/src/jobs/job-run.ts
@@ -1,5 +1,7 @@
 import type { TaskPhase } from '../charts/task-run.chart';
 import type { Job, StepSpec } from './job-spec';
+import type { Worker } from './worker';
+import { addTo } from './counts';
 import { Task } from './task';
 import { formatTaskName } from './task-name';
 
@@ -14,6 +16,11 @@
    * room, or a task was assigned, since.
    */
   strandedSince: number | undefined;
+  readonly #countByWorker = new Map<Worker, number>();
+  /** Number of tasks whose worker reports them as running, or has confirmed their order. */
+  runningCount = 0;
+  /** Number of tasks whose order to start has not been answered. */
+  startingCount = 0;
   readonly tasks: Task[];
   /** Number of tasks that wait to be assigned to a worker. */
   waitingCount: number;
@@ -39,8 +46,24 @@
     return this.spec.after.every((index) => this.occurrence.steps[index]?.unfinishedCount === 0);
   }
 
+  /** Returns the number of tasks that are assigned to workers of a rack. */
+  countInRack(rack: string): number {
+    let count = 0;
+    for (const [worker, tasks] of this.#countByWorker) {
+      count += worker.info.rack === rack ? tasks : 0;
+    }
+    return count;
+  }
+
+  /** Updates the counts when a task of the step is assigned to a worker, or no longer is. */
+  onAssignment(worker: Worker, change: 1 | -1): void {
+    addTo(this.#countByWorker, worker, change);
+  }
+
   /** Updates the counts when a task of the step changes its phase. */
   onPhaseChange(from: TaskPhase, to: TaskPhase): void {
+    this.runningCount += Number(to === 'running') - Number(from === 'running');
+    this.startingCount += Number(to === 'starting') - Number(from === 'starting');
     this.waitingCount += Number(to === 'waiting') - Number(from === 'waiting');
     this.strandedSince = from === 'waiting' ? undefined : this.strandedSince;
     this.unfinishedCount += Number(from === 'done') - Number(to === 'done');
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -102,9 +102,7 @@
   if (requiredLabel !== '' && !worker.info.labels.includes(requiredLabel)) {
     return MISFIT.label;
   }
-  return maxPerWorker > 0 && countStepTasksOnWorker(task, worker) >= maxPerWorker
-    ? MISFIT.limitPerWorker
-    : undefined;
+  return maxPerWorker > 0 && worker.countOf(task.step) >= maxPerWorker ? MISFIT.limitPerWorker : undefined;
 }
 
 function scoreWorker(task: Task, worker: Worker): number {
@@ -116,11 +114,11 @@
   if (preferredRack !== '' && worker.info.labels.includes(preferredRack)) {
     score += SCORE.rackAffinity;
   }
-  if (hasLongRunningTask(worker)) {
+  if (worker.longRunningCount > 0) {
     score += SCORE.hasLongRunningTask;
   }
   if (rackSensitive) {
-    score += Math.min(countStepTasksInRack(task, worker), 1) * SCORE.rackAffinity;
+    score += Math.min(task.step.countInRack(worker.info.rack), 1) * SCORE.rackAffinity;
   } else if (longRunning) {
     score += scoreSpread(task, worker);
   }
@@ -132,38 +130,12 @@
 
 // Limits the part of a long-running step that the loss of the worker or of its rack would take.
 function scoreSpread(task: Task, worker: Worker): number {
-  const share = Math.ceil(task.step.tasks.length / LONG_RUNNING_SPREAD);
-  const overOnWorker = Math.max(0, countStepTasksOnWorker(task, worker) + 1 - share);
-  const overInRack = Math.max(0, countStepTasksInRack(task, worker) + 1 - share);
+  const share = Math.ceil(task.step.spec.count / LONG_RUNNING_SPREAD);
+  const overOnWorker = Math.max(0, worker.countOf(task.step) + 1 - share);
+  const overInRack = Math.max(0, task.step.countInRack(worker.info.rack) + 1 - share);
   return overOnWorker * SCORE.workerOverShare + overInRack * SCORE.rackOverShare;
 }
 
-function hasLongRunningTask(worker: Worker): boolean {
-  for (const other of worker.runs.values()) {
-    if (other.step.spec.longRunning) {
-      return true;
-    }
-  }
-  return false;
-}
-
-function countStepTasksOnWorker(task: Task, worker: Worker): number {
-  let count = 0;
-  for (const other of worker.runs.values()) {
-    count += Number(other.step === task.step);
-  }
-  return count;
-}
-
-function countStepTasksInRack(task: Task, worker: Worker): number {
-  return task.step.tasks.filter((other) => other.worker?.info.rack === worker.info.rack).length;
-}
-
 function countInterferingTasks(task: Task, worker: Worker): number {
-  let count = 0;
-  for (const other of worker.runs.values()) {
-    const { fillsIdle, tailTargetMs } = other.step.spec;
-    count += Number(task.step.spec.fillsIdle ? tailTargetMs > 0 : fillsIdle);
-  }
-  return count;
+  return task.step.spec.fillsIdle ? worker.servingCount : worker.bestEffortCount;
 }
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -98,7 +98,9 @@
     this.cpuSharePercent = 100;
     this.progressChangedAt = now;
     this.stopAcknowledgedAt = undefined;
+    this.#detachFromWorker();
     this.worker = worker;
+    this.step.onAssignment(worker, 1);
     worker.attach(this);
   }
 
@@ -154,7 +156,10 @@
   }
 
   #detachFromWorker(): void {
-    this.worker?.detach(this);
-    this.worker = undefined;
+    if (this.worker !== undefined) {
+      this.step.onAssignment(this.worker, -1);
+      this.worker.detach(this);
+      this.worker = undefined;
+    }
   }
 }
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -1,7 +1,9 @@
+import type { StepRun } from './job-run';
 import type { Demand } from './job-spec';
 import type { Task } from './task';
 import type { VmClaim, VmRisk } from './vm-claims';
 import type { WorkerClosure } from './worker-closure';
+import { addTo } from './counts';
 import { OrphanedRuns } from './orphaned-runs';
 import { CLOSURE } from './worker-closure';
 
@@ -65,6 +67,8 @@
 /** Worker, with the runs that the leader has assigned to it. */
 export class Worker {
   #clock: ClockReading | undefined;
+  /** Number of its best-effort runs. */
+  bestEffortCount = 0;
   /** Processor time that is reserved by tasks that end, in thousandths of a core. */
   endingCpuMilli = 0;
   /** Ends up to this sequence number have been acknowledged to the worker. */
@@ -97,6 +101,11 @@
   isolatedTask: Task | undefined;
   /** Monotonic time at which the current incarnation became known, in ms. */
   incarnationKnownAt = -Infinity;
+  /** Number of its long-running runs. */
+  longRunningCount = 0;
+  /** Number of its runs that have a latency target. */
+  servingCount = 0;
+  readonly #countByStep = new Map<StepRun, number>();
   /** Monotonic time of the newest report, in ms. */
   lastReportAt = -Infinity;
   info: WorkerInfo;
@@ -129,15 +138,22 @@
     }
     this.runs.set(task.name, task);
     this.#reserve(task, 1);
+    this.#count(task.step, 1);
   }
 
   /** Frees the capacity that is reserved for a task. */
   detach(task: Task): void {
     if (this.runs.delete(task.name)) {
       this.#reserve(task, -1);
+      this.#count(task.step, -1);
     }
   }
 
+  /** Returns the number of its runs that belong to a step. */
+  countOf(step: StepRun): number {
+    return this.#countByStep.get(step) ?? 0;
+  }
+
   /** Whether the free capacity is enough for a task. */
   hasCapacityFor(task: Task): boolean {
     return this.missingResource(task) === undefined;
@@ -285,6 +301,14 @@
     return deadline;
   }
 
+  #count(step: StepRun, change: 1 | -1): void {
+    const { fillsIdle, longRunning, tailTargetMs } = step.spec;
+    addTo(this.#countByStep, step, change);
+    this.bestEffortCount += fillsIdle ? change : 0;
+    this.longRunningCount += longRunning ? change : 0;
+    this.servingCount += tailTargetMs > 0 ? change : 0;
+  }
+
   #reserve(task: Task, sign: 1 | -1): void {
     const { demand, fillsIdle, longRunning } = task.step.spec;
     const { gpus, memoryMb } = demand;
--- a/packages/core/src/maintenance/disruption-budget.ts
+++ b/packages/core/src/maintenance/disruption-budget.ts
@@ -5,10 +5,14 @@
  * A task counts as unavailable until its worker reports it as running. A `mayMiss` of 0 sets no limit.
  */
 export function canDisrupt(task: Task, now: number): boolean {
-  const { mayMiss } = task.step.spec;
-  if (mayMiss === 0) {
+  const { runningCount, spec, tasks } = task.step;
+  if (spec.mayMiss === 0) {
     return true;
   }
-  const unavailable = task.step.tasks.filter((other) => other !== task && !other.isReportedActive(now));
-  return unavailable.length < mayMiss;
+  const otherCount = spec.count - 1;
+  if (otherCount - runningCount >= spec.mayMiss) {
+    return false;
+  }
+  const active = tasks.filter((other) => other !== task && other.isReportedActive(now));
+  return otherCount - active.length < spec.mayMiss;
 }
