fix(node): do not repeat what the store never takes

Callers saw: everything behind a record that the store refuses for good waited without end; the caller of a job that is too large to be stored got 503 'unavailable' at each try, where no try could succeed. Cause: 400 and 413 counted as refusals like 429, 503 and 507, which are repeated. A single record had no bound either: jobs with many steps, and tasks with a long checkpoint. Change: a rejected append is divided, so that only the record that causes it is left. One of a term ends the term, with its key in the log; that of a caller is answered with 400. Jobs above record_bytes or call_bytes get 400 without a call, and a checkpoint that would exceed them is left out of its record, with a line. 403 and 404 are still repeated, since the same call may succeed later.

--- a/packages/bench/src/leader-simulation.ts
+++ b/packages/bench/src/leader-simulation.ts
@@ -99,6 +99,7 @@
     const settings = {
       earlierLeasesEndAt: 0,
       maxLeaseMs: LEASE_MS,
+      maxRecordBytes: 262_144,
       refusedPauseMs: 1000,
       roomPauseMs: 150,
       setAsideAfter: 3,
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -1,4 +1,6 @@
+import type { KeyedRecord } from './job-record';
 import type { JobRun, StepRun } from './job-run';
+import type { TaskRecord } from './run-record';
 import type { SchedulerContext } from './scheduler-context';
 import type { Task } from './task';
 import type { Worker } from './worker';
@@ -17,6 +19,8 @@
  */
 const MAX_CRASHES_ALONE = 3;
 
+const UTF8 = new TextEncoder();
+
 /** Stops runs, releases tasks and ends jobs, and adds the records and orders for that to the plan. */
 export class RunControl {
   constructor(private readonly ctx: SchedulerContext) {}
@@ -165,10 +169,20 @@
 
   /** Adds the record of a task to the plan. */
   storeTask(task: Task): void {
-    this.ctx.pending.records.push(encodeTaskRecord(task.toRecord()));
+    this.ctx.pending.records.push(this.#encode(task.toRecord()));
     this.dropRecordsIfIdle(task.job);
   }
 
+  // A task whose checkpoint can't be stored starts from the beginning after a change of the leader.
+  #encode(record: TaskRecord): KeyedRecord {
+    const keyed = encodeTaskRecord(record);
+    if (recordBytes(keyed) <= this.ctx.settings.maxRecordBytes) {
+      return keyed;
+    }
+    this.ctx.log(DECISION.checkpointNotStored, { length: record.checkpoint.length, task: record.task });
+    return encodeTaskRecord({ ...record, checkpoint: '' });
+  }
+
   /** Reports to callers that a job is running, once per job. */
   reportRunning(run: JobRun): void {
     if (!run.runningReported && !run.hasEnded) {
@@ -177,3 +191,7 @@
     }
   }
 }
+
+function recordBytes({ key, value = '' }: KeyedRecord): number {
+  return UTF8.encode(key).length + UTF8.encode(value).length;
+}
--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -12,6 +12,8 @@
   earlierLeasesEndAt: number;
   /** Duration to which workers shorten a longer lease, in ms. */
   maxLeaseMs: number;
+  /** Most bytes of the key and the value of a record that can be stored. */
+  maxRecordBytes: number;
   /** Time for which no tasks are assigned to a worker that refused an order, in ms. */
   refusedPauseMs: number;
   /** Time for which no tasks are assigned to a worker that had no free capacity, in ms. */
--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -42,6 +42,7 @@
 /** Logged decisions about jobs and workers. */
 export const DECISION = {
   assigned: 'task-assigned',
+  checkpointNotStored: 'checkpoint-not-stored',
   crashDisproved: 'crash-disproved',
   crashSuspected: 'crash-suspected',
   ended: 'run-ended',
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -7,6 +7,7 @@
 const SETTINGS = {
   earlierLeasesEndAt: 10_100,
   maxLeaseMs: 10_000,
+  maxRecordBytes: 262_144,
   refusedPauseMs: 1000,
   roomPauseMs: 150,
   setAsideAfter: 3,
--- a/packages/core/tests/jobs/support/jobs.ts
+++ b/packages/core/tests/jobs/support/jobs.ts
@@ -93,6 +93,7 @@
 export const SCHEDULER_SETTINGS: SchedulerSettings = {
   earlierLeasesEndAt: 0,
   maxLeaseMs: 10_000,
+  maxRecordBytes: 262_144,
   refusedPauseMs: 1000,
   roomPauseMs: 150,
   setAsideAfter: 3,
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -155,6 +155,7 @@
     const settings = {
       earlierLeasesEndAt: this.#now + MAX_STALENESS_MS + longestLeaseMs(LEASE_MS),
       maxLeaseMs: MAX_LEASE_MS,
+      maxRecordBytes: 262_144,
       refusedPauseMs: 1000,
       roomPauseMs: 50,
       setAsideAfter: 3,
--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -125,6 +125,10 @@
     if (outcome === WRITE_OUTCOME.refused) {
       return this.#logAnswer(id, this.#notStoredAnswer(id));
     }
+    if (outcome === WRITE_OUTCOME.rejected) {
+      const problem = 'the job is larger than the store takes';
+      return this.#logAnswer(id, { kind: CALLER_ANSWER.badRequest, problem });
+    }
     if (outcome === WRITE_OUTCOME.unknown) {
       this.#unconfirmedIds.add(id);
     }
@@ -244,9 +248,9 @@
     if (outcome === WRITE_OUTCOME.stored) {
       return { kind: stored };
     }
-    return outcome === WRITE_OUTCOME.refused
-      ? this.#storeUnavailableAnswer()
-      : { kind: CALLER_ANSWER.unsure };
+    return outcome === WRITE_OUTCOME.unknown
+      ? { kind: CALLER_ANSWER.unsure }
+      : this.#storeUnavailableAnswer();
   }
 
   // After an append without an answer the job may still run, whatever the outcome of later requests for it.
--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -1,16 +1,19 @@
 import type { JobRecord, KeyedRecord } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import { encodeJobRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
+import type { AppendLimits } from './append-limits';
 import type { KeyedStream } from './ports/keyed-stream';
 import { AdaptiveTimeout } from './adaptive-timeout';
-import { MAX_APPEND_BYTES, sendAllowanceMs } from './append-limits';
+import { MAX_APPEND_BYTES, NO_APPEND_LIMITS, sendAllowanceMs } from './append-limits';
 import { STORE_FAILURE } from './ports/keyed-stream';
-import { contentBytes } from './record-bytes';
+import { storedBytes } from './record-bytes';
 
 /** Possible outcomes of writing a record. */
 export const WRITE_OUTCOME = {
   /** Certainly not stored. */
   refused: 'refused',
+  /** Certainly not stored, since the store does not take such a record. */
+  rejected: 'rejected',
   stored: 'stored',
   /** Possibly stored: an append without an answer may have been carried out, or may still be. */
   unknown: 'unknown',
@@ -26,6 +29,8 @@
   deadline: number;
   /** Number of failed appends of the record. */
   failures: number;
+  /** Whether the record is appended by itself, since the store rejected it together with others. */
+  isAlone: boolean;
   /** Whether the record is retried until its deadline, even if the store refuses it. */
   isPersistent: boolean;
   /** Whether an append of the record had no answer. */
@@ -68,6 +73,7 @@
     private readonly timers: TimerService,
     private readonly log: Logger,
     private readonly signal: AbortSignal,
+    private readonly limits: AppendLimits = NO_APPEND_LIMITS,
   ) {}
 
   /**
@@ -80,7 +86,8 @@
 
   /**
    * Writes a record for a caller, and retries until a monotonic time in ms, but not longer than a caller
-   * waits. Returns `refused` soon if the record is certainly not stored, and `unknown` only at the deadline.
+   * waits. Returns `refused` soon if the record is certainly not stored, `rejected` if the store takes no such record,
+   * and `unknown` only at the deadline.
    */
   write(record: JobRecord, deadline: number): Promise<WriteOutcome> {
     return this.#enqueue(record, Math.min(deadline, this.timers.mono() + MAX_WRITE_WAIT_MS), false);
@@ -92,12 +99,16 @@
   }
 
   #enqueue(record: JobRecord, deadline: number, isPersistent: boolean): Promise<WriteOutcome> {
+    const stored = encodeJobRecord(record);
+    if (this.#exceedsLimits(stored)) {
+      return Promise.resolve(WRITE_OUTCOME.rejected);
+    }
     return new Promise((resolve) => {
-      const stored = encodeJobRecord(record);
       this.#queue.push({
-        bytes: contentBytes(stored),
+        bytes: storedBytes(stored),
         deadline,
         failures: 0,
+        isAlone: false,
         isPersistent,
         isPossiblyStored: false,
         record,
@@ -111,6 +122,11 @@
     });
   }
 
+  #exceedsLimits(stored: readonly KeyedRecord[]): boolean {
+    const { callBytes, recordBytes } = this.limits;
+    return storedBytes(stored) > callBytes || stored.some((record) => storedBytes([record]) > recordBytes);
+  }
+
   async #drainQueue(): Promise<void> {
     while (this.#queue.length > 0 && !this.signal.aborted) {
       const batch = this.#dequeueBatch();
@@ -126,8 +142,12 @@
 
   #dequeueBatch(): PendingWrite[] {
     this.#queue.sort((a, b) => Number(isHeartbeat(b.record)) - Number(isHeartbeat(a.record)));
+    if (this.#queue[0]?.isAlone === true) {
+      return this.#queue.splice(0, 1);
+    }
+    const maxBytes = Math.min(MAX_APPEND_BYTES, this.limits.callBytes);
     let bytes = 0;
-    const fitting = this.#queue.findIndex((item) => (bytes += item.bytes) > MAX_APPEND_BYTES);
+    const fitting = this.#queue.findIndex((item) => item.isAlone || (bytes += item.bytes) > maxBytes);
     const size = fitting === -1 ? MAX_BATCH_SIZE : Math.max(1, fitting);
     return this.#queue.splice(0, Math.min(size, MAX_BATCH_SIZE));
   }
@@ -151,6 +171,9 @@
       }
       return [];
     }
+    if (appended.error.kind === STORE_FAILURE.rejected) {
+      return this.#onRejected(batch, appended.error.message);
+    }
     this.#updateHealth(false, appended.error.message);
     for (const item of batch) {
       item.failures += 1;
@@ -164,6 +187,20 @@
     return batch;
   }
 
+  // The other records of the batch may be taken.
+  #onRejected(batch: PendingWrite[], error: string): PendingWrite[] {
+    const [first] = batch;
+    if (batch.length > 1 || first === undefined) {
+      for (const item of batch) {
+        item.isAlone = true;
+      }
+      return batch;
+    }
+    this.log.error({ bytes: first.bytes, error, kind: first.record.kind }, 'record rejected by the store');
+    first.settle(first.isPossiblyStored ? WRITE_OUTCOME.unknown : WRITE_OUTCOME.rejected);
+    return [];
+  }
+
   #settleExpired(): void {
     const now = this.timers.mono();
     const isExpired = (item: PendingWrite): boolean =>
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -17,7 +17,7 @@
 import { EventLoopMonitor } from './event-loop-monitor';
 import { JobWriter } from './job-writer';
 import { Leadership } from './leadership';
-import { linkBytesPerS } from './node-settings';
+import { appendLimits, linkBytesPerS } from './node-settings';
 import { OverloadMonitor } from './overload-monitor';
 import { StreamTail } from './stream-tail';
 import { Term } from './term';
@@ -118,6 +118,7 @@
       timers,
       log,
       signal,
+      appendLimits(cfg),
     );
     this.callers = new CallerService(this.#jobs, this.#jobsTail, this.#writer, timers, log, metrics, signal);
     this.#leadership = new Leadership(
--- a/packages/node/src/ports/keyed-stream.ts
+++ b/packages/node/src/ports/keyed-stream.ts
@@ -7,8 +7,10 @@
   conflict: 'conflict',
   /** No usable answer: the call may have been carried out, or may still be. */
   lost: 'lost',
-  /** The call was certainly not carried out. */
+  /** The call was certainly not carried out, but may be if it is repeated. */
   refused: 'refused',
+  /** The call was certainly not carried out, nor would the same call be if it were repeated. */
+  rejected: 'rejected',
   /** The requested records have been dropped by retention. */
   trimmed: 'trimmed',
 } as const;
--- a/packages/node/src/term-log.ts
+++ b/packages/node/src/term-log.ts
@@ -133,6 +133,9 @@
           ? this.#onStored(records)
           : this.#reportLostTerm(appended.error);
       }
+      if (appended.error.kind === STORE_FAILURE.rejected) {
+        return this.#storeHalves(records, appended.error);
+      }
       if (appended.error.kind === STORE_FAILURE.lost) {
         this.#storeTimeout.recordTimeout();
         isPossiblyStored = true;
@@ -142,6 +145,16 @@
     return false;
   }
 
+  // Smaller appends may be taken. A term whose record is never taken could neither order nor acknowledge anything.
+  async #storeHalves(records: readonly KeyedRecord[], error: StoreError): Promise<boolean> {
+    if (records.length === 1) {
+      this.onLost(`the store never takes the record ${records[0]?.key ?? ''}: ${error.message}`);
+      return false;
+    }
+    const middle = Math.ceil(records.length / 2);
+    return (await this.#storeRecords(records.slice(0, middle))) && this.#storeRecords(records.slice(middle));
+  }
+
   #onStored(records: readonly KeyedRecord[]): boolean {
     this.#end += records.length;
     return true;
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -31,6 +31,7 @@
 import { PermitCache } from './permit-cache';
 import { PlanTimer } from './plan-timer';
 import { PoolReports } from './pool-reports';
+import { maxContentBytes } from './record-bytes';
 import { TermLog } from './term-log';
 import { WorkerLoops } from './worker-loops';
 import { WorkerRegistry } from './worker-registry';
@@ -137,6 +138,7 @@
         ...SCHEDULER_SETTINGS,
         earlierLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, this.#leaseMs),
         maxLeaseMs: ctx.settings.bounds.maxLeaseMs,
+        maxRecordBytes: maxContentBytes(appendLimits(ctx.settings)),
       },
       logDecision,
       (queue, step, workers) => this.#permitCache.allowedWorkers(queue, step, workers),
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -164,6 +164,12 @@
     expect(answer).toEqual({ kind: 'state', state: 'queued' });
   });
 
+  it('calls a job that the store never takes a bad request, not an outage', async () => {
+    const callers = createService();
+    stream.maxAppendBytes = 100;
+    expect(await callers.submit(REQ, ok(SPEC))).toMatchObject({ kind: 'bad-request' });
+  });
+
   it('leaves a line with the reason and the inputs of a refusal before a job is looked up', async () => {
     const lines: Record<string, unknown>[] = [];
     const log = createRecordingLog(lines);
--- a/packages/node/tests/job-writer.test.ts
+++ b/packages/node/tests/job-writer.test.ts
@@ -64,6 +64,24 @@
     }
   });
 
+  it('returns `rejected` for a record that the store never takes, and stores the others', async () => {
+    const { stream, writer } = createWriter();
+    stream.maxAppendBytes = 2000;
+    const deadline = timers.mono() + 3000;
+    const writes = [100, 4000, 100].map((bytes, index) => writer.write(submitOf(index, bytes), deadline));
+    expect(await Promise.all(writes)).toEqual(['stored', 'rejected', 'stored']);
+    expect(writer.isLikelyToSucceed(true)).toBe(true);
+  });
+
+  it('rejects a record above the limits of the store without asking it', async () => {
+    const stream = new MemoryStream();
+    const limits = { callBytes: 10_000, recordBytes: 2000 };
+    const { signal } = new AbortController();
+    const writer = new JobWriter(stream, () => undefined, timers, quietLog, signal, limits);
+    expect(await writer.write(submitOf(1, 4000), timers.mono() + 3000)).toBe('rejected');
+    expect(stream.appends).toEqual([]);
+  });
+
   it('stores a heartbeat of the leader ahead of records that wait', async () => {
     const { stream, writer } = createWriter();
     const writes = Array.from({ length: 300 }, (_, index) =>
--- a/packages/node/tests/term-log.test.ts
+++ b/packages/node/tests/term-log.test.ts
@@ -97,4 +97,25 @@
     stream.records.push({ key: 'leader', offset: stream.records.length, value: 'other' });
     expect(await stored).toBe(false);
   });
+
+  it('divides an append that the store rejects, until it takes the parts', async () => {
+    const { log, lost, stream } = createLog();
+    stream.maxAppendBytes = 500;
+    const plan = Array.from({ length: 100 }, (_, index) => ({
+      key: `t.j.0.0.${index}`,
+      value: 'x'.repeat(40),
+    }));
+    expect(await log.append(plan)).toBe(true);
+    expect(stream.records.map(({ key }) => key)).toEqual(plan.map(({ key }) => key));
+    expect(lost).toEqual([]);
+  });
+
+  // Repeating it would keep all records behind it from being stored, without a word.
+  it('ends the term and names the record that the store never takes', async () => {
+    const { log, lost, stream } = createLog();
+    stream.maxAppendBytes = 500;
+    const plan = [RECORD, { key: 't.j.0.0.1', value: 'x'.repeat(600) }, { ...RECORD, key: 't.j.0.0.2' }];
+    expect(await log.append(plan)).toBe(false);
+    expect(lost).toEqual([expect.stringContaining('t.j.0.0.1')]);
+  });
 });
