fix(core): hold no tasks in memory before their turn or after their end

Cause: the leader made an object for each task of each step as soon as it read a job, and kept it until the job ended. A single job is bounded, the sum is not, and each later leader reads the same jobs. A leader also held the stored records of all tasks, done ones too, when its term began. Change: a step counts its tasks and makes one when its turn comes; of a task that is done it keeps one bit. A term reads the stored records page by page and keeps only the index of a task that is done. So the leader's memory grows with what runs, and what is stored is served, in order, however much waits. Tests that read step.tasks now read unfinishedTasks(), which makes them; newest-records.test.ts collects the records itself.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -1,9 +1,10 @@
 import type { JobPolicy } from './fleet-config';
-import type { JobRun, StepRun } from './job-run';
+import type { JobRun } from './job-run';
 import type { AllowedWorkers } from './placement';
 import type { PoolState } from './pool-state';
 import type { RunControl } from './run-control';
 import type { SchedulerContext } from './scheduler-context';
+import type { StepRun } from './step-run';
 import type { Task } from './task';
 import type { Worker } from './worker';
 import { canDisrupt } from '../maintenance/disruption-budget';
@@ -102,17 +103,20 @@
       this.#assignGang(step, starts.open, allowed, now);
       return;
     }
-    const waiting = step.tasks.filter((task) => task.phase === 'waiting' && task.startsNotBefore <= now);
-    for (const task of waiting.filter((item) => item.isSuspected && !awaitsProof(item))) {
+    const suspected = step.createdWaitingTasks().filter((task) => task.isSuspected);
+    for (const task of suspected.filter((item) => mayStart(item, now) && !awaitsProof(item))) {
       const worker = starts.choose(task, allowed);
       if (worker !== undefined) {
         this.#assign(task, worker, task.run + 1, now);
       }
     }
-    for (const task of waiting.filter((item) => !item.isSuspected)) {
+    for (const task of step.waitingTasks()) {
       if (isStartLimited(step)) {
         return;
       }
+      if (task.isSuspected || !mayStart(task, now)) {
+        continue;
+      }
       const usable = usableFor(task, starts.open, now);
       const worker = chooseWorker(task, usable, allowed);
       if (worker !== undefined) {
@@ -125,12 +129,13 @@
   }
 
   #assignGang(step: StepRun, workers: readonly Worker[], allowed: AllowedWorkers, now: number): void {
-    if (step.waitingCount < step.tasks.length || step.tasks.some((task) => task.startsNotBefore > now)) {
+    const members = step.createdWaitingTasks();
+    if (step.waitingCount < step.spec.count || !members.every((task) => mayStart(task, now))) {
       return;
     }
     const chosen = chooseWorkersForGang(step, workers, allowed);
-    const run = Math.max(...step.tasks.map((task) => task.run)) + 1;
-    const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
+    const run = members.reduce((newest, task) => Math.max(newest, task.run), 0) + 1;
+    const checkpoint = members.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
     for (const [task, worker] of chosen ?? []) {
       task.checkpoint = checkpoint;
       this.#assign(task, worker, run, now);
@@ -151,6 +156,10 @@
   }
 }
 
+function mayStart({ startsNotBefore }: Task, now: number): boolean {
+  return startsNotBefore <= now;
+}
+
 function isStartLimited(step: StepRun): boolean {
   return step.startingCount >= MAX_STARTING_TASKS;
 }
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -22,6 +22,8 @@
 export * from './scheduler';
 export * from './scheduler-context';
 export * from './scheduler-output';
+export * from './step-run';
+export * from './stored-tasks';
 export * from './task';
 export * from './task-name';
 export * from './waiting-tasks';
--- a/packages/core/src/jobs/job-run.ts
+++ b/packages/core/src/jobs/job-run.ts
@@ -1,74 +1,7 @@
-import type { TaskPhase } from '../charts/task-run.chart';
-import type { Job, StepSpec } from './job-spec';
-import type { Worker } from './worker';
-import { addTo } from './counts';
-import { Task } from './task';
-import { formatTaskName } from './task-name';
-
-/** Step of one occurrence of a job, with its tasks. */
-export class StepRun {
-  /** Number of tasks that are not done. */
-  unfinishedCount: number;
-  readonly occurrence: OccurrenceRun;
-  readonly spec: StepSpec;
-  /**
-   * Monotonic time since which the waiting tasks have been found to fit on no worker, in ms; undefined if there was
-   * room, or a task was assigned, since.
-   */
-  strandedSince: number | undefined;
-  readonly #countByWorker = new Map<Worker, number>();
-  /** Number of tasks whose worker reports them as running, or has confirmed their order. */
-  runningCount = 0;
-  /** Number of tasks whose order to start has not been answered. */
-  startingCount = 0;
-  readonly tasks: Task[];
-  /** Number of tasks that wait to be assigned to a worker. */
-  waitingCount: number;
-
-  constructor(job: JobRun, occurrence: OccurrenceRun, stepIndex: number, spec: StepSpec) {
-    this.occurrence = occurrence;
-    this.spec = spec;
-    this.unfinishedCount = spec.count;
-    this.waitingCount = spec.count;
-    this.tasks = Array.from({ length: spec.count }, (_, index) => {
-      const name = formatTaskName({
-        index,
-        jobId: job.job.id,
-        occurrence: occurrence.number,
-        step: stepIndex,
-      });
-      return new Task(name, job, this);
-    });
-  }
-
-  /** Whether all steps that this step depends on are done. */
-  get isReady(): boolean {
-    return this.spec.after.every((index) => this.occurrence.steps[index]?.unfinishedCount === 0);
-  }
-
-  /** Returns the number of tasks that are assigned to workers of a rack. */
-  countInRack(rack: string): number {
-    let count = 0;
-    for (const [worker, tasks] of this.#countByWorker) {
-      count += worker.info.rack === rack ? tasks : 0;
-    }
-    return count;
-  }
-
-  /** Updates the counts when a task of the step is assigned to a worker, or no longer is. */
-  onAssignment(worker: Worker, change: 1 | -1): void {
-    addTo(this.#countByWorker, worker, change);
-  }
-
-  /** Updates the counts when a task of the step changes its phase. */
-  onPhaseChange(from: TaskPhase, to: TaskPhase): void {
-    this.runningCount += Number(to === 'running') - Number(from === 'running');
-    this.startingCount += Number(to === 'starting') - Number(from === 'starting');
-    this.waitingCount += Number(to === 'waiting') - Number(from === 'waiting');
-    this.strandedSince = from === 'waiting' ? undefined : this.strandedSince;
-    this.unfinishedCount += Number(from === 'done') - Number(to === 'done');
-  }
-}
+import type { Job } from './job-spec';
+import type { Task } from './task';
+import type { TaskName } from './task-name';
+import { StepRun } from './step-run';
 
 /** One occurrence of a job, with all its steps. */
 export class OccurrenceRun {
@@ -149,25 +82,33 @@
   /** Returns the steps whose dependencies are done and that have tasks to assign. */
   readySteps(): StepRun[] {
     const ready: StepRun[] = [];
-    for (const occurrence of this.occurrences) {
-      for (const step of occurrence.steps) {
-        if (step.waitingCount > 0 && step.isReady) {
-          ready.push(step);
-        }
+    for (const step of this.steps()) {
+      if (step.waitingCount > 0 && step.isReady) {
+        ready.push(step);
       }
     }
     return ready;
   }
 
-  /** Yields all tasks of the occurrences that are due. */
-  *tasks(): Generator<Task> {
+  /** Yields the steps of the occurrences that are due. */
+  *steps(): Generator<StepRun> {
     for (const occurrence of this.occurrences) {
-      for (const step of occurrence.steps) {
-        yield* step.tasks;
-      }
+      yield* occurrence.steps;
     }
   }
 
+  /** Yields the tasks of the occurrences that are due, without those that are done and those whose turn has not come. */
+  *tasks(): Generator<Task> {
+    for (const step of this.steps()) {
+      yield* step.tasks();
+    }
+  }
+
+  /** Returns the step of a task of the job; undefined if there is none, or if its occurrence is not due. */
+  findStep({ occurrence, step }: Pick<TaskName, 'occurrence' | 'step'>): StepRun | undefined {
+    return this.occurrences[occurrence]?.steps[step];
+  }
+
   #addOccurrence(): void {
     this.occurrences.push(new OccurrenceRun(this, this.occurrences.length));
   }
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -1,5 +1,5 @@
-import type { StepRun } from './job-run';
 import type { Demand } from './job-spec';
+import type { StepRun } from './step-run';
 import type { Task } from './task';
 import type { Worker } from './worker';
 
@@ -75,7 +75,7 @@
   allowed: AllowedWorkers,
 ): Map<Task, Worker> | undefined {
   const chosen = new Map<Task, Worker>();
-  for (const task of step.tasks) {
+  for (const task of step.waitingTasks()) {
     const worker = chooseWorker(task, workers, allowed);
     if (worker === undefined) {
       break;
@@ -86,7 +86,7 @@
   for (const [task, worker] of chosen) {
     worker.detach(task);
   }
-  return chosen.size === step.tasks.length ? chosen : undefined;
+  return chosen.size === step.spec.count ? chosen : undefined;
 }
 
 /** Returns why a task can't be placed on a worker; undefined if it can. */
--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -1,5 +1,5 @@
-import type { StepRun } from './job-run';
 import type { PoolState } from './pool-state';
+import type { StepRun } from './step-run';
 import type { StrandedTasks } from './stranded-tasks';
 import type { Worker } from './worker';
 import { StrandedTaskFinder } from './stranded-tasks';
--- a/packages/core/src/jobs/pool-state.ts
+++ b/packages/core/src/jobs/pool-state.ts
@@ -1,7 +1,8 @@
 import type { JobPolicy } from './fleet-config';
 import type { JobRank } from './job-rank';
-import type { JobRun, StepRun } from './job-run';
+import type { JobRun } from './job-run';
 import type { RunTimeEstimator } from './run-time-estimator';
+import type { StepRun } from './step-run';
 import type { Worker } from './worker';
 import { compareRanks, rankJob } from './job-rank';
 
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -1,7 +1,8 @@
 import type { KeyedRecord } from './job-record';
-import type { JobRun, StepRun } from './job-run';
+import type { JobRun } from './job-run';
 import type { TaskRecord } from './run-record';
 import type { SchedulerContext } from './scheduler-context';
+import type { StepRun } from './step-run';
 import type { Task } from './task';
 import type { Worker } from './worker';
 import type { ReportedRun } from './worker-report';
@@ -66,10 +67,10 @@
       return;
     }
     this.ctx.jobs.delete(run.job.id);
-    for (const task of tasks) {
-      if (task.run > 0) {
-        this.ctx.pending.records.push(encodeTaskTombstone(task.name));
-      }
+    const started = tasks.filter((task) => task.run > 0).map((task) => task.name);
+    const done = [...run.steps()].flatMap((step) => [...step.doneNames()]);
+    for (const name of [...started, ...done]) {
+      this.ctx.pending.records.push(encodeTaskTombstone(name));
     }
   }
 
@@ -133,7 +134,7 @@
 
   /** Stops the members of a gang that has lost one: the others would only wait for it. */
   stopGang(step: StepRun, now: number): void {
-    for (const member of step.tasks) {
+    for (const member of step.tasks()) {
       this.stop(member, 'gang-broken', now);
     }
   }
@@ -143,8 +144,8 @@
    * may not have stored it for the others.
    */
   finishDoneGangs(run: JobRun, now: number): void {
-    for (const step of run.occurrences.flatMap((occurrence) => occurrence.steps)) {
-      if (step.spec.gang && step.tasks.some(({ phase }) => phase === 'done')) {
+    for (const step of run.steps()) {
+      if (step.spec.gang && step.unfinishedCount < step.spec.count) {
         this.finishGang(step, now);
       }
     }
@@ -152,7 +153,7 @@
 
   /** Finishes the members of a gang that are not done. */
   finishGang(step: StepRun, now: number): void {
-    for (const member of step.tasks.filter(({ phase }) => phase !== 'done')) {
+    for (const member of step.unfinishedTasks()) {
       member.applyEvent('finish', now);
       this.storeTask(member);
     }
@@ -160,7 +161,7 @@
 
   /** Stops the members of gangs of which others wait: the earlier leader that lost these may not have reached them. */
   stopIncompleteGangs(run: JobRun, now: number): void {
-    for (const step of run.occurrences.flatMap((occurrence) => occurrence.steps)) {
+    for (const step of run.steps()) {
       if (step.spec.gang && step.waitingCount > 0) {
         this.stopGang(step, now);
       }
--- a/packages/core/src/jobs/run-end-handler.ts
+++ b/packages/core/src/jobs/run-end-handler.ts
@@ -88,7 +88,6 @@
     if (name === undefined) {
       return undefined;
     }
-    const occurrence = this.ctx.jobs.get(name.jobId)?.occurrences[name.occurrence];
-    return occurrence?.steps[name.step]?.tasks[name.index];
+    return this.ctx.jobs.get(name.jobId)?.findStep(name)?.findTask(name.index);
   }
 }
--- a/packages/core/src/jobs/run-time-estimator.ts
+++ b/packages/core/src/jobs/run-time-estimator.ts
@@ -1,5 +1,6 @@
-import type { JobRun, StepRun } from './job-run';
+import type { JobRun } from './job-run';
 import type { StepSpec } from './job-spec';
+import type { StepRun } from './step-run';
 
 /** Weight of a step's declared estimate against the mean of its queue, on a logarithmic scale. */
 const DECLARED_ESTIMATE_WEIGHT = 0.3;
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,12 +1,13 @@
 import type { AdviceLookup } from './assigner';
 import type { FleetConfig } from './fleet-config';
-import type { StepRun } from './job-run';
 import type { Job } from './job-spec';
 import type { PoolLoad } from './pool-load';
 import type { PoolUse } from './pool-use';
 import type { TaskRecord } from './run-record';
 import type { SchedulerSettings } from './scheduler-context';
 import type { DecisionLog, Plan, StartOrder, StopOrder } from './scheduler-output';
+import type { StepRun } from './step-run';
+import type { DoneTasks } from './stored-tasks';
 import type { Task } from './task';
 import type { VmClaims } from './vm-claims';
 import type { WaitingReport } from './waiting-tasks';
@@ -117,18 +118,28 @@
     this.requestAssignment();
   }
 
-  /** Adds an accepted job and restores the state of its tasks from records of earlier terms. */
-  onJob(job: Job, records: readonly TaskRecord[], now: number, wallNow: number): void {
+  /**
+   * Adds an accepted job and restores the state of its tasks from records of earlier terms; those in `done` have no
+   * record there.
+   */
+  onJob(
+    job: Job,
+    records: readonly TaskRecord[],
+    now: number,
+    wallNow: number,
+    done: readonly DoneTasks[] = [],
+  ): void {
     if (this.#ctx.jobs.has(job.id)) {
       return;
     }
     const run = new JobRun(job);
     run.addDueOccurrences(wallNow);
-    run.addRecordedOccurrences(newestOccurrence(records));
+    run.addRecordedOccurrences(newestOccurrence(records, done));
     this.#ctx.jobs.set(job.id, run);
     const pool = this.#ctx.getOrCreatePool(job.pool);
     pool.jobs.add(run);
     pool.needsAssignment = true;
+    restoreDone(run, done);
     this.#restore(run, records, now);
     this.#runControl.completeIfDone(run, now);
   }
@@ -375,9 +386,10 @@
   }
 
   #restore(run: JobRun, records: readonly TaskRecord[], now: number): void {
-    const tasks = new Map([...run.tasks()].map((task) => [task.name, task]));
     for (const record of records) {
-      tasks.get(record.task)?.restore(record, this.#directory.findOrAdd(record), now);
+      const name = parseTaskName(record.task);
+      const task = name && run.findStep(name)?.getOrCreateTask(name.index);
+      task?.restore(record, this.#directory.findOrAdd(record), now);
       run.runningReported = true;
     }
     for (const task of run.tasks()) {
@@ -389,7 +401,19 @@
   }
 }
 
-// Returns the highest number of an occurrence of which a record exists; -1 if there is none.
-function newestOccurrence(records: readonly TaskRecord[]): number {
-  return records.reduce((newest, { task }) => Math.max(newest, parseTaskName(task)?.occurrence ?? -1), -1);
+function restoreDone(run: JobRun, done: readonly DoneTasks[]): void {
+  for (const tasks of done) {
+    run.runningReported = true;
+    const step = run.findStep(tasks);
+    for (const index of tasks.indexes) {
+      step?.restoreDone(index);
+    }
+  }
+}
+
+// Returns the highest number of an occurrence of which the state of a task is known; -1 if there is none.
+function newestOccurrence(records: readonly TaskRecord[], done: readonly DoneTasks[]): number {
+  const started = records.map(({ task }) => parseTaskName(task)?.occurrence ?? -1);
+  const numbers = [...started, ...done.map(({ occurrence }) => occurrence)];
+  return numbers.reduce((newest, number) => Math.max(newest, number), -1);
 }
--- a/packages/core/src/jobs/stranded-tasks.ts
+++ b/packages/core/src/jobs/stranded-tasks.ts
@@ -1,4 +1,4 @@
-import type { StepRun } from './job-run';
+import type { StepRun } from './step-run';
 import type { Task } from './task';
 import type { Worker } from './worker';
 import { FreeCapacity } from './free-capacity';
@@ -38,7 +38,7 @@
 
   // All tasks of a step have the same demand and constraints.
   #countStranded(step: StepRun): number {
-    const [task] = step.tasks;
+    const task = step.firstWaitingTask();
     if (task === undefined) {
       return 0;
     }
@@ -50,22 +50,22 @@
 
   // A gang starts only when all its members wait.
   #countStrandedMembers(step: StepRun): number {
-    const { spec, tasks, waitingCount } = step;
-    if (waitingCount < tasks.length) {
+    const { spec, waitingCount } = step;
+    if (waitingCount < spec.count) {
       return 0;
     }
-    return this.#free.mayFit(spec) ? tasks.length - this.#countPlaceable(tasks) : tasks.length;
+    return this.#free.mayFit(spec) ? spec.count - this.#countPlaceable(step) : spec.count;
   }
 
-  #countPlaceable(tasks: readonly Task[]): number {
+  #countPlaceable(step: StepRun): number {
     const placed: [Task, Worker][] = [];
+    const tasks = step.waitingTasks();
+    let task = tasks.next().value;
     for (const worker of this.workers) {
-      for (const task of tasks.slice(placed.length)) {
-        if (findMisfit(task, worker, undefined) !== undefined) {
-          break;
-        }
+      while (task !== undefined && findMisfit(task, worker, undefined) === undefined) {
         worker.attach(task);
         placed.push([task, worker]);
+        task = tasks.next().value;
       }
     }
     for (const [task, worker] of placed) {
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -1,7 +1,8 @@
 import type { TaskEvent, TaskPhase } from '../charts/task-run.chart';
-import type { JobRun, StepRun } from './job-run';
+import type { JobRun } from './job-run';
 import type { OpenSuspicion } from './open-suspicion';
 import type { CrashCounts, TaskRecord } from './run-record';
+import type { StepRun } from './step-run';
 import type { Worker } from './worker';
 import { transition } from '../charts/chart';
 import { taskRunChart } from '../charts/task-run.chart';
@@ -24,6 +25,8 @@
   crashes: CrashCounts = { ...NO_CRASHES };
   /** Number of failed runs. */
   failures = 0;
+  /** Index of the task in its step. */
+  readonly index: number;
   readonly job: JobRun;
   /** Id of the worker on which the task last failed; other workers are preferred. */
   lastFailedWorkerId = '';
@@ -59,7 +62,8 @@
   suspicions: OpenSuspicion[] = [];
   worker: Worker | undefined;
 
-  constructor(name: string, job: JobRun, step: StepRun) {
+  constructor(name: string, index: number, job: JobRun, step: StepRun) {
+    this.index = index;
     this.name = name;
     this.job = job;
     this.step = step;
@@ -74,7 +78,7 @@
     if (next !== this.phase) {
       this.phaseSince = now;
       this.runningSince = next === 'running' && !this.isRestored ? now : this.runningSince;
-      this.step.onPhaseChange(this.phase, next);
+      this.step.onPhaseChange(this, this.phase, next);
     }
     this.phase = next;
     if (next === 'waiting' || next === 'done') {
--- a/packages/core/src/jobs/waiting-tasks.ts
+++ b/packages/core/src/jobs/waiting-tasks.ts
@@ -1,7 +1,8 @@
-import type { JobRun, StepRun } from './job-run';
+import type { JobRun } from './job-run';
 import type { Demand } from './job-spec';
 import type { AllowedWorkers, Misfit } from './placement';
 import type { PoolState } from './pool-state';
+import type { StepRun } from './step-run';
 import type { Task } from './task';
 import type { Worker } from './worker';
 import type { CLOSURE } from './worker-closure';
@@ -78,7 +79,10 @@
 /** Share of the reserved processor time below which a pool counts as having room, whatever its single workers have. */
 const MOSTLY_FREE_SHARE = 0.5;
 
-interface LongWaitingTask {
+/** Tasks of a step that have waited long. */
+interface LongWaitingTasks {
+  count: number;
+  /** The task that has waited longest. */
   task: Task;
   waitedMs: number;
 }
@@ -95,7 +99,8 @@
       const waiting = this.#findWithRoom(name, pool, readySince, now);
       const longest = waiting.toSorted((a, b) => b.waitedMs - a.waitedMs)[0];
       if (longest !== undefined) {
-        reports.push({ ...describe(longest, pool, state, now), count: waiting.length, pool: name });
+        const count = waiting.reduce((sum, step) => sum + step.count, 0);
+        reports.push({ ...describe(longest, pool, state, now), count, pool: name });
       }
     }
     this.#readySince = readySince;
@@ -107,27 +112,31 @@
     pool: PoolState,
     readySince: Map<StepRun, number>,
     now: number,
-  ): LongWaitingTask[] {
+  ): LongWaitingTasks[] {
     const isFree = isMostlyFree(name, pool);
-    const found: LongWaitingTask[] = [];
+    const found: LongWaitingTasks[] = [];
     for (const step of [...pool.jobs].flatMap((run) => run.readySteps())) {
       const since = this.#readySince.get(step) ?? now;
       readySince.set(step, since);
-      const waiting = now - since > WAITING_REPORT_AFTER_MS ? findLongWaiting(step, since, now) : [];
-      const [first] = waiting;
-      if (first !== undefined && (isFree || hasRoom(first.task, pool))) {
-        found.push(...waiting);
+      const waiting = now - since > WAITING_REPORT_AFTER_MS ? findLongWaiting(step, since, now) : undefined;
+      if (waiting !== undefined && (isFree || hasRoom(waiting.task, pool))) {
+        found.push(waiting);
       }
     }
     return found;
   }
 }
 
-function findLongWaiting(step: StepRun, readySince: number, now: number): LongWaitingTask[] {
-  return step.tasks
-    .filter((task) => task.phase === 'waiting')
+// Tasks that have not been created have waited since the step became ready.
+function findLongWaiting(step: StepRun, readySince: number, now: number): LongWaitingTasks | undefined {
+  step.firstWaitingTask();
+  const waiting = step
+    .createdWaitingTasks()
     .map((task) => ({ task, waitedMs: now - Math.max(readySince, task.phaseSince) }))
-    .filter(({ waitedMs }) => waitedMs > WAITING_REPORT_AFTER_MS);
+    .filter(({ waitedMs }) => waitedMs > WAITING_REPORT_AFTER_MS)
+    .sort((a, b) => b.waitedMs - a.waitedMs);
+  const [longest] = waiting;
+  return longest && { ...longest, count: waiting.length + step.uncreatedCount };
 }
 
 function isMostlyFree(name: string, pool: PoolState): boolean {
@@ -146,7 +155,7 @@
 }
 
 function describe(
-  { task, waitedMs }: LongWaitingTask,
+  { task, waitedMs }: LongWaitingTasks,
   pool: PoolState,
   state: AssignmentState,
   now: number,
@@ -204,7 +213,7 @@
   if (pool.needsAssignment) {
     return HOLD.planDue;
   }
-  if (task.step.tasks.some(({ startsNotBefore }) => startsNotBefore > now)) {
+  if (task.step.createdWaitingTasks().some(({ startsNotBefore }) => startsNotBefore > now)) {
     return HOLD.invalid;
   }
   if (awaitsProof(task)) {
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -1,5 +1,5 @@
-import type { StepRun } from './job-run';
 import type { Demand } from './job-spec';
+import type { StepRun } from './step-run';
 import type { Task } from './task';
 import type { VmClaim, VmRisk } from './vm-claims';
 import type { WorkerClosure } from './worker-closure';
--- a/packages/core/src/maintenance/disruption-budget.ts
+++ b/packages/core/src/maintenance/disruption-budget.ts
@@ -5,7 +5,7 @@
  * A task counts as unavailable until its worker reports it as running. A `mayMiss` of 0 sets no limit.
  */
 export function canDisrupt(task: Task, now: number): boolean {
-  const { runningCount, spec, tasks } = task.step;
+  const { runningCount, spec } = task.step;
   if (spec.mayMiss === 0) {
     return true;
   }
@@ -13,6 +13,6 @@
   if (otherCount - runningCount >= spec.mayMiss) {
     return false;
   }
-  const active = tasks.filter((other) => other !== task && other.isReportedActive(now));
+  const active = [...task.step.tasks()].filter((other) => other !== task && other.isReportedActive(now));
   return otherCount - active.length < spec.mayMiss;
 }
--- a/packages/core/src/maintenance/pool-needs.ts
+++ b/packages/core/src/maintenance/pool-needs.ts
@@ -1,5 +1,5 @@
-import type { StepRun } from '../jobs/job-run';
 import type { PoolLoad } from '../jobs/pool-load';
+import type { StepRun } from '../jobs/step-run';
 import type { PoolNeed } from './pool-need';
 import type { RoomShortage, ShrunkVm } from './room-shortage';
 import type { PeakForecast } from './rotation-forecast';
--- a/packages/core/tests/jobs/assigner.test.ts
+++ b/packages/core/tests/jobs/assigner.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import type { Job, StepSpec, WorkerInfo } from '../../src/jobs';
+import type { Job, StepSpec, Task, WorkerInfo } from '../../src/jobs';
 import { chooseWorker, chooseWorkersForGang, JobRun, RUN_END, Scheduler, Worker } from '../../src/jobs';
 import { compareRanks, rankJob } from '../../src/jobs/job-rank';
 import { RunTimeEstimator } from '../../src/jobs/run-time-estimator';
@@ -79,12 +79,12 @@
 
   // In the order in which the scheduler reads the ends, since the rounding of sums depends on the order.
   finish(finished: readonly Assignment[]): void {
-    const tasks = new Map(this.runs.flatMap((run) => [...run.tasks()]).map((task) => [task.name, task]));
+    const tasks = new Map(this.runs.flatMap(unfinishedTasksOf).map((task) => [task.name, task]));
     for (const { info } of this.workers) {
       for (const [name] of finished.filter(([, id]) => id === info.id)) {
         const task = tasks.get(name);
         task?.applyEvent('finish', 0);
-        const members = task?.step.spec.gang === true ? task.step.tasks : [];
+        const members = task?.step.spec.gang === true ? [...task.step.unfinishedTasks()] : [];
         members.forEach((member) => member.applyEvent('finish', 0));
       }
     }
@@ -92,7 +92,7 @@
 
   #assignStep(item: JobRun['occurrences'][number]['steps'][number]): Assignment[] {
     if (item.spec.gang) {
-      const isComplete = item.waitingCount === item.tasks.length;
+      const isComplete = item.waitingCount === item.spec.count;
       const chosen = isComplete ? chooseWorkersForGang(item, this.workers, undefined) : undefined;
       return [...(chosen ?? [])].map(([task, target]) => {
         task.assign(target, 1, 0);
@@ -100,7 +100,7 @@
       });
     }
     const assigned: Assignment[] = [];
-    for (const task of item.tasks.filter(({ phase }) => phase === 'waiting')) {
+    for (const task of [...item.unfinishedTasks()].filter(({ phase }) => phase === 'waiting')) {
       const target = chooseWorker(task, this.workers, undefined);
       if (target !== undefined) {
         task.assign(target, 1, 0);
@@ -111,6 +111,10 @@
   }
 }
 
+function unfinishedTasksOf(run: JobRun): Task[] {
+  return [...run.steps()].flatMap((item) => [...item.unfinishedTasks()]);
+}
+
 function createScheduler(infos: readonly WorkerInfo[], jobs: readonly Job[]): Scheduler {
   const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
   scheduler.onConfig(config());
@@ -195,7 +199,8 @@
     const scheduler = createScheduler([worker('risky')], []);
     scheduler.workers.get('risky')?.vmRisks.set('holder', { holder: 'holder', until: Infinity });
     scheduler.onJob(job('j', [step({ count: 2, longRunning: true, mayMiss: 1 })]), [], now, WALL_NOW);
-    const [first, second] = scheduler.jobs.get('j')?.tasks() ?? [];
+    const run = scheduler.jobs.get('j');
+    const [first, second] = run === undefined ? [] : unfinishedTasksOf(run);
     for (const [task, waitedMs] of [
       [first, 600],
       [second, 1600],
--- a/packages/core/tests/jobs/placement.test.ts
+++ b/packages/core/tests/jobs/placement.test.ts
@@ -5,7 +5,7 @@
 
 function tasksOf(parts: Partial<StepSpec>): Task[] {
   return new JobRun(job('00000000000000a1', [step(parts)])).occurrences.flatMap((occurrence) =>
-    occurrence.steps.flatMap((stepRun) => stepRun.tasks),
+    occurrence.steps.flatMap((stepRun) => [...stepRun.unfinishedTasks()]),
   );
 }
 
--- a/packages/core/tests/jobs/waiting-tasks.test.ts
+++ b/packages/core/tests/jobs/waiting-tasks.test.ts
@@ -4,7 +4,8 @@
 import { config, job, SCHEDULER_SETTINGS, step, worker } from './support/jobs';
 
 function suspectedTask(jobId: string): Task | undefined {
-  const [task] = new JobRun(job(jobId, [step()])).tasks();
+  const [only] = new JobRun(job(jobId, [step()])).steps();
+  const task = only?.firstWaitingTask();
   if (task !== undefined) {
     task.crashes.suspected = 1;
   }
--- a/packages/core/tests/maintenance/worker-closing.test.ts
+++ b/packages/core/tests/maintenance/worker-closing.test.ts
@@ -88,8 +88,10 @@
     fleet.run(2500);
     fleet.vms = [];
     addBigTask(fleet, { count: 2, longRunning: true, mayMiss: 1 });
-    for (const task of fleet.scheduler.jobs.get('big')?.tasks() ?? []) {
-      task.phaseSince = fleet.now;
+    for (const item of fleet.scheduler.jobs.get('big')?.steps() ?? []) {
+      for (const task of item.unfinishedTasks()) {
+        task.phaseSince = fleet.now;
+      }
     }
     fleet.run(fleet.now + 1000);
     expect(fleet.startsOf(BIG_TASK)).toEqual([]);
--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -4,10 +4,16 @@
   LeaderRequestRecord,
   LeadershipRecord,
   SuccessionSettings,
-  TaskRecord,
 } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { decodeTaskRecord, encodeTermRecord, JOB_RECORD, Succession, TERM_KEY } from '@sequoiaquay/core/jobs';
+import {
+  decodeTaskRecord,
+  encodeTermRecord,
+  JOB_RECORD,
+  StoredTasks,
+  Succession,
+  TERM_KEY,
+} from '@sequoiaquay/core/jobs';
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { JobWriter } from './job-writer';
@@ -43,13 +49,14 @@
   otherRecords: KeyedRecord[];
   /** Offset after the last record of the stream of runs. */
   runsEnd: number;
-  tasks: TaskRecord[];
+  /** State of the tasks, as earlier terms have stored it. */
+  tasks: StoredTasks;
 }
 
 interface LoadedRuns {
   end: number;
   otherRecords: KeyedRecord[];
-  tasks: TaskRecord[];
+  tasks: StoredTasks;
   /** Offset of the record that started the last term; -1 if there is none. */
   termOffset: number;
 }
@@ -232,7 +239,7 @@
     const term = new AbortController();
     setMaxListeners(0, term.signal);
     this.#termController = term;
-    this.log.info({ epoch: start.epoch, tasks: start.tasks.length }, 'term begins');
+    this.log.info({ epoch: start.epoch, tasks: start.tasks.size }, 'term begins');
     const isAnnounced = await this.#writeHeartbeat(start.epoch, false);
     const isReleased = isAnnounced && (await this.#runOwnTerm(start, term, signal));
     if (!isReleased) {
@@ -372,19 +379,19 @@
 
   async #loadRuns(signal: AbortSignal): Promise<LoadedRuns | undefined> {
     const pages = new NewestPages(this.runs, 'runs', this.timers, this.log);
-    const newest = await readNewest(pages, this.settings.storeTimeoutMs, this.timers, signal);
+    const loaded = { otherRecords: [], tasks: new StoredTasks(), termOffset: -1 };
+    const onRecord = (record: StoredRecord): void => {
+      this.#addRecord(record, loaded);
+    };
+    const newest = await readNewest(pages, onRecord, this.settings.storeTimeoutMs, this.timers, signal);
     // If the stream changed between two pages, the conditional append would fail.
     if (newest.isErr() || newest.value.hasChanged) {
       return undefined;
     }
-    const loaded: LoadedRuns = { end: newest.value.end, otherRecords: [], tasks: [], termOffset: -1 };
-    for (const record of newest.value.records) {
-      this.#addRecord(record, loaded);
-    }
-    return loaded;
+    return { ...loaded, end: newest.value.end };
   }
 
-  #addRecord(record: StoredRecord, loaded: LoadedRuns): void {
+  #addRecord(record: StoredRecord, loaded: Omit<LoadedRuns, 'end'>): void {
     if (record.key === TERM_KEY) {
       loaded.termOffset = record.offset;
       return;
@@ -395,7 +402,7 @@
     } else if (decoded.value === undefined) {
       loaded.otherRecords.push(record);
     } else {
-      loaded.tasks.push(decoded.value);
+      loaded.tasks.add(decoded.value);
     }
   }
 }
--- a/packages/node/src/permit-cache.ts
+++ b/packages/node/src/permit-cache.ts
@@ -52,7 +52,7 @@
    * which there is no valid answer.
    */
   allowedWorkers(policy: JobPolicy, step: StepRun, workers: readonly Worker[]): AllowedWorkers {
-    const name = stepNameOf(step.tasks[0]?.name ?? '');
+    const name = step.name;
     const now = this.timers.mono();
     const advice = this.#adviceByStep.get(name);
     if (advice === undefined || advice.unanswered(workers, now).length > 0) {
@@ -92,7 +92,7 @@
     const now = this.timers.mono();
     const known = this.#adviceByStep.get(name) ?? new StepAdvice();
     const unanswered = known.unanswered(waiting.workers, now);
-    const isWaiting = step.waitingCount > 0 && step.tasks[0]?.job.hasEnded === false;
+    const isWaiting = step.waitingCount > 0 && !step.job.hasEnded;
     if (this.signal.aborted || !isWaiting || unanswered.length === 0 || policy.advice === undefined) {
       return;
     }
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -5,7 +5,7 @@
   JobTable,
   Plan,
   StateRecord,
-  TaskRecord,
+  StoredJobTasks,
   Wave,
 } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
@@ -22,7 +22,6 @@
 import type { NodePorts } from './node-ports';
 import type { NodeSettings } from './node-settings';
 import type { StreamTail } from './stream-tail';
-import { groupByJob } from './group-by-job';
 import { WRITE_OUTCOME } from './job-writer';
 import { earlierLeasesEndAt, LEASE_MS, MAX_HEARTBEAT_AGE_MS } from './lease-times';
 import { MaintenanceLoop } from './maintenance-loop';
@@ -303,14 +302,13 @@
     if (cfg !== undefined) {
       this.#scheduler.onConfig(cfg);
     }
-    // Left-over records belong to jobs that have ended or are no longer known; they are deleted.
-    const recordsByJob = groupByJob(this.start.tasks);
+    const { tasks } = this.start;
     for (const job of [...jobs.activeJobs()]) {
-      this.#takeOver(job, recordsByJob.get(job.id) ?? []);
-      recordsByJob.delete(job.id);
+      this.#takeOver(job, tasks.take(job.id));
     }
-    const obsolete = [...recordsByJob.values()].flat();
-    void this.#termLog.append(obsolete.map((record) => encodeTaskTombstone(record.task)));
+    // Left-over records belong to jobs that have ended or are no longer known; they are deleted.
+    const obsolete = [...tasks.names()];
+    void this.#termLog.append(obsolete.map(encodeTaskTombstone));
     this.#isRestored = true;
     this.#onFleetChange();
     this.#startMaintenance();
@@ -318,10 +316,10 @@
   }
 
   // One job must not keep every node from leading.
-  #takeOver(job: Job, records: readonly TaskRecord[]): void {
+  #takeOver(job: Job, { done, records }: StoredJobTasks): void {
     const { timers } = this.ctx;
     try {
-      this.#scheduler.onJob(job, records, timers.mono(), timers.now());
+      this.#scheduler.onJob(job, records, timers.mono(), timers.now(), done);
     } catch (error) {
       this.#log.error({ err: error, job: job.id }, 'job not taken over');
     }
--- a/packages/node/tests/leadership.test.ts
+++ b/packages/node/tests/leadership.test.ts
@@ -131,7 +131,10 @@
     );
     const node = new Candidate(store, 'a');
     await expect.poll(() => node.starts.length).toBe(1);
-    expect(node.starts[0]).toMatchObject({ epoch: 4, runsEnd: 4, tasks: [TASK] });
+    const [start] = node.starts;
+    expect(start).toMatchObject({ epoch: 4, runsEnd: 4 });
+    expect([...(start?.tasks.names() ?? [])]).toEqual([TASK.task]);
+    expect(start?.tasks.take('00000000000000a1').records).toEqual([TASK]);
     expect(node.starts[0]?.otherRecords.map((record) => record.key)).toEqual(['v.1.vm1']);
   });
 
--- a/packages/node/tests/newest-records.test.ts
+++ b/packages/node/tests/newest-records.test.ts
@@ -1,5 +1,6 @@
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { describe, expect, it } from 'vitest';
+import type { StoredRecord } from '../src/ports/keyed-stream';
 import { NewestPages } from '../src/newest-pages';
 import { readNewest } from '../src/newest-records';
 import { MemoryStream } from './support/memory-stream';
@@ -15,6 +16,15 @@
   return stream;
 }
 
+async function read(stream: MemoryStream) {
+  const records: StoredRecord[] = [];
+  const onRecord = (record: StoredRecord): void => {
+    records.push(record);
+  };
+  const newest = await readNewest(pagesOf(stream), onRecord, 100, timers, signal);
+  return newest.map((result) => ({ ...result, records }));
+}
+
 function pagesOf(stream: MemoryStream): NewestPages {
   return new NewestPages(stream, 'test', timers, quietLog);
 }
@@ -24,7 +34,7 @@
 describe('readNewest', () => {
   it('returns the newest record of each key from all pages', async () => {
     const stream = streamOf('a', 'b', 'c', 'd', 'e', 'b');
-    const newest = (await readNewest(pagesOf(stream), 100, timers, signal))._unsafeUnwrap();
+    const newest = (await read(stream))._unsafeUnwrap();
     expect(newest.records.map(({ key, value }) => [key, value])).toEqual([
       ['a', '0'],
       ['b', '5'],
@@ -41,19 +51,19 @@
       stream.onPage = () => undefined;
       stream.records.push({ key: 'a', offset: 3, value: 'late' });
     };
-    const newest = (await readNewest(pagesOf(stream), 100, timers, signal))._unsafeUnwrap();
+    const newest = (await read(stream))._unsafeUnwrap();
     expect(newest).toMatchObject({ end: 3, hasChanged: true });
   });
 
   it('returns no records for an empty stream', async () => {
-    const newest = await readNewest(pagesOf(streamOf()), 100, timers, signal);
+    const newest = await read(streamOf());
     expect(newest._unsafeUnwrap()).toEqual({ end: 0, hasChanged: false, records: [] });
   });
 
   it('reads a failed page again, and gives up after three failures in a row', async () => {
     const stream = streamOf('a', 'b', 'c', 'd', 'e');
     stream.newestFaults = [false, true, true, false, true, true, true];
-    const newest = await readNewest(pagesOf(stream), 100, timers, signal);
+    const newest = await read(stream);
     expect(newest._unsafeUnwrapErr()).toMatchObject({ kind: 'lost' });
     expect(stream.newestRequests).toEqual([undefined, 'b', 'b', 'b', 'd', 'd', 'd']);
   });
--- a/packages/node/tests/permit-cache.test.ts
+++ b/packages/node/tests/permit-cache.test.ts
@@ -298,8 +298,8 @@
       const { cache } = createCache(service);
       const [first, second] = createSteps(2);
       [first, second].forEach((item) => item !== undefined && cache.allowedWorkers(QUEUE, item, workers));
-      for (const task of second?.tasks ?? []) {
-        task.job.hasEnded = true;
+      if (second !== undefined) {
+        second.job.hasEnded = true;
       }
       await vi.advanceTimersByTimeAsync(100);
       expect(service.requests).toHaveLength(1);
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -1,5 +1,5 @@
 import type { FleetConfig, JobRecord, RunEnd, TaskRecord, WorkerReport } from '@sequoiaquay/core/jobs';
-import { JOB_RECORD, JobTable } from '@sequoiaquay/core/jobs';
+import { JOB_RECORD, JobTable, StoredTasks } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -140,7 +140,11 @@
   stop.abort();
 });
 
-function startWith(...tasks: TermStart['tasks']): TermStart {
+function startWith(...records: TaskRecord[]): TermStart {
+  const tasks = new StoredTasks();
+  records.forEach((record) => {
+    tasks.add(record);
+  });
   const lastHeartbeat = { at: -Infinity, released: true };
   return { epoch: 1, lastHeartbeat, otherRecords: [], runsEnd: 0, tasks };
 }
