--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -11,6 +11,19 @@
 /** Placeholder for the `bornAt` of a worker that is known only from stored assignments. */
 const UNKNOWN_BORN_AT = 0;
 
+/** What showed a restart, as it appears in the log. */
+const RESTART_SOURCE = { entry: 'entry', report: 'report' } as const;
+
+/** Evidence of the incarnation of a worker. */
+interface IncarnationEvidence {
+  /** Age of the request for the report, in ms; undefined for an entry. */
+  ageMs?: number;
+  info: WorkerInfo;
+  /** Tells which runs the incarnation may have been given before it was known, if it is a new one. */
+  mayHaveRun: (task: Task) => boolean;
+  source: (typeof RESTART_SOURCE)[keyof typeof RESTART_SOURCE];
+}
+
 /** Capacity of a worker that has not stated any. */
 const NO_CAPACITY: Demand = { cpuMilli: 0, gpus: 0, memoryMb: 0 };
 
@@ -70,7 +83,9 @@
     }
     const isEntryRead = entry?.info.bornAt === report.bornAt;
     const info = isEntryRead ? entry.info : this.#entryOfIncarnation(worker.info, report.bornAt);
-    this.#applyInfo(worker, info, now, (task) => listsRun(report, task));
+    const mayHaveRun = (task: Task): boolean => listsRun(report, task);
+    const source = RESTART_SOURCE.report;
+    this.#applyInfo(worker, { ageMs: Math.round(now - askedAt), info, mayHaveRun, source }, now);
     worker.isEntryRead = isEntryRead;
     return true;
   }
@@ -129,7 +144,8 @@
       worker.unconfirmedEntry = { info, readAt: now };
     } else {
       worker.unconfirmedEntry = undefined;
-      this.#applyInfo(worker, info, now, (task) => mayRunUnreported(worker, task));
+      const mayHaveRun = (task: Task): boolean => mayRunUnreported(worker, task);
+      this.#applyInfo(worker, { info, mayHaveRun, source: RESTART_SOURCE.entry }, now);
       worker.isEntryRead = true;
     }
     if (isUncertain && !isPrevious) {
@@ -138,8 +154,7 @@
     }
   }
 
-  // `mayHaveRun` tells which runs the incarnation may have been given before it was known, if it is a new one.
-  #applyInfo(worker: Worker, info: WorkerInfo, now: number, mayHaveRun: (task: Task) => boolean): void {
+  #applyInfo(worker: Worker, { ageMs, info, mayHaveRun, source }: IncarnationEvidence, now: number): void {
     const isUnknown = worker.info.bornAt === UNKNOWN_BORN_AT;
     const restarted = !isUnknown && info.bornAt !== worker.info.bornAt;
     if (info.pool !== worker.info.pool) {
@@ -151,7 +166,18 @@
       worker.info = info;
       return;
     }
-    this.ctx.log(DECISION.workerRestarted, { bornAt: info.bornAt, runs: worker.runs.size, worker: info.id });
+    const { bornAt, id } = info;
+    const silent = worker.isUnresponsive;
+    const kept = [...worker.runs.values()].filter(mayHaveRun).length;
+    this.ctx.log(DECISION.workerRestarted, {
+      ageMs,
+      bornAt,
+      kept,
+      runs: worker.runs.size,
+      silent,
+      source,
+      worker: id,
+    });
     this.losses.releaseAfterRestart(worker, now, mayHaveRun);
     this.ctx.vmClaims.clear(worker, now);
     worker.resetForRestart(info, now, this.ctx.settings.maxLeaseMs);
