fix(core): judge a run by the incarnation that is known to have begun it

Cause: a worker that is back under its id takes the orders for its former life. The leader took each run that was answered for one of the life before once it learned of the restart: on the way through the registry when a call had had no answer meanwhile ('no orders were sent since'; they were, before), and through a report that was asked for before the order was answered. Change: a run belongs to an incarnation once a report of it lists the run, or its answer shows a clock that only it can have (clock_ms of the answer against the last reading; a new life's clock starts anew). At a restart only runs that the former life is known to have begun are given up at once; reports of the new one that were asked for after the answer decide about the others, which takes one report. A clock that is behind closes the worker until it has reported. The answer of the link now carries the reading, so test doubles return both.

--- a/packages/core/src/jobs/reconcile.ts
+++ b/packages/core/src/jobs/reconcile.ts
@@ -35,6 +35,7 @@
     const task = worker.runs.get(row.task);
     if (task?.run === row.run) {
       listed.add(row.task);
+      task.provenBornAt = worker.info.bornAt;
       confirmRun(task, row, now);
     } else {
       findings.orphans.push(row);
--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -63,6 +63,7 @@
   workerReplaced: 'worker-replaced',
   workerResized: 'worker-resized',
   workerRestarted: 'worker-restarted',
+  workerUnknown: 'worker-unknown',
 } as const;
 
 /** Logs a decision of the leader together with the data that it is based on. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -12,7 +12,7 @@
 import type { VmClaims } from './vm-claims';
 import type { WaitingReport } from './waiting-tasks';
 import type { Worker, WorkerInfo } from './worker';
-import type { StartAnswer, WorkerReport } from './worker-report';
+import type { AnswerClock, StartAnswer, WorkerReport } from './worker-report';
 import { Assigner } from './assigner';
 import { JobRun } from './job-run';
 import { delayOrdersAfterRefusal } from './order-refusal';
@@ -248,13 +248,19 @@
     }
   }
 
-  /** Handles the outcome of an order to start a run. */
-  onStartAnswer(order: StartOrder, answer: StartAnswer, now: number): void {
+  /** Handles the outcome of an order to start a run; `clock` is undefined if the answer states none. */
+  onStartAnswer(order: StartOrder, answer: StartAnswer, now: number, clock?: AnswerClock): void {
     const { task, worker } = order;
+    const isProven = clock !== undefined && clock.readingMs >= clock.expected.minClockMs;
+    if (clock !== undefined && !isProven && clock.expected.bornAt === worker.info.bornAt) {
+      this.#ctx.log(DECISION.workerUnknown, { runs: worker.runs.size, worker: worker.info.id });
+      worker.onUnknownIncarnation();
+    }
     if (task.run !== order.run || task.worker !== worker) {
       return;
     }
     if (answer === START_ANSWER.started) {
+      task.provenBornAt ??= isProven ? clock.expected.bornAt : undefined;
       task.applyEvent('confirm', now);
       this.#runControl.reportRunning(task.job);
       return;
--- a/packages/core/src/jobs/task.ts
+++ b/packages/core/src/jobs/task.ts
@@ -49,6 +49,11 @@
   isRestored = false;
   /** Whether the order to start the newest run has been sent. */
   isOrderSent = false;
+  /**
+   * Start time of the incarnation that is known to have begun the newest run, from a report that lists it or from an
+   * answer with a reading of the incarnation's clock, in ms since the epoch; undefined if none is.
+   */
+  provenBornAt: number | undefined;
   /** Number of the newest run; 0 before the first run. */
   run = 0;
   /** Monotonic time at which the newest run was confirmed, in ms; long past for a run of an earlier term. */
@@ -96,6 +101,7 @@
     this.endExpectedFrom = worker.info.id;
     this.isOrderSent = false;
     this.isRestored = false;
+    this.provenBornAt = undefined;
     this.run = run;
     this.runningSince = -Infinity;
     this.progressPercent = 0;
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -19,7 +19,7 @@
   /** Age of the request for the report, in ms; undefined for an entry. */
   ageMs?: number;
   info: WorkerInfo;
-  /** Tells which runs the incarnation may have been given before it was known, if it is a new one. */
+  /** Tells which runs the incarnation has probably been given before it was known, if it is a new one. */
   mayHaveRun: (task: Task) => boolean;
   source: (typeof RESTART_SOURCE)[keyof typeof RESTART_SOURCE];
 }
@@ -83,7 +83,7 @@
     }
     const isEntryRead = entry?.info.bornAt === report.bornAt;
     const info = isEntryRead ? entry.info : this.#entryOfIncarnation(worker.info, report.bornAt);
-    const mayHaveRun = (task: Task): boolean => listsRun(report, task);
+    const mayHaveRun = (task: Task): boolean => listsRun(report, task) || isAnswerUnproven(task);
     const source = RESTART_SOURCE.report;
     this.#applyInfo(worker, { ageMs: Math.round(now - askedAt), info, mayHaveRun, source }, now);
     worker.isEntryRead = isEntryRead;
@@ -168,16 +168,9 @@
     }
     const { bornAt, id } = info;
     const silent = worker.isUnresponsive;
-    const kept = [...worker.runs.values()].filter(mayHaveRun).length;
-    this.ctx.log(DECISION.workerRestarted, {
-      ageMs,
-      bornAt,
-      kept,
-      runs: worker.runs.size,
-      silent,
-      source,
-      worker: id,
-    });
+    const runs = worker.runs.size;
+    const unproven = [...worker.runs.values()].filter((task) => task.provenBornAt === undefined).length;
+    this.ctx.log(DECISION.workerRestarted, { ageMs, bornAt, runs, silent, source, unproven, worker: id });
     this.losses.releaseAfterRestart(worker, now, mayHaveRun);
     this.ctx.vmClaims.clear(worker, now);
     worker.resetForRestart(info, now, this.ctx.settings.maxLeaseMs);
@@ -211,12 +204,15 @@
   return [...report.running, ...report.ended].some((row) => row.task === task.name && row.run === task.run);
 }
 
-// Whether the answer to its order has confirmed the run and no report has been read since. A worker that was found
-// unresponsive has been sent no orders since then, so that its earlier incarnation gave the answer. An earlier leader
-// may have known an incarnation that this one has not met.
+// An earlier leader may have known an incarnation that this one has not met.
 function mayRunUnreported(worker: Worker, task: Task): boolean {
   if (task.isRestored && worker.lastReportAt === -Infinity) {
     return worker.disconnection === undefined;
   }
-  return task.phase === 'running' && !worker.isUnresponsive && task.phaseSince > worker.lastReportAt;
+  return isAnswerUnproven(task);
+}
+
+// Whether an incarnation that is not known has answered the order of a run.
+function isAnswerUnproven({ phase, provenBornAt }: Task): boolean {
+  return phase === 'running' && provenBornAt === undefined;
 }
--- a/packages/core/src/jobs/worker-loss-handler.ts
+++ b/packages/core/src/jobs/worker-loss-handler.ts
@@ -120,13 +120,14 @@
   }
 
   /**
-   * Releases the runs of the previous incarnation. An order in flight may reach the new incarnation. Runs that
-   * `mayHaveRun` accepts are kept: the next report of the new incarnation decides about them.
+   * Releases the runs that the previous incarnation is known to have begun. The new one may have begun the others, also
+   * before it was known: its reports decide about them. Those that `mayHaveRun` accepts are not suspected of the end of
+   * the previous one.
    */
   releaseAfterRestart(worker: Worker, now: number, mayHaveRun: (task: Task) => boolean): void {
     const runs = [...worker.runs.values()];
     this.#suspect(worker, now, mayHaveRun);
-    const lost = runs.filter((task) => (task.phase === 'running' || task.isRestored) && !mayHaveRun(task));
+    const lost = runs.filter((task) => isProven(task, worker));
     for (const task of runs) {
       if (!lost.includes(task)) {
         task.stopAcknowledgedAt = undefined;
@@ -190,3 +191,8 @@
     });
   }
 }
+
+// Whether the known incarnation of the worker is known to have begun the run.
+function isProven({ provenBornAt }: Task, { info }: Worker): boolean {
+  return provenBornAt === info.bornAt;
+}
--- a/packages/core/src/jobs/worker-report.ts
+++ b/packages/core/src/jobs/worker-report.ts
@@ -1,3 +1,5 @@
+import type { IncarnationProof } from './worker';
+
 /** Run that a worker reports as running. */
 export interface ReportedRun {
   checkpoint: string;
@@ -69,3 +71,11 @@
 
 /** Outcome of an order to start a run. */
 export type StartAnswer = (typeof START_ANSWER)[keyof typeof START_ANSWER];
+
+/** Reading of a worker's clock in the answer to an order. */
+export interface AnswerClock {
+  /** What the known incarnation shows at least, as of the time at which the order was sent. */
+  expected: IncarnationProof;
+  /** The reading, in ms. */
+  readingMs: number;
+}
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -57,6 +57,13 @@
   wasStarting: boolean;
 }
 
+/** What the response of the known incarnation to a call shows at least. */
+export interface IncarnationProof {
+  bornAt: number;
+  /** Lowest reading of its clock, in ms. */
+  minClockMs: number;
+}
+
 interface ClockReading {
   /** Monotonic time at which the reading arrived, in ms. */
   at: number;
@@ -259,6 +266,23 @@
     this.isFenced = false;
   }
 
+  /**
+   * Returns what the response to a call at a monotonic time in ms shows if the known incarnation gives it: the clock of
+   * one that has started since is behind. Undefined while the worker's clock is not known.
+   */
+  proofAt(now: number): IncarnationProof | undefined {
+    const clock = this.#clock;
+    return clock && { bornAt: this.info.bornAt, minClockMs: clock.value + MIN_CLOCK_RATE * (now - clock.at) };
+  }
+
+  /**
+   * Handles a response of another incarnation than the known one: the worker has to report before it gets further
+   * orders.
+   */
+  onUnknownIncarnation(): void {
+    this.forgetClock();
+  }
+
   /**
    * Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. The clock
    * of the new one starts anew: a deadline that was sent to the previous one lasts for `maxLeaseMs` there.
--- a/packages/core/tests/jobs/scheduler.test.ts
+++ b/packages/core/tests/jobs/scheduler.test.ts
@@ -2,7 +2,7 @@
 import type { Plan, StartOrder, TaskRecord, Worker } from '../../src/jobs';
 import { decodeTaskRecord, Scheduler, START_ANSWER } from '../../src/jobs';
 import { canDisrupt } from '../../src/maintenance/disruption-budget';
-import { config, job, report, step, worker } from './support/jobs';
+import { answerClock, config, job, report, step, worker } from './support/jobs';
 
 const SETTINGS = {
   earlierLeasesEndAt: 10_100,
@@ -48,7 +48,8 @@
     const { starts } = this.plan();
     for (const order of starts) {
       order.worker.extendLease(this.now, 1000);
-      this.scheduler.onStartAnswer(order, START_ANSWER.started, this.now);
+      const clock = answerClock(order.worker, this.now);
+      this.scheduler.onStartAnswer(order, START_ANSWER.started, this.now, clock);
     }
     return starts;
   }
--- a/packages/core/tests/jobs/support/crashing-fleet.ts
+++ b/packages/core/tests/jobs/support/crashing-fleet.ts
@@ -1,6 +1,6 @@
 import type { Job, StartOrder, StopOrder, TaskRecord, Worker, WorkerInfo } from '../../../src/jobs';
 import { decodeTaskRecord, RUN_END, Scheduler, START_ANSWER } from '../../../src/jobs';
-import { config, SCHEDULER_SETTINGS, worker } from './jobs';
+import { answerClock, config, SCHEDULER_SETTINGS, worker } from './jobs';
 
 /** Interval of the virtual clock, in ms. */
 const TICK_MS = 10;
@@ -118,7 +118,10 @@
 
   #startLeader(): Scheduler {
     const scheduler = new Scheduler(
-      { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: this.now + LEASE_MS },
+      {
+        ...SCHEDULER_SETTINGS,
+        earlierLeasesEndAt: this.now + LEASE_MS,
+      },
       () => undefined,
     );
     scheduler.onConfig(config());
@@ -178,11 +181,12 @@
       return;
     }
     scheduler.onStartSent(order);
+    const clock = answerClock(order.worker, this.now);
     if (target.cut === undefined || target.cut.losesAnswersOnly) {
       this.#carryOut(target, order);
     }
     const answer = target.cut === undefined ? START_ANSWER.started : START_ANSWER.noAnswer;
-    scheduler.onStartAnswer(order, answer, this.now);
+    scheduler.onStartAnswer(order, answer, this.now, target.cut === undefined ? clock : undefined);
   }
 
   #carryOut(target: LiveWorker, { run, task }: StartOrder): void {
--- a/packages/core/tests/jobs/support/jobs.ts
+++ b/packages/core/tests/jobs/support/jobs.ts
@@ -1,9 +1,11 @@
 import type {
+  AnswerClock,
   FleetConfig,
   Job,
   RunEnd,
   SchedulerSettings,
   StepSpec,
+  Worker,
   WorkerInfo,
   WorkerReport,
 } from '../../../src/jobs';
@@ -99,3 +101,9 @@
   setAsideAfter: 3,
   setAsideMs: 4000,
 };
+
+/** Returns the reading of the clock in the answer of the known incarnation of a worker at a monotonic time in ms. */
+export function answerClock(target: Worker, now: number): AnswerClock | undefined {
+  const expected = target.proofAt(now);
+  return expected && { expected, readingMs: expected.minClockMs };
+}
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -270,11 +270,13 @@
       return;
     }
     const durationMs = 100 + Math.floor(this.#random() * 900);
+    const expected = order.worker.proofAt(this.#now);
     const willAnswer = this.#send(order.worker, calm, (worker) => {
       const fails = this.#injected.failsRun(worker.id, this.#now);
       const answer = worker.start(task.name, run, leader.epoch, deadline, this.#now, durationMs, fails);
+      const clock = expected && { expected, readingMs: worker.clockMs(this.#now) };
       return () => {
-        scheduler.onStartAnswer(order, answer, this.#now);
+        scheduler.onStartAnswer(order, answer, this.#now, clock);
       };
     });
     if (!willAnswer) {
--- a/packages/core/tests/jobs/support/simulated-worker.ts
+++ b/packages/core/tests/jobs/support/simulated-worker.ts
@@ -58,7 +58,7 @@
         this.#end(task, run.fails ? RUN_END.failed : RUN_END.done);
       }
     }
-    if (this.#clock(now) > this.#leaseUntil) {
+    if (this.clockMs(now) > this.#leaseUntil) {
       this.#ends.forEach((row) => this.#lapsedEnds.add(row.number));
       this.#endAll(RUN_END.lapsed);
     }
@@ -100,7 +100,7 @@
     if (run <= (this.#highestRun.get(task) ?? 0)) {
       return START_ANSWER.stale;
     }
-    if (deadline <= this.#clock(now)) {
+    if (deadline <= this.clockMs(now)) {
       return START_ANSWER.refused;
     }
     if (this.#runs.size >= this.maxRuns) {
@@ -151,14 +151,14 @@
       run,
       task,
     }));
-    return { bornAt: this.#bornAt, clockMs: this.#clock(now), ended: [...this.#ends], running };
+    return { bornAt: this.#bornAt, clockMs: this.clockMs(now), ended: [...this.#ends], running };
   }
 
   #extendLease(deadline: number, now: number): void {
-    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(deadline, this.#clock(now) + MAX_LEASE_MS));
+    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(deadline, this.clockMs(now) + MAX_LEASE_MS));
   }
 
-  #clock(now: number): number {
+  clockMs(now: number): number {
     return (now - this.#clockStartedAt) * CLOCK_RATE;
   }
 
--- /dev/null
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -0,0 +1,110 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { AnswerClock, StartOrder, Worker, WorkerReport } from '../../src/jobs';
+import { Scheduler, START_ANSWER } from '../../src/jobs';
+import { config, job, report, SCHEDULER_SETTINGS, step, worker } from './support/jobs';
+
+const TASK = 'j.0.0.0';
+
+const LEASE_MS = 1000;
+
+/** Two workers; the first restarts under its id, and the leader does not know it yet. */
+class Harness {
+  now = 10_000;
+  readonly scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+
+  constructor() {
+    this.scheduler.onConfig(config());
+    this.scheduler.onWorkerRegistered(worker('a', { bornAt: 1 }), this.now);
+    this.report('a', { ...report([], [], 1), clockMs: 9000 });
+  }
+
+  find(id: string): Worker {
+    const found = this.scheduler.workers.get(id);
+    if (found === undefined) {
+      throw new Error('the worker is not known');
+    }
+    return found;
+  }
+
+  addOther(): void {
+    this.scheduler.onWorkerRegistered(worker('b'), this.now);
+    this.report('b', report());
+  }
+
+  report(id: string, parts: WorkerReport, askedAt = this.now): void {
+    this.now += 10;
+    this.scheduler.onReport(this.find(id), parts, askedAt, this.now);
+  }
+
+  plan(): StartOrder[] {
+    this.now += 10;
+    this.scheduler.tick(this.now, 0);
+    this.scheduler.requestAssignment();
+    return this.scheduler.plan(this.now, 0).starts;
+  }
+
+  /** Assigns the task to the first worker, whose present incarnation answers with the reading of its clock. */
+  order(clockMs: number): void {
+    this.scheduler.onJob(job('j', [step()]), [], this.now, 0);
+    const [order] = this.plan();
+    if (order === undefined) {
+      throw new Error('the task was not assigned');
+    }
+    const expected = order.worker.proofAt(this.now);
+    order.worker.extendLease(this.now, LEASE_MS);
+    const clock: AnswerClock | undefined = expected && { expected, readingMs: clockMs };
+    this.now += 10;
+    this.scheduler.onStartAnswer(order, START_ANSWER.started, this.now, clock);
+    this.addOther();
+  }
+}
+
+// Guards against a second run beside the first: a worker that is back under its id takes the order that was meant for
+// its former life, and the leader learns of the restart after the answer.
+describe('a worker that has restarted unnoticed and was then given a run', () => {
+  let harness: Harness;
+
+  beforeEach(() => {
+    harness = new Harness();
+  });
+
+  it('keeps the run when its entry is read, also after a call without an answer', () => {
+    harness.order(500);
+    harness.scheduler.onWorkerUnresponsive(harness.find('a'));
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 9500 }), harness.now);
+    expect(harness.plan()).toEqual([]);
+    harness.report('a', report([[TASK, 1]], [], 9500));
+    expect(harness.plan()).toEqual([]);
+    expect(harness.find('a').runs.has(TASK)).toBe(true);
+  });
+
+  it('keeps the run when a report is read that was asked for before the order was answered', () => {
+    const askedAt = harness.now;
+    harness.order(500);
+    harness.report('a', report([], [], 9500), askedAt);
+    expect(harness.plan()).toEqual([]);
+    harness.report('a', report([[TASK, 1]], [], 9500));
+    expect(harness.plan()).toEqual([]);
+    expect(harness.find('a').runs.has(TASK)).toBe(true);
+  });
+
+  it('gives up the run after a report that was asked for later and does not list it', () => {
+    harness.order(500);
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 9500 }), harness.now);
+    harness.report('a', report([], [], 9500));
+    expect(harness.plan()).toMatchObject([{ run: 2 }]);
+  });
+
+  it('gives up the run at once when the answer came from the incarnation before', () => {
+    harness.order(9100);
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 9500 }), harness.now);
+    expect(harness.plan()).toMatchObject([{ run: 2 }]);
+  });
+
+  it('gets no other orders until it has reported', () => {
+    harness.order(500);
+    expect(harness.find('a').isAssignable(harness.now)).toBe(false);
+    harness.report('a', report([[TASK, 1]], [], 9500));
+    expect(harness.find('a').isAssignable(harness.now)).toBe(true);
+  });
+});
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -110,7 +110,8 @@
       return;
     }
     this.ctx.scheduler.onStartSent(order);
-    const answer = await link.start({
+    const expected = worker.proofAt(timers.mono());
+    const { answer, clockMs } = await link.start({
       body: task.job.job.spec.body,
       checkpoint: task.checkpoint,
       deadline: deadline,
@@ -133,7 +134,8 @@
     if (answer === START_ANSWER.noPermit) {
       this.ctx.permits.onPermitRefused(task.name, worker.info.id);
     }
-    this.ctx.scheduler.onStartAnswer(order, answer, timers.mono());
+    const clock = expected && clockMs !== undefined ? { expected, readingMs: clockMs } : undefined;
+    this.ctx.scheduler.onStartAnswer(order, answer, timers.mono(), clock);
     this.ctx.onAnswer(worker);
   }
 
--- a/packages/node/src/ports/worker-link.ts
+++ b/packages/node/src/ports/worker-link.ts
@@ -75,6 +75,13 @@
   waitMs: number;
 }
 
+/** Response to the order to start a run. */
+export interface StartResponse {
+  answer: StartAnswer;
+  /** Reading of the worker's clock, in ms; undefined without a response that states it. */
+  clockMs: number | undefined;
+}
+
 /** Client for the workers' API. */
 export interface WorkerLink {
   /** Closes the connections to a worker that is no longer used. */
@@ -82,7 +89,7 @@
   /** Returns the runs that the worker has in progress and the ends that are not yet acknowledged. */
   report: (call: ReportCall) => ResultAsync<WorkerReport, LinkError>;
   /** Orders a run to start. */
-  start: (call: StartCall) => Promise<StartAnswer>;
+  start: (call: StartCall) => Promise<StartResponse>;
   /** Orders a run to stop. */
   stop: (call: RunCall) => ResultAsync<void, LinkError>;
   /** Limits the processor time of a run. */
--- a/packages/node/tests/node.test.ts
+++ b/packages/node/tests/node.test.ts
@@ -20,7 +20,7 @@
   disconnect: () => undefined,
   throttle: () => errAsync(NO_ANSWER),
   report: () => errAsync(NO_ANSWER),
-  start: () => Promise.resolve('silent'),
+  start: () => Promise.resolve({ answer: 'silent', clockMs: undefined }),
   stop: () => errAsync(NO_ANSWER),
 };
 
--- a/packages/node/tests/order-capacity.test.ts
+++ b/packages/node/tests/order-capacity.test.ts
@@ -24,7 +24,7 @@
     this.calls.push(call);
     return new Promise((resolve) => {
       this.answers.push(() => {
-        resolve('started');
+        resolve({ answer: 'started', clockMs: undefined });
       });
     });
   }
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -35,7 +35,7 @@
     this.started.push(call.task);
     return new Promise((resolve) => {
       this.answers.push(() => {
-        resolve('started');
+        resolve({ answer: 'started', clockMs: undefined });
       });
     });
   }
@@ -46,7 +46,7 @@
   }
 }
 
-const worker = { extendLease: () => 5000, info: WORKER, isUnresponsive: false };
+const worker = { extendLease: () => 5000, info: WORKER, isUnresponsive: false, proofAt: () => undefined };
 
 function orderOf(index: number): StartOrder {
   const task = { checkpoint: '', job: { job: { spec: { body: BODY } } }, name: `t${index}` };
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -60,7 +60,7 @@
 
   start(call: StartCall): ReturnType<WorkerLink['start']> {
     this.started.push({ run: call.run, task: call.task });
-    return Promise.resolve('started');
+    return Promise.resolve({ answer: 'started', clockMs: undefined });
   }
 }
 
@@ -120,7 +120,7 @@
 
   start(): ReturnType<WorkerLink['start']> {
     this.calls.push('start');
-    return Promise.resolve('started');
+    return Promise.resolve({ answer: 'started', clockMs: undefined });
   }
 
   stop(): ReturnType<WorkerLink['stop']> {
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -61,7 +61,7 @@
   }
 
   start(): ReturnType<WorkerLink['start']> {
-    return Promise.resolve('started');
+    return Promise.resolve({ answer: 'started', clockMs: undefined });
   }
 
   stop(): ReturnType<WorkerLink['stop']> {
