fix(core): count on the longest lease where a former life's deadline may have arrived

Cause: a deadline is a time on the worker's clock. One that was computed with the clock of the former life lasts for the longest lease in the new one, whose clock starts anew. The leader counted that from the moment at which it learned of the restart, though a call may arrive later; not at all if the lease was over by then; and never when the worker was cut off before its restart was known. The next leader knew neither. Change: the longest lease is counted from the last call that extended it, with the time that a call takes. Without proof of the incarnation a run is kept for that long when its worker is silent. Runs of an earlier term do so where the incarnation started less than 20 s ago. Runs that are proven wait as before. Evidence: the three tests on leases in unnoticed-restart.test.ts fail on the source before.

--- a/packages/bench/src/leader-simulation.ts
+++ b/packages/bench/src/leader-simulation.ts
@@ -98,6 +98,7 @@
   constructor(private readonly options: LeaderSimulationOptions) {
     const settings = {
       earlierLeasesEndAt: 0,
+      earlierLongestLeasesEndAt: 0,
       maxLeaseMs: LEASE_MS,
       maxRecordBytes: 262_144,
       refusedPauseMs: 1000,
--- a/packages/core/src/jobs/scheduler-context.ts
+++ b/packages/core/src/jobs/scheduler-context.ts
@@ -10,6 +10,8 @@
 export interface SchedulerSettings {
   /** Monotonic time at which the last lease granted in earlier terms has ended, in ms. */
   earlierLeasesEndAt: number;
+  /** The same for leases that an incarnation of a worker granted that the earlier leaders had not met, in ms. */
+  earlierLongestLeasesEndAt: number;
   /** Duration to which workers shorten a longer lease, in ms. */
   maxLeaseMs: number;
   /** Most bytes of the key and the value of a record that can be stored. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -140,7 +140,7 @@
     pool.jobs.add(run);
     pool.needsAssignment = true;
     restoreDone(run, done);
-    this.#restore(run, records, now);
+    this.#restore(run, records, now, wallNow);
     this.#runControl.completeIfDone(run, now);
   }
 
@@ -254,7 +254,7 @@
     const isProven = clock !== undefined && clock.readingMs >= clock.expected.minClockMs;
     if (clock !== undefined && !isProven && clock.expected.bornAt === worker.info.bornAt) {
       this.#ctx.log(DECISION.workerUnknown, { runs: worker.runs.size, worker: worker.info.id });
-      worker.onUnknownIncarnation();
+      worker.onUnknownIncarnation(now, this.#ctx.settings.maxLeaseMs);
     }
     if (task.run !== order.run || task.worker !== worker) {
       return;
@@ -391,11 +391,11 @@
     }
   }
 
-  #restore(run: JobRun, records: readonly TaskRecord[], now: number): void {
+  #restore(run: JobRun, records: readonly TaskRecord[], now: number, wallNow: number): void {
     for (const record of records) {
       const name = parseTaskName(record.task);
       const task = name && run.findStep(name)?.getOrCreateTask(name.index);
-      task?.restore(record, this.#directory.findOrAdd(record), now);
+      task?.restore(record, this.#directory.findOrAdd(record, wallNow), now);
       run.runningReported = true;
     }
     for (const task of run.tasks()) {
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -11,6 +11,9 @@
 /** Placeholder for the `bornAt` of a worker that is known only from stored assignments. */
 const UNKNOWN_BORN_AT = 0;
 
+/** Time after its start within which an earlier leader may not have met an incarnation, in ms. */
+const RECENT_START_MS = 20_000;
+
 /** What showed a restart, as it appears in the log. */
 const RESTART_SOURCE = { entry: 'entry', report: 'report' } as const;
 
@@ -94,13 +97,17 @@
    * Returns the worker of a stored assignment; undefined if the task is not assigned. A worker that is not in the
    * registry may still run its tasks.
    */
-  findOrAdd(record: TaskRecord): Worker | undefined {
+  findOrAdd(record: TaskRecord, wallNow: number): Worker | undefined {
     if (record.state !== 'assigned') {
       return undefined;
     }
+    const { earlierLeasesEndAt, earlierLongestLeasesEndAt } = this.ctx.settings;
     const known = this.ctx.workers.get(record.workerId);
     if (known !== undefined) {
-      known.leaseEndsAt = Math.max(known.leaseEndsAt, this.ctx.settings.earlierLeasesEndAt);
+      // The earlier leader may have sent the run to an incarnation that it had not met.
+      const isRecent = wallNow - known.info.bornAt < RECENT_START_MS;
+      const longestEndsAt = isRecent ? earlierLongestLeasesEndAt : -Infinity;
+      known.leaseEndsAt = Math.max(known.leaseEndsAt, earlierLeasesEndAt, longestEndsAt);
       return known;
     }
     const info: WorkerInfo = {
--- a/packages/core/src/jobs/worker-loss-handler.ts
+++ b/packages/core/src/jobs/worker-loss-handler.ts
@@ -101,10 +101,17 @@
     this.#disconnected.push(worker);
   }
 
-  /** Releases the runs whose lease has expired. */
+  /**
+   * Releases the runs whose lease has expired. One that another incarnation than the known one may have begun is kept for
+   * the longest lease.
+   */
   releaseExpired(worker: Worker, now: number): void {
+    const isLongestLeaseOver = now > worker.longestLeaseEndsAt(this.ctx.settings.maxLeaseMs);
     // A starting run is kept: if its order has not been sent yet, it has not extended the lease.
-    const lost = [...worker.runs.values()].filter((task) => task.phase !== 'starting');
+    const lost = [...worker.runs.values()].filter(
+      (task) =>
+        task.phase !== 'starting' && (isLongestLeaseOver || task.isRestored || isProven(task, worker)),
+    );
     const suspects = lost.length === 0 ? [] : this.#suspect(worker, now);
     this.#release(lost, 'lease-ended', now);
     for (const task of suspects) {
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -36,6 +36,9 @@
   return leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
 }
 
+/** Longest time from the start of a call that extends the lease until the worker receives it, in ms. */
+const MAX_CALL_MS = 1700;
+
 /** Resolution of sums of demands: parts of a thousandth of a core, of an accelerator or of a MB. */
 const SUMS_PER_UNIT = 1e6;
 
@@ -74,6 +77,8 @@
 /** Worker, with the runs that the leader has assigned to it. */
 export class Worker {
   #clock: ClockReading | undefined;
+  /** Monotonic time at which the lease was last extended, in ms. */
+  #leaseExtendedAt = -Infinity;
   /** Number of its best-effort runs. */
   bestEffortCount = 0;
   /** Processor time that is reserved by tasks that end, in thousandths of a core. */
@@ -276,18 +281,26 @@
   }
 
   /**
-   * Handles a response of another incarnation than the known one: the worker has to report before it gets further
-   * orders.
+   * Returns the monotonic time after which no run is left, in ms, if another incarnation than the known one has begun
+   * it: the clock of that one starts anew, so that a deadline for the known one lasts for `maxLeaseMs` there.
    */
-  onUnknownIncarnation(): void {
-    this.forgetClock();
+  longestLeaseEndsAt(maxLeaseMs: number): number {
+    return Math.max(this.leaseEndsAt, this.#leaseExtendedAt + MAX_CALL_MS + longestLeaseMs(maxLeaseMs));
   }
 
   /**
-   * Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. The clock
-   * of the new one starts anew: a deadline that was sent to the previous one lasts for `maxLeaseMs` there.
+   * Handles a response of another incarnation than the known one, at a monotonic time in ms: the worker has to report
+   * before it gets further orders.
    */
+  onUnknownIncarnation(now: number, maxLeaseMs: number): void {
+    this.forgetClock();
+    this.leaseEndsAt = Math.max(this.leaseEndsAt, now + longestLeaseMs(maxLeaseMs));
+  }
+
+  /** Resets the state that belongs to the previous incarnation of the worker, at a monotonic time in ms. */
   resetForRestart(info: WorkerInfo, now: number, maxLeaseMs: number): void {
+    const endsAt = this.leaseEndsAt > now ? now + longestLeaseMs(maxLeaseMs) : -Infinity;
+    this.leaseEndsAt = Math.max(endsAt, this.longestLeaseEndsAt(maxLeaseMs));
     if (this.leaseEndsAt > now) {
       this.leaseEndsAt = Math.max(this.leaseEndsAt, now + longestLeaseMs(maxLeaseMs));
     }
@@ -322,6 +335,7 @@
     const deadline = Math.floor(clock.value + (now - clock.at) + leaseMs);
     const endsAt = clock.at + longestLeaseMs(deadline - clock.value);
     this.leaseEndsAt = Math.max(this.leaseEndsAt, endsAt);
+    this.#leaseExtendedAt = now;
     return deadline;
   }
 
--- a/packages/core/tests/jobs/support/crashing-fleet.ts
+++ b/packages/core/tests/jobs/support/crashing-fleet.ts
@@ -121,6 +121,7 @@
       {
         ...SCHEDULER_SETTINGS,
         earlierLeasesEndAt: this.now + LEASE_MS,
+        earlierLongestLeasesEndAt: this.now + LEASE_MS,
       },
       () => undefined,
     );
--- a/packages/core/tests/jobs/support/jobs.ts
+++ b/packages/core/tests/jobs/support/jobs.ts
@@ -94,6 +94,7 @@
 /** Settings of a scheduler without leases of earlier terms. */
 export const SCHEDULER_SETTINGS: SchedulerSettings = {
   earlierLeasesEndAt: 0,
+  earlierLongestLeasesEndAt: 0,
   maxLeaseMs: 10_000,
   maxRecordBytes: 262_144,
   refusedPauseMs: 1000,
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -154,6 +154,7 @@
     }
     const settings = {
       earlierLeasesEndAt: this.#now + MAX_STALENESS_MS + longestLeaseMs(LEASE_MS),
+      earlierLongestLeasesEndAt: this.#now + MAX_STALENESS_MS + longestLeaseMs(MAX_LEASE_MS),
       maxLeaseMs: MAX_LEASE_MS,
       maxRecordBytes: 262_144,
       refusedPauseMs: 1000,
--- a/packages/core/tests/jobs/unnoticed-restart.test.ts
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -7,6 +7,9 @@
 
 const LEASE_MS = 1000;
 
+/** Longest time in which a call that extends the lease reaches the worker, in ms. */
+const MAX_CALL_MS = 1700;
+
 /** Two workers; the first restarts under its id, and the leader does not know it yet. */
 class Harness {
   now = 10_000;
@@ -107,4 +110,52 @@
     harness.report('a', report([[TASK, 1]], [], 9500));
     expect(harness.find('a').isAssignable(harness.now)).toBe(true);
   });
+
+  // The clock of the new life starts anew, so that the deadline for the former one lasts for the longest lease.
+  it('keeps the run for the longest lease when it is cut off before its restart is known', () => {
+    harness.order(500);
+    harness.scheduler.onWorkerUnresponsive(harness.find('a'));
+    const startedAt = harness.now;
+    harness.now = startedAt + SCHEDULER_SETTINGS.maxLeaseMs;
+    expect(harness.plan()).toEqual([]);
+    harness.now = startedAt + MAX_CALL_MS + 1.03 * SCHEDULER_SETTINGS.maxLeaseMs + 200;
+    expect(harness.plan()).toMatchObject([{ run: 2 }]);
+  });
+
+  it('keeps the run of an order without an answer for the longest lease', () => {
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    const [order] = harness.plan();
+    if (order === undefined) {
+      throw new Error('the task was not assigned');
+    }
+    order.worker.extendLease(harness.now, LEASE_MS);
+    harness.scheduler.onStartSent(order);
+    harness.scheduler.onStartAnswer(order, START_ANSWER.noAnswer, harness.now);
+    harness.addOther();
+    const sentAt = harness.now;
+    harness.now = sentAt + SCHEDULER_SETTINGS.maxLeaseMs;
+    expect(harness.plan()).toEqual([]);
+    harness.now = sentAt + MAX_CALL_MS + 1.03 * SCHEDULER_SETTINGS.maxLeaseMs + 200;
+    expect(harness.plan()).toMatchObject([{ run: 2 }]);
+  });
+
+  it('keeps the run of an earlier term for the longest lease when it may not have been known to that term', () => {
+    const now = 10_000;
+    const settings = { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: 14_000, earlierLongestLeasesEndAt: 20_000 };
+    const scheduler = new Scheduler(settings, () => undefined);
+    scheduler.onConfig(config());
+    scheduler.onWorkerRegistered(worker('a', { bornAt: 95_000 }), now);
+    scheduler.onWorkerRegistered(worker('b', { bornAt: 1 }), now);
+    const record = { checkpoint: '', failures: 0, run: 1, state: 'assigned' } as const;
+    const records = ['a', 'b'].map((workerId, index) => ({ ...record, task: `j.0.0.${index}`, workerId }));
+    scheduler.onJob(job('j', [step({ count: 2 })]), records, now, 100_000);
+    for (const known of scheduler.workers.values()) {
+      scheduler.onWorkerUnresponsive(known);
+    }
+    scheduler.tick(19_000, 0);
+    const waiting = [...(scheduler.jobs.get('j')?.tasks() ?? [])].filter(({ phase }) => phase === 'waiting');
+    expect(waiting.map(({ name }) => name)).toEqual(['j.0.0.1']);
+    scheduler.tick(20_001, 0);
+    expect(scheduler.workers.get('a')?.runs.size).toBe(0);
+  });
 });
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -136,6 +136,7 @@
       {
         ...SCHEDULER_SETTINGS,
         earlierLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, this.#leaseMs),
+        earlierLongestLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, ctx.settings.bounds.maxLeaseMs),
         maxLeaseMs: ctx.settings.bounds.maxLeaseMs,
         maxRecordBytes: maxContentBytes(appendLimits(ctx.settings)),
       },
