fix(node): acknowledge each end once, to the incarnation that listed it

Cause: each report request repeated the number of the last stored end. A worker that is back under its id numbers its ends anew, took the number of its former life for its own and forgot ends that nobody had read; the leader found the runs neither running nor ended and started their tasks again. The header cannot tell the lives apart. Change: a number is sent until one answer, by the same incarnation, has confirmed it, and not while the clock of the worker is unknown. What remains: a number on its way while the worker restarts; the new life would have to end a run within that one call.

--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -94,9 +94,16 @@
     return this.worker.endsAcknowledged < this.worker.endsStored;
   }
 
+  // Each number is sent until one answer: a new incarnation would drop its own ends up to the number, unread.
+  #endsToAcknowledge(): number {
+    const { worker } = this;
+    return worker.isFenced && this.#hasUnacknowledgedEnds() ? worker.endsStored : 0;
+  }
+
   async #requestReport(): Promise<void> {
     const { ctx, worker } = this;
-    const { endsStored, info } = worker;
+    const { info } = worker;
+    const endsStored = this.#endsToAcknowledge();
     const requestedAt = ctx.timers.mono();
     const res = await ctx.link.report({
       deadline: this.#nextLeaseDeadline(requestedAt),
@@ -112,7 +119,9 @@
       return;
     }
     if (res.isOk()) {
-      worker.endsAcknowledged = endsStored;
+      if (res.value.bornAt === worker.info.bornAt && info.bornAt === worker.info.bornAt) {
+        worker.endsAcknowledged = Math.max(worker.endsAcknowledged, endsStored);
+      }
       ctx.scheduler.onReport(worker, res.value, requestedAt, ctx.timers.mono());
       ctx.onChange();
       await this.#pauseAfterReport();
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -218,9 +218,11 @@
 
 /** Worker whose only run has ended, and which lists that end until it is acknowledged. */
 class IdleWorker extends SlowWorker {
+  readonly acknowledged: number[] = [];
   isEndListed = true;
 
   override report(call: ReportCall): ReturnType<WorkerLink['report']> {
+    this.acknowledged.push(call.endsStored);
     this.isEndListed &&= call.endsStored < 1;
     const ended = this.isEndListed
       ? [{ checkpoint: '', end: RUN_END.done, number: 1, run: 1, task: TASK }]
@@ -235,7 +237,7 @@
   });
 
   // Guards against ends that an idle worker lists to every later leader again.
-  it('acknowledges the last ends that were stored', async () => {
+  it('acknowledges the last ends that were stored, once', async () => {
     vi.useFakeTimers();
     const stop = new AbortController();
     const scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
@@ -261,6 +263,11 @@
     void new WorkerLoop(worker, ctx, stop.signal).run();
     await vi.advanceTimersByTimeAsync(3000);
     expect(link.isEndListed).toBe(false);
+    // A new life of the worker would drop its own ends up to a number that is repeated, unread.
+    worker.forgetClock();
+    await vi.advanceTimersByTimeAsync(3000);
+    expect(link.acknowledged.filter((number) => number > 0)).toEqual([1]);
+    expect(link.acknowledged.at(-1)).toBe(0);
     stop.abort();
   });
 });
