fix(core): keep the tasks that run within the memory of the leader

Change: at most 50,000 tasks are assigned at a time; beyond it each step still gets four, so that no job waits for the end of others. The rest waits and is started as runs end.

--- a/packages/core/src/jobs/assigner.ts
+++ b/packages/core/src/jobs/assigner.ts
@@ -32,6 +32,12 @@
  */
 const MAX_STARTING_TASKS = 256;
 
+/** Most tasks that are assigned at a time, in all pools: the leader keeps each of them in memory, and so does the next. */
+const MAX_ASSIGNED_TASKS = 50_000;
+
+/** Number of tasks that a step may have assigned in spite of that limit, so that no job waits for the end of others. */
+const MIN_ASSIGNED_PER_STEP = 4;
+
 /** Workers to which tasks of a pool can be assigned. */
 interface PoolWorkers {
   /** Those on which suspected tasks start alone, and the others. */
@@ -41,6 +47,7 @@
 
 /** Assigns waiting tasks to workers with enough free capacity. */
 export class Assigner {
+  #assignedCount = 0;
   readonly #lastAdvice = new WeakMap<StepRun, AllowedWorkers>();
 
   constructor(
@@ -51,6 +58,7 @@
 
   /** Assigns the waiting tasks of the ready steps of a pool, as far as its workers have free capacity. */
   assignWaiting(pool: PoolState, now: number, wallNow: number): void {
+    this.#assignedCount = countRuns(this.ctx.workers.values());
     const workers = pool.assignableWorkers(now);
     const steady = workers.filter((worker) => !worker.isAtRisk(now));
     this.#assignTo(pool, steady, workers, now, wallNow);
@@ -111,7 +119,7 @@
       }
     }
     for (const task of step.waitingTasks()) {
-      if (isStartLimited(step)) {
+      if (isStartLimited(step) || this.#isMemoryLimited(step)) {
         return;
       }
       if (task.isSuspected || !mayStart(task, now)) {
@@ -142,7 +150,14 @@
     }
   }
 
+  #isMemoryLimited({ unfinishedCount, waitingCount }: StepRun): boolean {
+    return (
+      this.#assignedCount >= MAX_ASSIGNED_TASKS && unfinishedCount - waitingCount >= MIN_ASSIGNED_PER_STEP
+    );
+  }
+
   #assign(task: Task, worker: Worker, run: number, now: number): void {
+    this.#assignedCount += 1;
     task.assign(worker, run, now);
     this.runControl.storeTask(task);
     this.ctx.pending.starts.push({ run, task, worker });
@@ -160,6 +175,14 @@
   return startsNotBefore <= now;
 }
 
+function countRuns(workers: Iterable<Worker>): number {
+  let count = 0;
+  for (const { runs } of workers) {
+    count += runs.size;
+  }
+  return count;
+}
+
 function isStartLimited(step: StepRun): boolean {
   return step.startingCount >= MAX_STARTING_TASKS;
 }
--- a/packages/core/tests/jobs/wide-jobs.test.ts
+++ b/packages/core/tests/jobs/wide-jobs.test.ts
@@ -7,6 +7,9 @@
 
 const ROOMY = { cpuMilli: 16_000, gpus: 0, memoryMb: 64_000 };
 
+/** Number of tasks, of some 700 bytes each, that leave half of a heap of 120 MB free. */
+const MAX_HELD_TASKS = 80_000;
+
 /** Best-effort tasks, for all of which there is room at once. */
 const WIDE = step({ count: TASKS, demand: { cpuMilli: 100, gpus: 0, memoryMb: 8 }, fillsIdle: true });
 
@@ -59,6 +62,19 @@
     expect(scheduler.jobs.size).toBe(0);
   });
 
+  it('leaves room in the memory of the leader when all its tasks could run, and some of it to each other job', () => {
+    const scheduler = createScheduler(24);
+    ['a', 'b', 'c', 'd'].forEach((id) => {
+      scheduler.onJob(job(id, [{ ...WIDE, longRunning: true }]), [], 10, 0);
+    });
+    for (let now = 20; now < 1000; now += 1) {
+      answer(scheduler, scheduler.plan(now, 0).starts, now);
+    }
+    expect(countTasks(scheduler)).toBeLessThan(MAX_HELD_TASKS);
+    scheduler.onJob(job('small', [step()]), [], 1000, 0);
+    expect(scheduler.plan(1010, 0).starts.map(({ task }) => task.name)).toContain('small.0.0.0');
+  });
+
   it('starts none of its tasks again under a later leader that finds them done', () => {
     const scheduler = createScheduler(1);
     const done = { indexes: Array.from({ length: TASKS - 2 }, (_, index) => index), occurrence: 0, step: 0 };
