--- a/packages/core/src/jobs/step-run.ts
+++ b/packages/core/src/jobs/step-run.ts
@@ -7,19 +7,24 @@
 import { Task } from './task';
 import { formatTaskName } from './task-name';
 
+/** Tasks of a step that have been created and are not done. */
+interface CreatedTasks {
+  byIndex: Map<number, Task>;
+  /** Numbers of those that are assigned, by worker. */
+  countByWorker: Map<Worker, number>;
+  waiting: Set<Task>;
+}
+
 /**
  * Step of one occurrence of a job. Its tasks are created when their turn comes, and dropped once they are done, so that
  * the memory of the leader does not grow with what waits.
  */
 export class StepRun {
-  readonly #countByWorker = new Map<Worker, number>();
+  /** Undefined while there are none: a job may have many steps that wait or are done. */
+  #created: CreatedTasks | undefined;
   readonly #done: IndexSet;
   /** Index from which on tasks are created when their turn comes; some of them may have been created before. */
   #nextIndex = 0;
-  /** Tasks that have been created and are not done, by index. */
-  readonly #tasks = new Map<number, Task>();
-  /** Those of them that wait. */
-  readonly #waiting = new Set<Task>();
   readonly job: JobRun;
   readonly occurrence: OccurrenceRun;
   /** Number of tasks whose worker reports them as running, or has confirmed their order. */
@@ -63,13 +68,13 @@
 
   /** Number of waiting tasks that have not been created. */
   get uncreatedCount(): number {
-    return this.waitingCount - this.#waiting.size;
+    return this.waitingCount - (this.#created?.waiting.size ?? 0);
   }
 
   /** Returns the number of tasks that are assigned to workers of a rack. */
   countInRack(rack: string): number {
     let count = 0;
-    for (const [worker, tasks] of this.#countByWorker) {
+    for (const [worker, tasks] of this.#created?.countByWorker ?? []) {
       count += worker.info.rack === rack ? tasks : 0;
     }
     return count;
@@ -84,24 +89,30 @@
 
   /** Returns a task that is not done, which is created if need be; undefined if it is done or does not exist. */
   getOrCreateTask(index: number): Task | undefined {
-    const known = this.#tasks.get(index);
+    const known = this.findTask(index);
     if (known !== undefined || !(index >= 0 && index < this.spec.count) || this.#done.has(index)) {
       return known;
     }
     const task = new Task(this.#nameOf(index), index, this.job, this);
-    this.#tasks.set(index, task);
-    this.#waiting.add(task);
+    this.#created ??= { byIndex: new Map(), countByWorker: new Map(), waiting: new Set() };
+    this.#created.byIndex.set(index, task);
+    this.#created.waiting.add(task);
     return task;
   }
 
   /** Returns a task that has been created and is not done. */
   findTask(index: number): Task | undefined {
-    return this.#tasks.get(index);
+    return this.#created?.byIndex.get(index);
   }
 
   /** Notes that a task that has not been created is done, as an earlier leader has stored. */
   restoreDone(index: number): void {
-    if (index >= 0 && index < this.spec.count && !this.#tasks.has(index) && this.#done.add(index)) {
+    if (
+      index >= 0 &&
+      index < this.spec.count &&
+      this.findTask(index) === undefined &&
+      this.#done.add(index)
+    ) {
       this.unfinishedCount -= 1;
       this.waitingCount -= 1;
     }
@@ -109,7 +120,9 @@
 
   /** Updates the counts when a task of the step is assigned to a worker, or no longer is. */
   onAssignment(worker: Worker, change: 1 | -1): void {
-    addTo(this.#countByWorker, worker, change);
+    if (this.#created !== undefined) {
+      addTo(this.#created.countByWorker, worker, change);
+    }
   }
 
   /** Updates the counts when a task of the step changes its phase. */
@@ -119,20 +132,18 @@
     this.waitingCount += Number(to === 'waiting') - Number(from === 'waiting');
     this.strandedSince = from === 'waiting' ? undefined : this.strandedSince;
     if (to === 'waiting') {
-      this.#waiting.add(task);
+      this.#created?.waiting.add(task);
     } else {
-      this.#waiting.delete(task);
+      this.#created?.waiting.delete(task);
     }
     if (to === 'done') {
-      this.unfinishedCount -= 1;
-      this.#done.add(task.index);
-      this.#tasks.delete(task.index);
+      this.#onDone(task);
     }
   }
 
   /** Yields the tasks that have been created and are not done. */
-  tasks(): IterableIterator<Task> {
-    return this.#tasks.values();
+  tasks(): Iterable<Task> {
+    return this.#created?.byIndex.values() ?? [];
   }
 
   /** Yields all tasks that are not done, which are created. */
@@ -147,7 +158,7 @@
 
   /** Returns the waiting tasks that have been created, in the order of their indexes. */
   createdWaitingTasks(): Task[] {
-    return [...this.#waiting].sort((a, b) => a.index - b.index);
+    return [...(this.#created?.waiting ?? [])].sort((a, b) => a.index - b.index);
   }
 
   /** Yields the waiting tasks, first those that have been created; the others are created when they are reached. */
@@ -156,7 +167,7 @@
     while (this.#nextIndex < this.spec.count) {
       const index = this.#nextIndex;
       this.#nextIndex += 1;
-      const task = this.#tasks.has(index) ? undefined : this.getOrCreateTask(index);
+      const task = this.findTask(index) === undefined ? this.getOrCreateTask(index) : undefined;
       if (task !== undefined) {
         yield task;
       }
@@ -170,6 +181,15 @@
     return first;
   }
 
+  #onDone(task: Task): void {
+    this.unfinishedCount -= 1;
+    this.#done.add(task.index);
+    this.#created?.byIndex.delete(task.index);
+    if (this.#created?.byIndex.size === 0) {
+      this.#created = undefined;
+    }
+  }
+
   #nameOf(index: number): string {
     const { job, occurrence, stepIndex: step } = this;
     return formatTaskName({ index, jobId: job.job.id, occurrence: occurrence.number, step });
