feat(node): refuse jobs at once while the accepted ones fill the memory of a leader

Tasks that wait take no memory now, but texts, steps and occurrences do. Each node knows the accepted jobs, so that any of them can tell: above 32 MB as estimated, a submission gets 503, backlog-full and Retry-After 10 at once, and has not run. Nodes that accept at the same time may pass the bound by what they have in flight; a leader's heap has 120 MB. What is stored is served whatever its size. Evidence: 'refuses a job at once while the accepted ones fill the memory of a leader, until one has ended' accepted all three before.

--- a/packages/core/src/jobs/job-spec.ts
+++ b/packages/core/src/jobs/job-spec.ts
@@ -92,6 +92,21 @@
  */
 const MAX_JOB_TASKS = 50_000;
 
+/** Memory of a job without its text, steps and occurrences, in bytes. */
+const JOB_BYTES = 1000;
+
+/** Memory of a step, in bytes. */
+const STEP_BYTES = 500;
+
+/** Memory that the leader needs for each step of an occurrence, in bytes. */
+const STEP_RUN_BYTES = 250;
+
+/** Returns about how much memory an accepted job takes on a node that leads until it has ended, in bytes. */
+export function estimateJobBytes({ body, schedule, steps }: JobSpec): number {
+  const occurrences = schedule?.count ?? 1;
+  return JOB_BYTES + body.length + steps.length * (STEP_BYTES + occurrences * STEP_RUN_BYTES);
+}
+
 /** Returns the reasons why a job cannot be accepted; empty if the job is valid. */
 export function findJobProblems(spec: JobSpec): string[] {
   const problems = spec.steps.flatMap(findStepProblems);
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -1,7 +1,7 @@
 import type { DeleteRecord, JobRecord } from './job-record';
 import type { Job, JobState } from './job-spec';
 import { isLeadershipRecord, JOB_KEY_PREFIX, JOB_RECORD } from './job-record';
-import { JOB_STATE } from './job-spec';
+import { estimateJobBytes, JOB_STATE } from './job-spec';
 
 /** State of a job, as read from the stream of jobs. */
 export interface JobEntry {
@@ -22,6 +22,7 @@
  * then says that it was accepted.
  */
 export class JobTable {
+  #activeBytes = 0;
   readonly #entries = new Map<string, JobEntry>();
   readonly #queuedIdsByQueue = new Map<string, Set<string>>();
 
@@ -30,6 +31,11 @@
     return this.#entries.size;
   }
 
+  /** About how much memory the jobs that have not ended take on a node that leads, in bytes. */
+  get activeBytes(): number {
+    return this.#activeBytes;
+  }
+
   /** Yields the jobs that have not ended, in the order in which they were first read. */
   *activeJobs(): Generator<Job> {
     for (const entry of this.#entries.values()) {
@@ -64,7 +70,7 @@
     const id = record.kind === JOB_RECORD.submit ? record.job.id : record.id;
     const entry = this.#getOrCreateEntry(id);
     if (record.kind === JOB_RECORD.submit) {
-      entry.job ??= record.job;
+      this.#addJob(entry, record.job);
     } else if (record.kind === JOB_RECORD.cancel) {
       entry.cancelled = true;
     } else if (!hasReportedEnd(entry)) {
@@ -114,8 +120,16 @@
     }
   }
 
+  #addJob(entry: JobEntry, job: Job): void {
+    if (entry.job === undefined) {
+      entry.job = job;
+      this.#activeBytes += estimateJobBytes(job.spec);
+    }
+  }
+
   #dropJob(id: string, entry: JobEntry): void {
     if (entry.job !== undefined) {
+      this.#activeBytes -= estimateJobBytes(entry.job.spec);
       this.#queuedIdsByQueue.get(entry.job.queue)?.delete(id);
       entry.job = undefined;
     }
--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -1,7 +1,7 @@
 import type { FleetConfig, JobSpec, JobState, JobTable } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
-import { findQueue, JOB_RECORD, JOB_STATE, toJobPolicy } from '@sequoiaquay/core/jobs';
+import { estimateJobBytes, findQueue, JOB_RECORD, JOB_STATE, toJobPolicy } from '@sequoiaquay/core/jobs';
 import type { JobWriter } from './job-writer';
 import type { NodeMetrics } from './node-metrics';
 import type { StreamTail } from './stream-tail';
@@ -42,6 +42,8 @@
 
 /** Reasons for refusals, as callers see them. */
 export const REFUSAL_REASON = {
+  /** The jobs that have not ended leave no room for the job in the memory of a leader. */
+  backlogFull: 'backlog-full',
   noConfiguration: 'no-configuration',
   stateNotCurrent: 'state-not-current',
   storeUnavailable: 'store-unavailable',
@@ -67,6 +69,15 @@
 /** Delay after which callers may retry while the store is unavailable, in seconds; outages last some time. */
 const STORE_RETRY_AFTER_S = 2;
 
+/**
+ * Most memory that the accepted jobs may take on a leader, in bytes. Several nodes may accept jobs before they read of
+ * each other's, so that a part of the heap is left for these.
+ */
+const MAX_BACKLOG_BYTES = 32_000_000;
+
+/** Delay after which callers may retry while the backlog is full, in seconds; jobs of such a backlog end slowly. */
+const BACKLOG_RETRY_AFTER_S = 10;
+
 /** Handles the requests of callers: submits and cancels jobs, and returns their state. */
 export class CallerService {
   /** Configuration in force; undefined until the first is known. */
@@ -110,6 +121,9 @@
     if (this.jobs.stateOf(id) !== undefined) {
       return this.#logAnswer(id, { kind: CALLER_ANSWER.accepted });
     }
+    if (this.jobs.activeBytes + estimateJobBytes(spec.value) > MAX_BACKLOG_BYTES) {
+      return this.#logAnswer(id, this.#backlogFullAnswer(id));
+    }
     if (!this.writer.isLikelyToSucceed(this.tail.reachableSince !== undefined)) {
       return this.#logAnswer(id, this.#notStoredAnswer(id));
     }
@@ -258,6 +272,16 @@
     return this.#unconfirmedIds.has(id) ? { kind: CALLER_ANSWER.unsure } : this.#storeUnavailableAnswer();
   }
 
+  #backlogFullAnswer(id: string): CallerAnswer {
+    return this.#unconfirmedIds.has(id)
+      ? { kind: CALLER_ANSWER.unsure }
+      : {
+          kind: CALLER_ANSWER.notRun,
+          reason: REFUSAL_REASON.backlogFull,
+          retryAfterS: BACKLOG_RETRY_AFTER_S,
+        };
+  }
+
   #storeUnavailableAnswer(): CallerAnswer {
     return {
       kind: CALLER_ANSWER.notRun,
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -3,6 +3,7 @@
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { CallerAnswer } from '../src/caller-service';
 import type { AppendFault } from './support/memory-stream';
 import { step } from '../../core/tests/jobs/support/jobs';
 import { CallerService } from '../src/caller-service';
@@ -164,6 +165,22 @@
     expect(answer).toEqual({ kind: 'state', state: 'queued' });
   });
 
+  it('refuses a job at once while the accepted ones fill the memory of a leader, until one has ended', async () => {
+    const callers = createService();
+    const steps = Array.from({ length: 700 }, () => step());
+    const large = { ...SPEC, schedule: { count: 70, firstAt: 0, intervalMs: 1000 }, steps };
+    const submit = (number: number): Promise<CallerAnswer> => {
+      const path = `${REQ.path.slice(0, -ID.length)}${String(number).padStart(16, '0')}`;
+      return callers.submit({ ...REQ, path }, ok(large));
+    };
+    const answers = [await submit(1), await submit(2), await submit(3)];
+    expect(answers.map(({ kind }) => kind)).toEqual(['accepted', 'accepted', 'not-run']);
+    expect(answers[2]).toMatchObject({ reason: 'backlog-full', retryAfterS: expect.any(Number) as number });
+    expect(stream.records).toHaveLength(2);
+    jobs.apply({ id: '1'.padStart(16, '0'), kind: 'state', state: 'completed' });
+    expect(await submit(3)).toMatchObject({ kind: 'accepted' });
+  });
+
   it('calls a job that the store never takes a bad request, not an outage', async () => {
     const callers = createService();
     stream.maxAppendBytes = 100;
