fix(core): take no answer of a young incarnation for proof of the one before

Change: an answer proves the known incarnation only if its clock shows more than the time since that one was last asked and answered, which no later one can show. The unit test on a young incarnation fails on the source before.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -32,7 +32,7 @@
 import { WorkerDirectory } from './worker-directory';
 import { WorkerLossHandler } from './worker-loss-handler';
 import { WorkerQuarantine } from './worker-quarantine';
-import { START_ANSWER } from './worker-report';
+import { ANSWERED_BY, identifyIncarnation, START_ANSWER } from './worker-report';
 
 /** Holder of the claims by the scheduler itself. */
 const CLAIM_HOLDER = 'scheduler';
@@ -189,7 +189,7 @@
     if (askedAt > (worker.vmClaims.get(CLAIM_HOLDER)?.since ?? Infinity)) {
       this.vmClaims.release(worker, CLAIM_HOLDER, 'reported', now);
     }
-    worker.updateClock(report.clockMs, now);
+    worker.updateClock(report.clockMs, askedAt, now);
     worker.isUnresponsive = false;
     this.#workerLosses.handleReport(worker, askedAt);
     const findings = reconcile(worker, report, askedAt, now);
@@ -251,8 +251,8 @@
   /** Handles the outcome of an order to start a run; `clock` is undefined if the answer states none. */
   onStartAnswer(order: StartOrder, answer: StartAnswer, now: number, clock?: AnswerClock): void {
     const { task, worker } = order;
-    const isProven = clock !== undefined && clock.readingMs >= clock.expected.minClockMs;
-    if (clock !== undefined && !isProven && clock.expected.bornAt === worker.info.bornAt) {
+    const incarnation = clock === undefined ? ANSWERED_BY.unknown : identifyIncarnation(clock, now);
+    if (incarnation === ANSWERED_BY.later && clock?.expected.bornAt === worker.info.bornAt) {
       this.#ctx.log(DECISION.workerUnknown, { runs: worker.runs.size, worker: worker.info.id });
       worker.onUnknownIncarnation(now, this.#ctx.settings.maxLeaseMs);
     }
@@ -260,7 +260,7 @@
       return;
     }
     if (answer === START_ANSWER.started) {
-      task.provenBornAt ??= isProven ? clock.expected.bornAt : undefined;
+      task.provenBornAt ??= incarnation === ANSWERED_BY.known ? clock?.expected.bornAt : undefined;
       task.applyEvent('confirm', now);
       this.#runControl.reportRunning(task.job);
       return;
--- a/packages/core/src/jobs/worker-report.ts
+++ b/packages/core/src/jobs/worker-report.ts
@@ -74,8 +74,25 @@
 
 /** Reading of a worker's clock in the answer to an order. */
 export interface AnswerClock {
-  /** What the known incarnation shows at least, as of the time at which the order was sent. */
+  /** What tells the known incarnation from a later one, as of the time at which the order was sent. */
   expected: IncarnationProof;
   /** The reading, in ms. */
   readingMs: number;
 }
+
+/** Incarnation that answered an order. */
+export const ANSWERED_BY = { known: 'known', later: 'later', unknown: 'unknown' } as const;
+
+/**
+ * Tells which incarnation gave an answer that arrived at a monotonic time in ms. The clock of a later one is behind, and
+ * it shows no more than the time since the known one was last alive.
+ */
+export function identifyIncarnation(
+  { expected, readingMs }: AnswerClock,
+  now: number,
+): (typeof ANSWERED_BY)[keyof typeof ANSWERED_BY] {
+  if (readingMs < expected.minClockMs) {
+    return ANSWERED_BY.later;
+  }
+  return readingMs > now - expected.aliveAt ? ANSWERED_BY.known : ANSWERED_BY.unknown;
+}
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -60,14 +60,18 @@
   wasStarting: boolean;
 }
 
-/** What the response of the known incarnation to a call shows at least. */
+/** What tells the response of the known incarnation to a call from that of a later one. */
 export interface IncarnationProof {
+  /** Monotonic time before which no later incarnation has started, in ms. */
+  aliveAt: number;
   bornAt: number;
   /** Lowest reading of its clock, in ms. */
   minClockMs: number;
 }
 
 interface ClockReading {
+  /** Monotonic time of the request for the report with the reading, in ms. */
+  askedAt: number;
   /** Monotonic time at which the reading arrived, in ms. */
   at: number;
   /** Reading of the worker's clock, in ms. */
@@ -259,9 +263,9 @@
     return this.#unanswered.map(({ run, task }) => ({ run, task }));
   }
 
-  /** Records a clock reading from a report that arrived at a monotonic time in ms. */
-  updateClock(value: number, at: number): void {
-    this.#clock = { at, value };
+  /** Records a clock reading from a report that was requested and arrived at monotonic times in ms. */
+  updateClock(value: number, askedAt: number, at: number): void {
+    this.#clock = { askedAt, at, value };
     this.lastReportAt = at;
   }
 
@@ -272,12 +276,16 @@
   }
 
   /**
-   * Returns what the response to a call at a monotonic time in ms shows if the known incarnation gives it: the clock of
-   * one that has started since is behind. Undefined while the worker's clock is not known.
+   * Returns what tells the response of the known incarnation to a call at a monotonic time in ms from that of a later
+   * one, whose clock has started since. Undefined while the worker's clock is not known.
    */
   proofAt(now: number): IncarnationProof | undefined {
     const clock = this.#clock;
-    return clock && { bornAt: this.info.bornAt, minClockMs: clock.value + MIN_CLOCK_RATE * (now - clock.at) };
+    if (clock === undefined) {
+      return undefined;
+    }
+    const minClockMs = clock.value + MIN_CLOCK_RATE * (now - clock.at);
+    return { aliveAt: clock.askedAt, bornAt: this.info.bornAt, minClockMs };
   }
 
   /**
--- a/packages/core/tests/jobs/scheduler-model.test.ts
+++ b/packages/core/tests/jobs/scheduler-model.test.ts
@@ -43,6 +43,8 @@
   ],
 ];
 
+const UNNOTICED_RESTARTS: Faults = { ...NONE, lateEntry: 0.8, restart: 0.03 };
+
 describe('scheduler in a cluster with injected faults', () => {
   it.each(cases)('runs no task twice or before its dependencies, and completes all jobs: %s', (_, faults) => {
     for (let seed = 1; seed <= SEEDS; seed += 1) {
@@ -145,6 +147,29 @@
     }
   });
 
+  // Guards against a run of the new life that is taken for one of the life before, and against its longer lease.
+  it.each<[name: string, faults: Faults]>([
+    ['and are cut off soon after', { ...UNNOTICED_RESTARTS, partition: 0.03, silence: 0.02 }],
+    ['while reports are late', { ...UNNOTICED_RESTARTS, lateReport: 0.4 }],
+    [
+      'while reports are late and answers are lost',
+      { ...UNNOTICED_RESTARTS, lateReport: 0.4, lostAnswer: 0.1 },
+    ],
+    [
+      'and are cut off soon after, while leaders change',
+      { ...UNNOTICED_RESTARTS, lateReport: 0.3, leaderChange: 0.01, leaderCrash: 0.005, silence: 0.02 },
+    ],
+  ])('never runs a task on two workers at the same time when they restart unnoticed %s', (_, faults) => {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const cluster = new SimulatedCluster(seed, faults);
+      cluster.run(FAULT_PHASE_MS, false);
+      cluster.run(RECOVERY_MS, true);
+      const found = cluster.violations.filter((text) => text.includes('while it runs'));
+      expect(found, `seed ${seed}`).toEqual([]);
+      expect(cluster.ended.size, `seed ${seed}`).toBe(5);
+    }
+  });
+
   it('never runs a task again after its end was acknowledged when workers restart and reports are late', () => {
     const faults = { ...NONE, lateReport: 0.3, registryLoss: 0.01, restart: 0.02 };
     for (let seed = 1; seed <= SEEDS; seed += 1) {
--- a/packages/core/tests/jobs/unnoticed-restart.test.ts
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -104,6 +104,15 @@
     expect(harness.plan()).toMatchObject([{ run: 2 }]);
   });
 
+  it('keeps the run when the known incarnation was so young that the clock of the next one shows as much', () => {
+    harness.report('a', { ...report([], [], 5), clockMs: 5 }, harness.now - 100);
+    harness.order(80);
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 9500 }), harness.now);
+    expect(harness.plan()).toEqual([]);
+    harness.report('a', report([[TASK, 1]], [], 9500));
+    expect(harness.plan()).toEqual([]);
+  });
+
   it('gets no other orders until it has reported', () => {
     harness.order(500);
     expect(harness.find('a').isAssignable(harness.now)).toBe(false);
