fix(core): give up orders without an answer after their lease when the registry shows no restart

If the registry was current 2 s after the last call can have arrived, and shows no other incarnation, there is none, and the lease of the known one decides as before. While the store is away, or an entry is unconfirmed, the longest lease counts. Evidence: 'gives up the run of an order without an answer after its lease when the registry shows no restart' fails before.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -308,13 +308,16 @@
     }
   }
 
-  /** Releases runs whose lease has expired, moves stalled runs and adds due occurrences of jobs. */
-  tick(now: number, wallNow: number): void {
+  /**
+   * Releases runs whose lease has expired, moves stalled runs and adds due occurrences of jobs. The entries of the
+   * registry are known as of the monotonic time `registryCurrentAt`, in ms.
+   */
+  tick(now: number, wallNow: number, registryCurrentAt = -Infinity): void {
     for (const worker of [...this.#ctx.workers.values()]) {
       this.vmClaims.expire(worker, now);
       // A responsive worker reports the outcome of its runs itself.
       if (now > worker.leaseEndsAt && (worker.isUnresponsive || worker.isDeregistered)) {
-        this.#workerLosses.releaseExpired(worker, now);
+        this.#workerLosses.releaseExpired(worker, now, registryCurrentAt);
         this.#directory.removeIfIdle(worker);
       }
       this.#moveStalledAndLeaving(worker, now);
--- a/packages/core/src/jobs/worker-loss-handler.ts
+++ b/packages/core/src/jobs/worker-loss-handler.ts
@@ -103,14 +103,15 @@
 
   /**
    * Releases the runs whose lease has expired. One that another incarnation than the known one may have begun is kept for
-   * the longest lease.
+   * the longest lease, unless the registry, which was current at a monotonic time in ms, shows that there is none.
    */
-  releaseExpired(worker: Worker, now: number): void {
-    const isLongestLeaseOver = now > worker.longestLeaseEndsAt(this.ctx.settings.maxLeaseMs);
+  releaseExpired(worker: Worker, now: number, registryCurrentAt: number): void {
+    const mayReleaseAll =
+      worker.isOnlyIncarnation(registryCurrentAt) ||
+      now > worker.longestLeaseEndsAt(this.ctx.settings.maxLeaseMs);
     // A starting run is kept: if its order has not been sent yet, it has not extended the lease.
     const lost = [...worker.runs.values()].filter(
-      (task) =>
-        task.phase !== 'starting' && (isLongestLeaseOver || task.isRestored || isProven(task, worker)),
+      (task) => task.phase !== 'starting' && (mayReleaseAll || task.isRestored || isProven(task, worker)),
     );
     const suspects = lost.length === 0 ? [] : this.#suspect(worker, now);
     this.#release(lost, 'lease-ended', now);
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -39,6 +39,9 @@
 /** Longest time from the start of a call that extends the lease until the worker receives it, in ms. */
 const MAX_CALL_MS = 1700;
 
+/** Longest time from the start of an incarnation until its entry can be read while the registry is current, in ms. */
+const MAX_ENTRY_DELAY_MS = 2000;
+
 /** Resolution of sums of demands: parts of a thousandth of a core, of an accelerator or of a MB. */
 const SUMS_PER_UNIT = 1e6;
 
@@ -296,6 +299,15 @@
     return Math.max(this.leaseEndsAt, this.#leaseExtendedAt + MAX_CALL_MS + longestLeaseMs(maxLeaseMs));
   }
 
+  /**
+   * Whether the registry shows that no incarnation but the known one has received a call that extends the lease: it was
+   * current at a monotonic time, in ms, at which the entry of another one would have been there.
+   */
+  isOnlyIncarnation(registryCurrentAt: number): boolean {
+    const receivedBy = this.#leaseExtendedAt + MAX_CALL_MS;
+    return this.unconfirmedEntry === undefined && registryCurrentAt >= receivedBy + MAX_ENTRY_DELAY_MS;
+  }
+
   /**
    * Handles a response of another incarnation than the known one, at a monotonic time in ms: the worker has to report
    * before it gets further orders.
--- a/packages/core/tests/jobs/unnoticed-restart.test.ts
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -148,6 +148,23 @@
     expect(harness.plan()).toMatchObject([{ run: 2 }]);
   });
 
+  it('gives up the run of an order without an answer after its lease when the registry shows no restart', () => {
+    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
+    const [order] = harness.plan();
+    if (order === undefined) {
+      throw new Error('the task was not assigned');
+    }
+    order.worker.extendLease(harness.now, LEASE_MS);
+    harness.scheduler.onStartSent(order);
+    harness.scheduler.onStartAnswer(order, START_ANSWER.noAnswer, harness.now);
+    harness.addOther();
+    const sentAt = harness.now;
+    harness.scheduler.tick(sentAt + 5000, 0, sentAt + 1000);
+    expect(harness.plan()).toEqual([]);
+    harness.scheduler.tick(sentAt + 5000, 0, sentAt + 4000);
+    expect(harness.plan()).toMatchObject([{ run: 2 }]);
+  });
+
   it('keeps the run of an earlier term for the longest lease when it may not have been known to that term', () => {
     const now = 10_000;
     const settings = { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: 14_000, earlierLongestLeasesEndAt: 20_000 };
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -92,6 +92,7 @@
   readonly #planTimer: PlanTimer;
   /** Use of the pools, and the tasks that wait in them. */
   readonly pools: PoolReports;
+  readonly #registry: WorkerRegistry;
   readonly #retention: JobRetention;
   readonly #scheduler: Scheduler;
   readonly #sender: OrderSender;
@@ -182,6 +183,16 @@
       () => this.#sparePoolNames(),
       signal,
     );
+    this.#registry = new WorkerRegistry({
+      codec: ports.codec,
+      log: this.#log,
+      onChange: () => {
+        this.#onFleetChange();
+      },
+      scheduler: this.#scheduler,
+      stream: ports.registry,
+      timers,
+    });
     this.#balancer = new PoolBalancer(this.#scheduler, logDecision);
     this.#wavePlanner = new WavePlanner(this.#scheduler, logDecision);
   }
@@ -216,7 +227,7 @@
    * stored once nothing more is planned.
    */
   async run(): Promise<void> {
-    await Promise.all([this.ctx.jobsTail.catchUp(this.signal), this.#openRegistry()]);
+    await Promise.all([this.ctx.jobsTail.catchUp(this.signal), this.#registry.follow(this.signal)]);
     if (this.signal.aborted) {
       return;
     }
@@ -268,21 +279,6 @@
     return Math.min(LEASE_MS, this.ctx.settings.bounds.maxLeaseMs);
   }
 
-  #openRegistry(): Promise<void> {
-    const { ports, timers } = this.ctx;
-    const registry = new WorkerRegistry({
-      codec: ports.codec,
-      log: this.#log,
-      onChange: () => {
-        this.#onFleetChange();
-      },
-      scheduler: this.#scheduler,
-      stream: ports.registry,
-      timers,
-    });
-    return registry.follow(this.signal);
-  }
-
   // Called when workers or spare pools may have changed. Reports are requested only once the tasks are restored: the
   // end of an unknown task would be dropped.
   #onFleetChange(): void {
@@ -372,7 +368,7 @@
 
   #tick(): void {
     const { timers } = this.ctx;
-    this.#scheduler.tick(timers.mono(), timers.now());
+    this.#scheduler.tick(timers.mono(), timers.now(), this.#registry.currentAt);
     this.#scheduler.requestAssignment();
     this.#planTimer.run();
   }
--- a/packages/node/src/worker-registry.ts
+++ b/packages/node/src/worker-registry.ts
@@ -46,6 +46,11 @@
     );
   }
 
+  /** Monotonic time as of which the entries are known, in ms. */
+  get currentAt(): number {
+    return this.ctx.timers.mono() - this.#tail.ageMs();
+  }
+
   /** Follows the registry until the signal aborts; resolves once it is loaded. */
   async follow(signal: AbortSignal): Promise<void> {
     void this.#tail.run(signal);
