--- a/packages/core/src/jobs/job-run.ts
+++ b/packages/core/src/jobs/job-run.ts
@@ -82,9 +82,11 @@
   /** Returns the steps whose dependencies are done and that have tasks to assign. */
   readySteps(): StepRun[] {
     const ready: StepRun[] = [];
-    for (const step of this.steps()) {
-      if (step.waitingCount > 0 && step.isReady) {
-        ready.push(step);
+    for (const occurrence of this.occurrences) {
+      for (const step of occurrence.steps) {
+        if (step.waitingCount > 0 && step.isReady) {
+          ready.push(step);
+        }
       }
     }
     return ready;
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -20,6 +20,9 @@
  */
 const MAX_CRASHES_ALONE = 3;
 
+/** Most bytes of UTF-8 that a UTF-16 code unit takes. */
+const MAX_BYTES_PER_UNIT = 3;
+
 const UTF8 = new TextEncoder();
 
 /** Stops runs, releases tasks and ends jobs, and adds the records and orders for that to the plan. */
@@ -177,7 +180,7 @@
   // A task whose checkpoint can't be stored starts from the beginning after a change of the leader.
   #encode(record: TaskRecord): KeyedRecord {
     const keyed = encodeTaskRecord(record);
-    if (recordBytes(keyed) <= this.ctx.settings.maxRecordBytes) {
+    if (!isLarger(keyed, this.ctx.settings.maxRecordBytes)) {
       return keyed;
     }
     this.ctx.log(DECISION.checkpointNotStored, { length: record.checkpoint.length, task: record.task });
@@ -193,6 +196,8 @@
   }
 }
 
-function recordBytes({ key, value = '' }: KeyedRecord): number {
-  return UTF8.encode(key).length + UTF8.encode(value).length;
+// The bytes are counted only where the number of UTF-16 code units does not decide.
+function isLarger({ key, value = '' }: KeyedRecord, maxBytes: number): boolean {
+  const text = key + value;
+  return text.length * MAX_BYTES_PER_UNIT > maxBytes && UTF8.encode(text).length > maxBytes;
 }
