fix(core): allow for the resolution of a worker's clock when its answer is identified

A reading that is rounded down to whole ms is up to 1 ms behind what the last one lets expect; with a clock that is 2% slow and a link of 0.2 ms the worker was taken for restarted, and closed until its next report. Evidence: 'is not taken for restarted when its reading is rounded down' fails before.

--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -24,6 +24,9 @@
 /** Minimum rate of a worker's clock, as a fraction of real time. */
 const MIN_CLOCK_RATE = 0.98;
 
+/** Resolution of the readings of a worker's clock, in ms. */
+const CLOCK_RESOLUTION_MS = 1;
+
 /** Margin for the time between the end of a lease and the end of the runs under it, in ms. */
 const LEASE_MARGIN_MS = 100;
 
@@ -287,7 +290,7 @@
     if (clock === undefined) {
       return undefined;
     }
-    const minClockMs = clock.value + MIN_CLOCK_RATE * (now - clock.at);
+    const minClockMs = clock.value + MIN_CLOCK_RATE * (now - clock.at) - CLOCK_RESOLUTION_MS;
     return { aliveAt: clock.askedAt, bornAt: this.info.bornAt, minClockMs };
   }
 
--- a/packages/core/tests/jobs/unnoticed-restart.test.ts
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -113,6 +113,12 @@
     expect(harness.plan()).toEqual([]);
   });
 
+  it('is not taken for restarted when its reading is rounded down', () => {
+    const elapsedMs = 10;
+    harness.order(9000 + Math.floor(0.98 * elapsedMs));
+    expect(harness.find('a').isAssignable(harness.now)).toBe(true);
+  });
+
   it('gets no other orders until it has reported', () => {
     harness.order(500);
     expect(harness.find('a').isAssignable(harness.now)).toBe(false);
