test: share the run of an attack between test files

Further crowds are tested in files of their own (`tests/hostile-*.test.ts`), one at a time and apart from the other tests. No check or bound changes.

--- a/tests/support/attack-load.ts
+++ b/tests/support/attack-load.ts
@@ -18,6 +18,8 @@
 /** Connections of one kind of attack. */
 export interface AttackKind {
   connections: number;
+  /** Whether the client waits for the answer to each part before it sends the next. */
+  isPaced?: boolean;
   /** Whether the client reads what the server answers. */
   isReading: boolean;
   /** Parts that a connection sends in their order; it stays open after the last. */
@@ -64,7 +66,8 @@
       if (kind.isReading) {
         socket.resume();
       }
-      const held = sendParts(socket, kind.parts(index), closed).then(() => delay(STALL_MS));
+      const pace = kind.isPaced === true ? createPace(socket) : undefined;
+      const held = sendParts(socket, kind.parts(index), closed, pace).then(() => delay(STALL_MS));
       if ((await Promise.race([closed, held])) !== 'closed') {
         return;
       }
@@ -73,7 +76,12 @@
   }
 }
 
-async function sendParts(socket: Socket, parts: Iterable<Buffer>, closed: Promise<unknown>): Promise<void> {
+async function sendParts(
+  socket: Socket,
+  parts: Iterable<Buffer>,
+  closed: Promise<unknown>,
+  pace?: () => Promise<unknown>,
+): Promise<void> {
   for (const part of parts) {
     if (socket.destroyed) {
       return;
@@ -82,9 +90,34 @@
       const drained = new Promise((resolve) => socket.once('drain', resolve));
       await Promise.race([drained, closed, delay(STALL_MS, undefined, { ref: false })]);
     }
+    if (pace !== undefined) {
+      await Promise.race([pace(), closed, delay(MAX_SEND_MS, undefined, { ref: false })]);
+    }
   }
 }
 
+/** Returns a function that waits for one more answer. */
+function createPace(socket: Socket): () => Promise<unknown> {
+  let awaited = 0;
+  let answers = 0;
+  let onAnswer = (): void => undefined;
+  socket.on('data', (bytes: Buffer) => {
+    answers += bytes.toString('latin1').split('HTTP/1.').length - 1;
+    onAnswer();
+  });
+  return () => {
+    awaited += 1;
+    return new Promise<void>((resolve) => {
+      onAnswer = (): void => {
+        if (answers >= awaited) {
+          resolve();
+        }
+      };
+      onAnswer();
+    });
+  };
+}
+
 function repeat(part: Buffer, count: number): Buffer[] {
   return Array.from({ length: count }, () => part);
 }
--- a/tests/support/node-cluster.ts
+++ b/tests/support/node-cluster.ts
@@ -66,6 +66,8 @@
   readonly callerPort: number;
   readonly link: NarrowLink;
   readonly metricsPort: number;
+  /** Port for the calls of other nodes; 0 if the node takes none. */
+  readonly peerPort: number;
   process: BinaryProcess;
   readonly readinessPort: number;
   /** Fault route from the node to the store. */
@@ -226,7 +228,16 @@
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
     const process = this.#spawn(settingsFile);
-    return { callerPort, link, metricsPort, process, readinessPort, route, settingsFile };
+    return {
+      callerPort,
+      link,
+      metricsPort,
+      peerPort: peerPort ?? 0,
+      process,
+      readinessPort,
+      route,
+      settingsFile,
+    };
   }
 
   #spawn(settingsFile: string): BinaryProcess {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -18,7 +18,7 @@
         // Each file starts its own processes. More than two files at a time affect each other's timing.
         test: {
           ...limits,
-          exclude: ['tests/hostile-clients.test.ts'],
+          exclude: ['tests/hostile-*.test.ts'],
           include: ['tests/**/*.test.ts'],
           maxWorkers: 2,
           name: 'integration',
@@ -30,7 +30,7 @@
         // Loads the machine, so it runs apart from the other files.
         test: {
           ...limits,
-          include: ['tests/hostile-clients.test.ts'],
+          include: ['tests/hostile-*.test.ts'],
           maxWorkers: 1,
           name: 'hostile-clients',
           sequence: { groupOrder: 2 },
