fix(core): bound what an invalid body becomes by its first few problems

Seen by callers: no answer, connections closed. A few whole bodies inside max_body_bytes with many wrong values ended the process for want of heap.

Cause: an array schema collects a problem for each invalid item, parseJson returned the text of all of them, and findJobProblems joined those of all steps. The answer, the log line and the problems took many times the memory of the body, while the budget counts its bytes as they arrive.

A job has at most 1,000 steps: a step takes over 300 bytes of its record, so a job with more of them was refused before, with 400, as larger than the 262,144 bytes that the store takes.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -16,6 +16,7 @@
 export * from './leader-fitness';
 export * from './near-place-wait';
 export * from './near-places';
+export * from './list-schema';
 export * from './order-window';
 export * from './succession';
 export * from './throttle';
--- a/packages/core/src/jobs/job-spec.ts
+++ b/packages/core/src/jobs/job-spec.ts
@@ -87,6 +87,15 @@
  */
 const MAX_JOB_TASKS = 50_000;
 
+/**
+ * Most steps of a job. The record of a step takes over 300 bytes, so that the record of a job with more of them is
+ * larger than the store of any site takes.
+ */
+export const MAX_JOB_STEPS = 1000;
+
+/** Most problems of steps that are named. */
+const MAX_NAMED_PROBLEMS = 3;
+
 /** Memory of a job without its text, steps and occurrences, in bytes. */
 const JOB_BYTES = 1000;
 
@@ -102,16 +111,19 @@
   return JOB_BYTES + body.length + steps.length * (STEP_BYTES + occurrences * STEP_RUN_BYTES);
 }
 
-/** Returns the reasons why a job cannot be accepted; empty if the job is valid. */
-export function findJobProblems(spec: JobSpec): string[] {
-  const problems = spec.steps.flatMap(findStepProblems);
-  const taskCount = spec.steps.reduce((sum, step) => sum + step.count, 0) * (spec.schedule?.count ?? 1);
+/** Returns the first few reasons why a job cannot be accepted; empty if the job is valid. */
+export function findJobProblems({ schedule, steps }: JobSpec): string[] {
+  if (steps.length === 0) {
+    return ['a job needs at least one step'];
+  }
+  if (steps.length > MAX_JOB_STEPS) {
+    return [`a job may have ${MAX_JOB_STEPS} steps, not ${steps.length}`];
+  }
+  const problems = steps.flatMap(findStepProblems).slice(0, MAX_NAMED_PROBLEMS);
+  const taskCount = steps.reduce((sum, step) => sum + step.count, 0) * (schedule?.count ?? 1);
   if (taskCount > MAX_JOB_TASKS) {
     problems.push(`a job may have ${MAX_JOB_TASKS} tasks in all its runs, not ${taskCount}`);
   }
-  if (spec.steps.length === 0) {
-    problems.push('a job needs at least one step');
-  }
   return problems;
 }
 
