--- a/packages/runtime/tests/server-guard/server-guard.test.ts
+++ b/packages/runtime/tests/server-guard/server-guard.test.ts
@@ -25,6 +25,16 @@
 /** Lengths of the bodies that the application received. */
 let received: number[];
 let release: () => void;
+/** Called with the length of each body that the application received. */
+let onReceived: (length: number) => void;
+
+/** Time that the application takes for a large body, in ms. */
+const DECODE_MS = 20;
+
+function block(durationMs: number): void {
+  const end = performance.now() + durationMs;
+  while (performance.now() < end);
+}
 
 afterEach(async () => {
   release();
@@ -36,10 +46,13 @@
 async function start(limits: Partial<GuardLimits> = {}): Promise<void> {
   abort = new AbortController();
   received = [];
+  onReceived = () => undefined;
   const held = new Promise<void>((resolve) => (release = resolve));
   const app = new Hono();
   app.post('*', async (c): Promise<Response> => {
-    received.push((await c.req.text()).length);
+    const { length } = await c.req.text();
+    received.push(length);
+    onReceived(length);
     if (c.req.path === '/held') {
       await held;
     }
@@ -225,4 +238,40 @@
     await closed;
     await expect.poll(() => guarded.guard.connectionCount).toBe(0);
   });
+
+  // Guards against a crowd of large bodies that are decoded before any small request of another client.
+  it('passes a small request on before large bodies that arrived earlier', async () => {
+    await start();
+    const crowd = 30;
+    let small: Promise<unknown> = Promise.resolve();
+    let largeBefore = 0;
+    onReceived = (length): void => {
+      if (length > 1) {
+        largeBefore += 1;
+        small = largeBefore === 1 ? post('/small', 'x').then(() => largeBefore) : small;
+        block(DECODE_MS);
+      }
+    };
+    const body = 'x'.repeat(200_000);
+    const large = Array.from({ length: crowd }, () => post('/large', body));
+    const statuses = (await Promise.all(large)).map(({ status }) => status);
+    expect(statuses).toEqual(Array(crowd).fill(200));
+    expect(await small).toBeLessThan(crowd / 2);
+  });
+
+  it('serves the large bodies that wait behind one whose client has left', async () => {
+    await start();
+    const head = `${HEAD}content-length: 200000\r\n\r\n`;
+    const leaving: Socket[] = [];
+    onReceived = (): void => {
+      leaving[0]?.destroy();
+      block(DECODE_MS);
+    };
+    const first = post('/large', 'x'.repeat(200_000));
+    leaving.push((await open(`${head}${'x'.repeat(200_000)}`)).socket);
+    const others = Array.from({ length: 4 }, () => post('/large', 'x'.repeat(200_000)));
+    const statuses = (await Promise.all([first, ...others])).map(({ status }) => status);
+    expect(statuses).toEqual(Array(5).fill(200));
+    expect(guarded.guard.heldBytes).toBe(0);
+  });
 });
