fix(core): count the texts and lists of the steps of accepted jobs

Seen by callers: a node that took jobs with long texts in image, required_label or data_rack, or with long lists in after, ended for want of heap, and so did each node that then read them.

Cause: the estimate against the backlog of 32 MB counted the specification and 500 bytes for each step. A step with a text of 200,000 characters counted as 750 bytes, so that 18,000 such jobs were allowed.

Change: the estimate has the texts, with two bytes for each character where one is beyond Latin-1, and the indexes in after. Jobs beyond the backlog get 503 backlog-full as before. Ordinary jobs have short texts; their estimate changes by a few bytes.

term.test.ts: the odd job whose takeover fails had an undefined step, which the job table can't count. Its step now throws when its count is read. Checked: with the error not caught in #takeOver the test fails, as before.

--- a/packages/core/src/jobs/job-spec.ts
+++ b/packages/core/src/jobs/job-spec.ts
@@ -102,13 +102,32 @@
 /** Memory of a step, in bytes. */
 const STEP_BYTES = 500;
 
+const BEYOND_LATIN_1 = /[\u0100-\u{10ffff}]/u;
+
 /** Memory that the leader needs for each step of an occurrence, in bytes. */
 const STEP_RUN_BYTES = 250;
 
+/** Memory of the index of a step in the list of another one, in bytes. */
+const STEP_INDEX_BYTES = 8;
+
 /** Returns about how much memory an accepted job takes on a node that leads until it has ended, in bytes. */
-export function estimateJobBytes({ body, schedule, steps }: JobSpec): number {
-  const occurrences = schedule?.count ?? 1;
-  return JOB_BYTES + body.length + steps.length * (STEP_BYTES + occurrences * STEP_RUN_BYTES);
+export function estimateJobBytes(spec: JobSpec): number {
+  const occurrences = spec.schedule?.count ?? 1;
+  return estimateSpecBytes(spec) + spec.steps.length * occurrences * STEP_RUN_BYTES;
+}
+
+function estimateSpecBytes({ body, steps }: JobSpec): number {
+  return steps.reduce((sum, step) => sum + estimateStepBytes(step), JOB_BYTES + textBytes(body));
+}
+
+function estimateStepBytes({ after, image, preferredRack, requiredLabel }: StepSpec): number {
+  const texts = textBytes(image) + textBytes(preferredRack) + textBytes(requiredLabel);
+  return STEP_BYTES + after.length * STEP_INDEX_BYTES + texts;
+}
+
+// A string with a character beyond Latin-1 takes two bytes for each of its characters.
+function textBytes(text: string): number {
+  return BEYOND_LATIN_1.test(text) ? 2 * text.length : text.length;
 }
 
 /** Returns the first few reasons why a job cannot be accepted; empty if the job is valid. */
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -1,4 +1,4 @@
-import type { FleetConfig, Job, JobRecord, JobSpec } from '@sequoiaquay/core/jobs';
+import type { FleetConfig, Job, JobRecord, JobSpec, StepSpec } from '@sequoiaquay/core/jobs';
 import { decodeJobRecord, encodeJobRecord, JobTable, toJobPolicy } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, ok, ResultAsync } from 'neverthrow';
@@ -190,6 +190,20 @@
     expect(await submit(3)).toMatchObject({ kind: 'accepted' });
   });
 
+  // Guards against long texts and lists of steps that count nothing, so that jobs fill the memory of every leader.
+  it.each<[part: string, large: StepSpec]>([
+    ['texts', step({ image: 'x'.repeat(100_000), requiredLabel: 'x'.repeat(100_000) })],
+    ['a text beyond Latin-1', step({ preferredRack: '\u20ac'.repeat(100_000) })],
+    ['a list', step({ after: Array<number>(25_000).fill(0) })],
+  ])('counts %s of the steps of accepted jobs', async (_, large) => {
+    const callers = createService();
+    const spec = { ...SPEC, steps: [step(), large] };
+    for (let number = 0; number < 160; number += 1) {
+      jobs.apply({ job: { ...JOB, id: String(number).padStart(16, '0'), spec }, kind: 'submit' });
+    }
+    expect(await callers.submit(REQ, ok(SPEC))).toMatchObject({ reason: 'backlog-full' });
+  });
+
   it('calls a job that the store never takes a bad request, not an outage', async () => {
     const callers = createService();
     stream.maxAppendBytes = 100;
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -235,7 +235,11 @@
   it('takes over the other jobs after an unexpected error with one', async () => {
     const link = new EndReportingWorker();
     const jobs = new JobTable();
-    const odd = { ...JOB, id: '00000000000000f1', spec: { ...JOB.spec, steps: [undefined as never] } };
+    const get = (): number => {
+      throw new Error('odd step');
+    };
+    const steps = JOB.spec.steps.map((step) => Object.defineProperty({ ...step }, 'count', { get }));
+    const odd = { ...JOB, id: '00000000000000f1', spec: { ...JOB.spec, steps } };
     jobs.apply({ job: odd, kind: JOB_RECORD.submit });
     runTerm(contextOf(link, jobs));
     await expect.poll(() => link.started.map(({ task }) => task)).toContain(`${JOB.id}.0.0.1`);
--- a/tests/hostile-bodies.test.ts
+++ b/tests/hostile-bodies.test.ts
@@ -1,9 +1,11 @@
-import { afterEach, describe, it } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
 import type { AttackKind } from './support/attack-load';
-import { DECODED_ATTACK } from './support/decoded-attack';
+import { DECODED_ATTACK, LONG_TEXT_JOBS } from './support/decoded-attack';
 import {
+  ANSWER_TIMEOUT_MS,
   attack,
   expectServed,
+  expectWithinMachine,
   LIMITS,
   SMALLEST_MACHINE,
   STORE_LIMITS,
@@ -32,4 +34,19 @@
     },
     TEST_TIMEOUT_MS,
   );
+
+  it(
+    'leave the node within its machine: jobs with long texts in their steps',
+    async () => {
+      await startNode();
+      const outcome = await attack(cluster, 0, 'callerPort', [LONG_TEXT_JOBS]);
+      expectWithinMachine(outcome);
+      for (const status of outcome.answers) {
+        expect.soft([200, 503]).toContain(status);
+      }
+      const { status } = await cluster.show(0, '00000000000000ff', ANSWER_TIMEOUT_MS);
+      expect.soft(status).toBe(410);
+    },
+    TEST_TIMEOUT_MS,
+  );
 });
--- a/tests/support/decoded-attack.ts
+++ b/tests/support/decoded-attack.ts
@@ -12,6 +12,10 @@
 const MEMORY_CROWD = 40;
 const TIME_CROWD = 200;
 
+/** Size of a text in a step, in bytes, and number of such jobs of a connection. */
+const LONG_TEXT_BYTES = 200_000;
+const JOBS_PER_CONNECTION = 50;
+
 const FIELDS = [
   'checkpoint_enabled',
   'count',
@@ -49,6 +53,20 @@
   wrongSteps: createCrowd(MEMORY_CROWD, () => wrap('{"steps":[', '0', ']}')),
 } as const satisfies Record<string, AttackKind>;
 
+/** Crowd that submits job after job, each with a long text that is not the specification. */
+export const LONG_TEXT_JOBS: AttackKind = {
+  connections: 20,
+  isPaced: true,
+  isReading: true,
+  parts: (connection) => {
+    const text = 'x'.repeat(LONG_TEXT_BYTES);
+    return Array.from({ length: JOBS_PER_CONNECTION }, (_, index) => {
+      const id = `f${connection.toString(16).padStart(7, '0')}${index.toString(16).padStart(8, '0')}`;
+      return createPost(`{"steps":[{"count":1,"cpu":1e9,"image":"${text}"}]}`, id);
+    });
+  },
+};
+
 function createCrowd(connections: number, createBody: (connection: number) => string): AttackKind {
   return {
     connections,
