fix(node): bound the time that a request takes, and keep no timer of one that was answered

Seen by callers: a question with an X-Sequoiaquay-Request-Deadline of 2^31 ms or more got 503 state-not-current at once, while the store answered. Each question about an unknown job left a timer and its objects in memory until the deadline that its client had stated, however long.

Cause: the timeout of the caller was used as it came. A timer beyond the range of the runtime fires at once, and the timer of a lookup was only cancelled with the node.

Change: a request takes at most 60 s; the timer ends with the lookup.

Evidence: unit tests with deadlines of 2^31, 1e12 and infinitely many ms, and with a count of the timers.

--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -90,6 +90,9 @@
 /** Timeout of requests that do not state one, in ms. */
 const DEFAULT_TIMEOUT_MS = 3000;
 
+/** Longest time that a request takes, in ms, whatever timeout it states. */
+const MAX_TIMEOUT_MS = 60_000;
+
 /** Part of the caller's timeout that is reserved for sending the answer, in ms. */
 const ANSWER_RESERVE_MS = 150;
 
@@ -134,7 +137,6 @@
     private readonly timers: TimerService,
     private readonly log: Logger,
     private readonly metrics: NodeMetrics,
-    private readonly signal: AbortSignal,
     /** Age of what is known of the configuration, in ms. */
     private readonly cfgAgeMs: () => number,
   ) {
@@ -329,14 +331,16 @@
       return { isCurrent: false, state: known };
     }
     const timeout = new AbortController();
+    const answered = new AbortController();
     this.timers.after(
       this.#remainingMs(req),
       () => {
         timeout.abort();
       },
-      this.signal,
+      answered.signal,
     );
     const isCurrent = await this.tail.catchUp(timeout.signal);
+    answered.abort();
     return { isCurrent, state: this.jobs.stateOf(id) };
   }
 
@@ -379,7 +383,8 @@
   }
 
   #remainingMs(req: CallerRequest): number {
-    return Math.max(ANSWER_RESERVE_MS, (req.timeoutMs ?? DEFAULT_TIMEOUT_MS) - ANSWER_RESERVE_MS);
+    const timeoutMs = Math.min(req.timeoutMs ?? DEFAULT_TIMEOUT_MS, MAX_TIMEOUT_MS);
+    return Math.max(ANSWER_RESERVE_MS, timeoutMs - ANSWER_RESERVE_MS);
   }
 
   #writeDeadline(req: CallerRequest): number {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -135,15 +135,8 @@
       timers,
       write: (record, deadline) => this.#writer.writeForPeer(record, deadline),
     });
-    this.callers = new CallerService(
-      this.#jobs,
-      this.#jobsTail,
-      this.#writer,
-      timers,
-      log,
-      metrics,
-      signal,
-      () => this.#operatorsTail.ageMs(),
+    this.callers = new CallerService(this.#jobs, this.#jobsTail, this.#writer, timers, log, metrics, () =>
+      this.#operatorsTail.ageMs(),
     );
     this.#leadership = new Leadership(
       {
--- a/packages/node/tests/caller-keys.test.ts
+++ b/packages/node/tests/caller-keys.test.ts
@@ -65,7 +65,7 @@
     void tail.run(stop.signal);
     await tail.catchUp(stop.signal);
     const writer = new JobWriter(stream, (record) => table.apply(record), timers, log, stop.signal);
-    const service = new CallerService(table, tail, writer, timers, log, metrics, stop.signal, () => cfgAgeMs);
+    const service = new CallerService(table, tail, writer, timers, log, metrics, () => cfgAgeMs);
     service.cfg = cfg;
     return service;
   }
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -46,15 +46,38 @@
   version: 1,
 };
 
+/** Timer service that counts the timers of requests that have not fired and were not cancelled. */
+class CountingTimers extends SystemTimerService {
+  pending = 0;
+
+  override after(delayMs: number, callback: () => void, signal: AbortSignal): void {
+    const end = (): void => {
+      this.pending -= 1;
+    };
+    this.pending += 1;
+    signal.addEventListener('abort', end);
+    super.after(
+      delayMs,
+      () => {
+        signal.removeEventListener('abort', end);
+        end();
+        callback();
+      },
+      signal,
+    );
+  }
+}
+
 // Guards against answers that claim more than the node knows: that a job never runs, or does not exist, while
 // it may be stored.
 describe('CallerService', () => {
-  const timers = new SystemTimerService();
+  let timers = new CountingTimers();
   let jobs = new JobTable();
   let stop = new AbortController();
   let stream = new MemoryStream();
 
   beforeEach(() => {
+    timers = new CountingTimers();
     stop = new AbortController();
     stream = new MemoryStream();
     jobs = new JobTable();
@@ -75,16 +98,7 @@
     void tail.run(stop.signal);
     stream.faults = faults;
     const writer = new JobWriter(stream, (record) => jobs.apply(record), timers, quietLog, stop.signal);
-    const service = new CallerService(
-      jobs,
-      tail,
-      writer,
-      timers,
-      quietLog,
-      new NodeMetrics(),
-      stop.signal,
-      () => 0,
-    );
+    const service = new CallerService(jobs, tail, writer, timers, quietLog, new NodeMetrics(), () => 0);
     service.cfg = CONFIG;
     return service;
   }
@@ -204,6 +218,24 @@
     expect(await callers.submit(REQ, ok(SPEC))).toMatchObject({ reason: 'backlog-full' });
   });
 
+  // Guards against a timer beyond the range of the runtime, which fires at once.
+  it.each([2 ** 31, 1e12, Infinity])('answers a caller that waits for %d ms', async (timeoutMs) => {
+    const callers = createService();
+    await expect.poll(async () => (await callers.show(REQ)).kind).toBe('gone');
+    const read = stream.read.bind(stream);
+    stream.read = (request) => new ResultAsync(timers.sleep(50, stop.signal).then(() => read(request)));
+    expect((await callers.show({ ...REQ, timeoutMs })).kind).toBe('gone');
+    store({ job: JOB, kind: 'submit' });
+    expect((await callers.cancel({ ...REQ, timeoutMs })).kind).toBe('cancelled');
+  });
+
+  // Guards against memory that answered requests keep until the timeout that they stated.
+  it('leaves no timer of a request that it has answered', async () => {
+    const callers = createService();
+    await expect.poll(async () => (await callers.show({ ...REQ, timeoutMs: 1e6 })).kind).toBe('gone');
+    expect(timers.pending).toBe(0);
+  });
+
   it('calls a job that the store never takes a bad request, not an outage', async () => {
     const callers = createService();
     stream.maxAppendBytes = 100;
@@ -256,16 +288,7 @@
       log,
     );
     const writer = new JobWriter(stream, () => undefined, timers, log, stop.signal);
-    const callers = new CallerService(
-      jobs,
-      tail,
-      writer,
-      timers,
-      log,
-      new NodeMetrics(),
-      stop.signal,
-      () => 0,
-    );
+    const callers = new CallerService(jobs, tail, writer, timers, log, new NodeMetrics(), () => 0);
     await callers.submit(REQ, ok(SPEC));
     callers.cfg = CONFIG;
     await callers.show(REQ);
