fix(node): store other records behind one that is too large to share an append

Seen by callers: with a store that takes 600 ms for an append, one job with a record of more than 32 KB kept a leader from storing any other; neither it nor the jobs behind it got an answer, in 20 s and more.

Cause: a heartbeat goes first in each append. While appends take longer than the interval of the heartbeats, each append has one, a record above the size of a batch finds no room beside it, and all records wait behind that in their order. Deadlines are only looked at after a failed append, and none failed.

Change: a caller's record that is larger than a batch is passed over by those that fit; records of the leader keep their order. It is stored by itself once no heartbeat waits. One that was passed over is given up at its deadline: refused, if no append had it. All other records wait as before.

The new test of the writer, with a heartbeat for each append of 50 ms, fails without the change: the ordinary record is only stored when the heartbeats end, and the large one is not given up.

--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -45,6 +45,8 @@
   isAlone: boolean;
   /** Whether this node appends the record itself next, since a call to the leader with it failed. */
   isOwnNext: boolean;
+  /** Whether an append took records behind it, since it is too large to share one. */
+  isPassedOver: boolean;
   /** Whether the record is retried until its deadline, even if the store refuses it. */
   isPersistent: boolean;
   /** Whether an append of the record had no answer. */
@@ -176,6 +178,7 @@
         failures: 0,
         isAlone: false,
         isOwnNext: false,
+        isPassedOver: false,
         isPersistent,
         isPossiblyStored: false,
         peerRecord: this.group === undefined || isPersistent ? undefined : toPeerRecord(record, stored),
@@ -316,6 +319,7 @@
         await this.timers.sleep(this.group?.retryDelayMs(RETRY_DELAY_MS) ?? RETRY_DELAY_MS, this.signal);
         this.#settleExpired();
       }
+      this.#settlePassedOver();
     }
     this.#isWriting = false;
   }
@@ -333,14 +337,21 @@
   }
 
   #takeBatch(waiting: readonly PendingWrite[]): PendingWrite[] {
-    if (waiting[0]?.isAlone === true) {
-      return waiting.slice(0, 1);
-    }
     const maxBytes = Math.min(this.group?.maxAppendBytes ?? MAX_APPEND_BYTES, this.limits.callBytes);
+    const batch: PendingWrite[] = [];
     let bytes = 0;
-    const fitting = waiting.findIndex((item) => item.isAlone || (bytes += item.bytes) > maxBytes);
-    const size = fitting === -1 ? MAX_BATCH_SIZE : Math.max(1, fitting);
-    return waiting.slice(0, Math.min(size, MAX_BATCH_SIZE));
+    for (const item of waiting) {
+      const isFitting = !item.isAlone && bytes + item.bytes <= maxBytes;
+      if (batch.length === 0 || (isFitting && batch.length < MAX_BATCH_SIZE && batch[0]?.isAlone === false)) {
+        batch.push(item);
+        bytes += item.bytes;
+      } else if (!item.isPersistent && item.bytes > maxBytes) {
+        item.isPassedOver = true;
+      } else {
+        break;
+      }
+    }
+    return batch;
   }
 
   // Returns the writes to retry.
@@ -421,9 +432,19 @@
     return [];
   }
 
+  // While appends take longer than the interval of the heartbeats, each has one, and a large record has none to itself.
+  #settlePassedOver(): void {
+    const now = this.timers.mono();
+    this.#settleUnstored((item) => item.isPassedOver && item.deadline <= now);
+  }
+
   #settleExpired(): void {
     const now = this.timers.mono();
-    for (const item of this.#queue.filter((waiting) => this.#isExpired(waiting, now))) {
+    this.#settleUnstored((item) => this.#isExpired(item, now));
+  }
+
+  #settleUnstored(isDue: (item: PendingWrite) => boolean): void {
+    for (const item of this.#queue.filter(isDue)) {
       this.#queue.splice(this.#queue.indexOf(item), 1);
       this.#settle(item, item.isPossiblyStored ? WRITE_OUTCOME.unknown : WRITE_OUTCOME.refused, 'own');
     }
--- a/packages/node/tests/job-writer.test.ts
+++ b/packages/node/tests/job-writer.test.ts
@@ -1,5 +1,7 @@
 import type { JobRecord } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
+import { ResultAsync } from 'neverthrow';
+import { setTimeout as delay } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import type { AppendFault } from './support/memory-stream';
 import { JobWriter } from '../src/job-writer';
@@ -15,6 +17,10 @@
   return { stream, writer: new JobWriter(stream, () => undefined, timers, quietLog, signal) };
 }
 
+/** Duration of a slow append, in ms, and number of appends that are followed by a heartbeat. */
+const APPEND_MS = 50;
+const MAX_APPENDS = 60;
+
 const RECORD = { id: 'a', kind: 'cancel' } as const;
 
 // Guards against reporting a record as not stored although it may be, and against callers that wait through
@@ -92,6 +98,47 @@
     const at = stream.appends.findIndex((append) => append.records.some((record) => record.key === 'leader'));
     expect(at).toBe(1);
   });
+
+  // Guards against callers of a leader without an answer: while appends are slow, each has a heartbeat, beside which a
+  // large record has no room.
+  it('stores other records behind one that no append with a heartbeat has room for, and gives that up', async () => {
+    const { stream, writer } = createWriter();
+    const append = stream.append.bind(stream);
+    let lastHeartbeat: Promise<unknown> = Promise.resolve();
+    const beat = (): void => {
+      const heartbeat = { epoch: 1, kind: 'leader', node: 'n', released: false } as const;
+      lastHeartbeat = writer.writePersistently(heartbeat, Infinity);
+    };
+    let appends = 0;
+    stream.append = (req) => {
+      appends += 1;
+      if (appends < MAX_APPENDS) {
+        beat();
+      }
+      return new ResultAsync(delay(APPEND_MS).then(() => append(req)));
+    };
+    beat();
+    const deadline = timers.mono() + 3000;
+    const large = writer.write(submitOf(1, 200_000), deadline);
+    const small = writer.write(submitOf(2, 4000), deadline);
+    expect(await small).toBe('stored');
+    expect(await large).toBe('refused');
+    await lastHeartbeat;
+    expect(stream.records.filter(({ key }) => key === 'j.1')).toEqual([]);
+  });
+
+  it('stores a large record by itself once no heartbeat waits, before later records', async () => {
+    const { stream, writer } = createWriter();
+    const deadline = timers.mono() + 3000;
+    const sizes = [4000, 200_000, 4000, 4000];
+    const writes = sizes.map((bytes, index) => writer.write(submitOf(index, bytes), deadline));
+    expect(await Promise.all(writes)).toEqual(['stored', 'stored', 'stored', 'stored']);
+    expect(stream.appends.map(({ records }) => records.map(({ key }) => key))).toEqual([
+      ['j.0'],
+      ['j.1'],
+      ['j.2', 'j.3'],
+    ]);
+  });
 });
 
 function submitOf(index: number, bodyBytes: number): JobRecord {
