fix(node): bound the memory of the jobs that are being stored

Seen by callers: 300 connections that each submit a job of 700 steps, in bodies of 8 KB, ended the process while the store was slow.

Cause: such a body becomes about half a megabyte (steps with all fields, a record of 217 KB, the call to the store), which is held until the store has answered. The budget of the guard counted the 8 KB, the backlog only jobs that are stored.

Change: a budget for jobs from their decoding to the store's answer (SubmissionBudget), 72,000 bytes for each MB of the machine: an ordinary job on each connection that callers may open, so that no caller inside the limits meets it. Beyond it a job is refused at once, 503 submissions-full with a Retry-After of 1 s, the longest time of a write; it has not run. Setting callerLimits.submissionBytes, gauge sequoiaquay_submission_bytes.

--- a/packages/core/src/jobs/job-spec.ts
+++ b/packages/core/src/jobs/job-spec.ts
@@ -102,6 +102,9 @@
 /** Memory of a step, in bytes. */
 const STEP_BYTES = 500;
 
+/** Copies of a job that is being stored: the decoded one, its record, and the call to the store. */
+const SUBMISSION_COPIES = 3;
+
 const BEYOND_LATIN_1 = /[\u0100-\u{10ffff}]/u;
 
 /** Memory that the leader needs for each step of an occurrence, in bytes. */
@@ -116,6 +119,11 @@
   return estimateSpecBytes(spec) + spec.steps.length * occurrences * STEP_RUN_BYTES;
 }
 
+/** Returns about how much memory a job takes on the node that stores it, until the store has answered, in bytes. */
+export function estimateSubmissionBytes(spec: JobSpec): number {
+  return SUBMISSION_COPIES * estimateSpecBytes(spec);
+}
+
 function estimateSpecBytes({ body, steps }: JobSpec): number {
   return steps.reduce((sum, step) => sum + estimateStepBytes(step), JOB_BYTES + textBytes(body));
 }
--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -6,6 +6,7 @@
   CallerAccess,
   checkAccess,
   estimateJobBytes,
+  estimateSubmissionBytes,
   JOB_RECORD,
   JOB_STATE,
   toJobPolicy,
@@ -13,6 +14,7 @@
 import type { JobWriter } from './job-writer';
 import type { NodeMetrics } from './node-metrics';
 import type { StreamTail } from './stream-tail';
+import type { SubmissionBudget } from './submission-budget';
 import { WRITE_OUTCOME } from './job-writer';
 import { RecentIds } from './recent-ids';
 import { RefusalLog } from './refusal-log';
@@ -65,6 +67,8 @@
   noConfiguration: 'no-configuration',
   stateNotCurrent: 'state-not-current',
   storeUnavailable: 'store-unavailable',
+  /** The jobs that are being stored leave no room for the job in the memory of the node. */
+  submissionsFull: 'submissions-full',
 } as const;
 
 /** What is known of a job. */
@@ -120,8 +124,11 @@
  */
 const MAX_BACKLOG_BYTES = 32_000_000;
 
-/** Delay after which callers may retry while the backlog is full, in seconds; jobs of such a backlog end slowly. */
-const BACKLOG_RETRY_AFTER_S = 10;
+/**
+ * Delay after which callers may retry for want of memory, in seconds: jobs of a full backlog end slowly, a write takes a
+ * second at most.
+ */
+const FULL_RETRY_AFTER_S = { 'backlog-full': 10, 'submissions-full': 1 } as const;
 
 /** Handles the requests of callers: submits and cancels jobs, and returns their state. */
 export class CallerService {
@@ -137,6 +144,7 @@
     private readonly timers: TimerService,
     private readonly log: Logger,
     private readonly metrics: NodeMetrics,
+    private readonly submissions: SubmissionBudget,
     /** Age of what is known of the configuration, in ms. */
     private readonly cfgAgeMs: () => number,
   ) {
@@ -179,11 +187,15 @@
         : this.#forbid('submit', req, workspace);
     }
     if (this.jobs.activeBytes + estimateJobBytes(spec.value) > MAX_BACKLOG_BYTES) {
-      return this.#logAnswer(id, this.#backlogFullAnswer(id));
+      return this.#logAnswer(id, this.#fullAnswer(id, REFUSAL_REASON.backlogFull));
     }
     if (!this.writer.isLikelyToSucceed(this.tail.reachableSince !== undefined)) {
       return this.#logAnswer(id, this.#notStoredAnswer(id));
     }
+    const bytes = estimateSubmissionBytes(spec.value);
+    if (!this.submissions.take(bytes)) {
+      return this.#logRefusal('submit', req, this.#fullAnswer(id, REFUSAL_REASON.submissionsFull));
+    }
     const job = {
       acceptedAt: this.timers.now(),
       id,
@@ -193,7 +205,11 @@
       spec: spec.value,
       workspace,
     };
-    const outcome = await this.writer.write({ job, kind: JOB_RECORD.submit }, this.#writeDeadline(req));
+    const outcome = await this.writer
+      .write({ job, kind: JOB_RECORD.submit }, this.#writeDeadline(req))
+      .finally(() => {
+        this.submissions.release(bytes);
+      });
     if (outcome === WRITE_OUTCOME.refused) {
       return this.#logAnswer(id, this.#notStoredAnswer(id));
     }
@@ -364,14 +380,10 @@
     return this.#unconfirmedIds.has(id) ? { kind: CALLER_ANSWER.unsure } : this.#storeUnavailableAnswer();
   }
 
-  #backlogFullAnswer(id: string): CallerAnswer {
+  #fullAnswer(id: string, reason: keyof typeof FULL_RETRY_AFTER_S): CallerAnswer {
     return this.#unconfirmedIds.has(id)
       ? { kind: CALLER_ANSWER.unsure }
-      : {
-          kind: CALLER_ANSWER.notRun,
-          reason: REFUSAL_REASON.backlogFull,
-          retryAfterS: BACKLOG_RETRY_AFTER_S,
-        };
+      : { kind: CALLER_ANSWER.notRun, reason, retryAfterS: FULL_RETRY_AFTER_S[reason] };
   }
 
   #storeUnavailableAnswer(): CallerAnswer {
--- a/packages/node/src/client-limits.ts
+++ b/packages/node/src/client-limits.ts
@@ -18,6 +18,9 @@
 /** Bytes for requests without an answer for each MB, that is 8% of the memory: 20 MB on the smallest machines. */
 const HELD_BYTES_PER_MB = 80_000;
 
+/** Bytes of jobs being stored for each MB: those of ordinary jobs on as many connections as callers may open. */
+const SUBMISSION_BYTES_PER_MB = 72_000;
+
 /** Limits of requests until there is a configuration: those of the configuration on all sites. */
 const DEFAULT_BOUNDS: RequestBounds = {
   bodyBytes: 262_144,
@@ -43,11 +46,8 @@
 
 /** Returns the limits for callers; what the settings don't state follows from the machine. */
 export function callerLimits(settings: NodeSettings): GuardLimits {
-  const memoryMb = isStated(settings.memoryMb) ? settings.memoryMb : DEFAULT_MEMORY_MB;
-  const descriptors = isStated(settings.fileDescriptors)
-    ? settings.fileDescriptors
-    : DEFAULT_FILE_DESCRIPTORS;
-  const callerDescriptors = (descriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE;
+  const memoryMb = statedMemoryMb(settings);
+  const callerDescriptors = statedDescriptors(settings) * CALLER_DESCRIPTOR_SHARE;
   return {
     ...DEFAULT_TIMES,
     connections: Math.max(1, Math.floor(Math.min(callerDescriptors, memoryMb * CONNECTIONS_PER_MB))),
@@ -58,6 +58,11 @@
   };
 }
 
+/** Returns the most bytes of jobs that are being stored for callers. */
+export function submissionBytes(settings: NodeSettings): number {
+  return settings.callerLimits?.submissionBytes ?? statedMemoryMb(settings) * SUBMISSION_BYTES_PER_MB;
+}
+
 /** Returns the bounds of requests by the limits of the configuration in force, if there is one. */
 export function requestBounds(limits: RequestLimits | undefined): RequestBounds {
   if (limits === undefined) {
@@ -71,6 +76,15 @@
   };
 }
 
+function statedMemoryMb({ memoryMb }: NodeSettings): number {
+  return isStated(memoryMb) ? memoryMb : DEFAULT_MEMORY_MB;
+}
+
+// Without those for files.
+function statedDescriptors({ fileDescriptors }: NodeSettings): number {
+  return (isStated(fileDescriptors) ? fileDescriptors : DEFAULT_FILE_DESCRIPTORS) - RESERVED_DESCRIPTORS;
+}
+
 // 0 means that a size is not known.
 function isStated(size: number | undefined): size is number {
   return size !== undefined && size > 0;
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -33,6 +33,8 @@
   poolUses: () => readonly PoolUse[];
   /** Age of the job table, in ms. */
   stateAgeMs: () => number;
+  /** Bytes of the jobs that are being stored. */
+  submissionBytes: () => number;
   /** Number of waiting jobs by queue. */
   waiting: () => ReadonlyMap<string, number>;
   /** Number of records of other nodes that wait on this node as leader. */
@@ -234,6 +236,7 @@
   gauge('leader_epoch', 'Term that the node leads; 0 while it does not lead', values.ownEpoch);
   gauge('state_age_seconds', 'Age of what the node knows of the jobs', () => values.stateAgeMs() / 1000);
   gauge('peer_records_waiting', 'Records of other nodes that wait on the leader', values.waitingPeerRecords);
+  gauge('submission_bytes', 'Bytes of the jobs that are being stored for callers', values.submissionBytes);
   publishPoolGauges(metrics, values);
   publishWorkspaceGauges(metrics, values);
   metrics.registerGauge(
--- a/packages/node/src/node-settings.ts
+++ b/packages/node/src/node-settings.ts
@@ -43,6 +43,8 @@
   heldBytes: wholeNumber.optional(),
   /** Most requests of a connection without an answer. */
   pipelinedRequests: wholeNumber.optional(),
+  /** Most bytes of jobs that are being stored. */
+  submissionBytes: wholeNumber.optional(),
 });
 
 /** Schema of the settings of a node. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,6 +16,7 @@
 import type { LeaderLink } from './ports/leader-link';
 import type { RequestedWave, TermContext } from './term';
 import { CallerService } from './caller-service';
+import { submissionBytes } from './client-limits';
 import { EventLoopMonitor } from './event-loop-monitor';
 import { GroupCommit } from './group-commit';
 import { JobWriter } from './job-writer';
@@ -26,6 +27,7 @@
 import { PeerIntake } from './peer-intake';
 import { createPeerApp } from './peer-server';
 import { StreamTail } from './stream-tail';
+import { SubmissionBudget } from './submission-budget';
 import { Term } from './term';
 
 /** Delay before a failed read of a stream is retried, in ms. */
@@ -78,6 +80,7 @@
   readonly #overload: OverloadMonitor;
   #isStopRequested = false;
   readonly #peers: PeerIntake;
+  readonly #submissions: SubmissionBudget;
   #term: Term | undefined;
   readonly #waves = new Map<number, RequestedWave>();
   readonly #writer: JobWriter;
@@ -135,8 +138,16 @@
       timers,
       write: (record, deadline) => this.#writer.writeForPeer(record, deadline),
     });
-    this.callers = new CallerService(this.#jobs, this.#jobsTail, this.#writer, timers, log, metrics, () =>
-      this.#operatorsTail.ageMs(),
+    this.#submissions = new SubmissionBudget(submissionBytes(cfg));
+    this.callers = new CallerService(
+      this.#jobs,
+      this.#jobsTail,
+      this.#writer,
+      timers,
+      log,
+      metrics,
+      this.#submissions,
+      () => this.#operatorsTail.ageMs(),
     );
     this.#leadership = new Leadership(
       {
@@ -200,6 +211,7 @@
       ownEpoch: () => this.#leadership.ownEpoch,
       poolUses: () => this.#term?.pools.uses() ?? [],
       stateAgeMs: () => this.#jobsTail.ageMs(),
+      submissionBytes: () => this.#submissions.heldBytes,
       waitingPeerRecords: () => this.#peers.waitingRecords,
       waiting: () => {
         const queues = this.callers.cfg?.queues ?? [];
--- a/packages/node/tests/caller-keys.test.ts
+++ b/packages/node/tests/caller-keys.test.ts
@@ -10,6 +10,7 @@
 import { JobWriter } from '../src/job-writer';
 import { NodeMetrics } from '../src/node-metrics';
 import { StreamTail } from '../src/stream-tail';
+import { SubmissionBudget } from '../src/submission-budget';
 import { MemoryStream } from './support/memory-stream';
 import { createRecordingLog } from './support/recording-log';
 
@@ -65,7 +66,8 @@
     void tail.run(stop.signal);
     await tail.catchUp(stop.signal);
     const writer = new JobWriter(stream, (record) => table.apply(record), timers, log, stop.signal);
-    const service = new CallerService(table, tail, writer, timers, log, metrics, () => cfgAgeMs);
+    const submissions = new SubmissionBudget(1_000_000);
+    const service = new CallerService(table, tail, writer, timers, log, metrics, submissions, () => cfgAgeMs);
     service.cfg = cfg;
     return service;
   }
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -10,6 +10,7 @@
 import { JobWriter } from '../src/job-writer';
 import { NodeMetrics } from '../src/node-metrics';
 import { StreamTail } from '../src/stream-tail';
+import { SubmissionBudget } from '../src/submission-budget';
 import { MemoryStream } from './support/memory-stream';
 import { quietLog } from './support/quiet-log';
 import { createRecordingLog } from './support/recording-log';
@@ -26,6 +27,9 @@
   [{ id: ID, kind: 'state', state: 'failed' }, 'failed'],
 ];
 
+/** Bytes of jobs that the node may store at the same time. */
+const MAX_SUBMISSION_BYTES = 20_000_000;
+
 const CONFIG: FleetConfig = {
   limits: { headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1 },
   pools: [],
@@ -75,9 +79,11 @@
   let jobs = new JobTable();
   let stop = new AbortController();
   let stream = new MemoryStream();
+  let submissionBytes = MAX_SUBMISSION_BYTES;
 
   beforeEach(() => {
     timers = new CountingTimers();
+    submissionBytes = MAX_SUBMISSION_BYTES;
     stop = new AbortController();
     stream = new MemoryStream();
     jobs = new JobTable();
@@ -98,7 +104,16 @@
     void tail.run(stop.signal);
     stream.faults = faults;
     const writer = new JobWriter(stream, (record) => jobs.apply(record), timers, quietLog, stop.signal);
-    const service = new CallerService(jobs, tail, writer, timers, quietLog, new NodeMetrics(), () => 0);
+    const service = new CallerService(
+      jobs,
+      tail,
+      writer,
+      timers,
+      quietLog,
+      new NodeMetrics(),
+      new SubmissionBudget(submissionBytes),
+      () => 0,
+    );
     service.cfg = CONFIG;
     return service;
   }
@@ -218,6 +233,32 @@
     expect(await callers.submit(REQ, ok(SPEC))).toMatchObject({ reason: 'backlog-full' });
   });
 
+  it('refuses a job at once while those being stored fill its memory, and takes it once they are stored', async () => {
+    submissionBytes = 30_000;
+    const callers = createService();
+    const path = '/q/00000bb87a21d94c';
+    const large = { ...SPEC, body: 'x'.repeat(8000) };
+    const first = callers.submit(REQ, ok(large));
+    expect(await callers.submit({ ...REQ, path }, ok(large))).toEqual({
+      kind: 'not-run',
+      reason: 'submissions-full',
+      retryAfterS: 1,
+    });
+    expect((await first).kind).toBe('accepted');
+    expect(stream.records).toHaveLength(1);
+    expect((await callers.submit({ ...REQ, path }, ok(large))).kind).toBe('accepted');
+  });
+
+  it('does not call a job refused for want of memory not run after an append of it without an answer', async () => {
+    submissionBytes = 10_000;
+    const callers = createService('lost-before', ...Array.from({ length: 40 }, () => 'refused' as const));
+    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('unsure');
+    const path = '/q/00000bb87a21d94c';
+    const other = callers.submit({ ...REQ, path }, ok({ ...SPEC, body: 'x'.repeat(8000) }));
+    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('unsure');
+    await other;
+  });
+
   // Guards against a timer beyond the range of the runtime, which fires at once.
   it.each([2 ** 31, 1e12, Infinity])('answers a caller that waits for %d ms', async (timeoutMs) => {
     const callers = createService();
@@ -288,7 +329,16 @@
       log,
     );
     const writer = new JobWriter(stream, () => undefined, timers, log, stop.signal);
-    const callers = new CallerService(jobs, tail, writer, timers, log, new NodeMetrics(), () => 0);
+    const callers = new CallerService(
+      jobs,
+      tail,
+      writer,
+      timers,
+      log,
+      new NodeMetrics(),
+      new SubmissionBudget(submissionBytes),
+      () => 0,
+    );
     await callers.submit(REQ, ok(SPEC));
     callers.cfg = CONFIG;
     await callers.show(REQ);
--- a/packages/node/tests/client-limits.test.ts
+++ b/packages/node/tests/client-limits.test.ts
@@ -1,6 +1,8 @@
+import { estimateSubmissionBytes } from '@sequoiaquay/core/jobs';
 import { describe, expect, it } from 'vitest';
 import type { NodeSettings } from '../src';
-import { callerLimits, nodeSettingsSchema, requestBounds } from '../src';
+import { step } from '../../core/tests/jobs/support/jobs';
+import { callerLimits, nodeSettingsSchema, requestBounds, submissionBytes } from '../src';
 
 const SETTINGS = {
   availabilityZone: 'z',
@@ -38,6 +40,28 @@
   );
 });
 
+// Guards against jobs in progress that outgrow the machine, or leave ordinary ones on all connections no room.
+describe('submissionBytes', () => {
+  it.each<[more: object, bytes: number]>([
+    [{}, 18_000_000],
+    [{ memoryMb: 350 }, 25_200_000],
+    [{ callerLimits: { submissionBytes: 5 } }, 5],
+  ])('follows from %j', (more, bytes) => {
+    expect(submissionBytes(parse(more))).toBe(bytes);
+  });
+
+  it.each([250, 350, 1000])(
+    'has room for an ordinary job on each connection of a machine of %d MB',
+    (memoryMb) => {
+      const settings = parse({ fileDescriptors: 100_000, memoryMb });
+      const demand = { cpuMilli: 500, gpus: 0, memoryMb: 256 };
+      const spec = { body: 'x'.repeat(4000), steps: [step({ demand })] };
+      const bytes = callerLimits(settings).connections * estimateSubmissionBytes(spec);
+      expect(submissionBytes(settings)).toBeGreaterThanOrEqual(bytes);
+    },
+  );
+});
+
 // Guards against unbounded bodies before there is a configuration.
 describe('requestBounds', () => {
   it('bounds requests without a configuration, and by the configuration once there is one', () => {
--- a/packages/node/tests/node-metrics.test.ts
+++ b/packages/node/tests/node-metrics.test.ts
@@ -16,6 +16,7 @@
       ],
       waitingPeerRecords: () => 0,
       stateAgeMs: () => 1500,
+      submissionBytes: () => 17_000,
       waiting: () => new Map([['quick', 4]]),
       waitingWithRoom: () => new Map([['p', 5]]),
       workspaceLoads: () => [
@@ -40,6 +41,7 @@
     nodeMetrics.recordOrderAnswer(nodeMetrics.orders.add(1000), 1300);
     const text = await metrics.renderText();
     expect(text).toContain('sequoiaquay_requests_total{answer="not-run",call="submit"} 1');
+    expect(text).toContain('sequoiaquay_submission_bytes 17000');
     expect(text).toContain('sequoiaquay_store_calls_total{call="append",outcome="lost",stream="jobs"} 1');
     expect(text).toContain('sequoiaquay_decisions_total{decision="run-ended",detail="failed"} 1');
     expect(text).toContain('sequoiaquay_first_run_wait_seconds{queue="quick",quantile="0.5"} 0.25');
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -37,6 +37,7 @@
   ownEpoch: () => undefined,
   poolUses: () => [],
   stateAgeMs: () => 0,
+  submissionBytes: () => 0,
   waiting: () => new Map(),
   waitingPeerRecords: () => 0,
   waitingWithRoom: () => new Map(),
--- a/tests/hostile-bodies.test.ts
+++ b/tests/hostile-bodies.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import type { AttackKind } from './support/attack-load';
-import { DECODED_ATTACK, LONG_TEXT_JOBS } from './support/decoded-attack';
+import { createManyStepJobs, DECODED_ATTACK, LONG_TEXT_JOBS } from './support/decoded-attack';
 import {
   ANSWER_TIMEOUT_MS,
   attack,
@@ -13,6 +13,11 @@
 } from './support/hostile-run';
 import { NodeCluster } from './support/node-cluster';
 
+/** Duration of an append while the store is slow, in ms. */
+const SLOW_APPEND_MS = 600;
+
+const JOB_CROWD = 300;
+
 let cluster: NodeCluster;
 
 afterEach(async () => {
@@ -35,6 +40,24 @@
     TEST_TIMEOUT_MS,
   );
 
+  // Each small body becomes a job of half a megabyte, which is held until the store has taken it.
+  it(
+    'leave the node within its machine: jobs of many steps while the store is slow',
+    async () => {
+      await startNode();
+      cluster.store.setFaults({ appendMs: SLOW_APPEND_MS });
+      const outcome = await attack(cluster, 0, 'callerPort', [createManyStepJobs(JOB_CROWD)]);
+      expectWithinMachine(outcome);
+      for (const status of outcome.answers) {
+        expect.soft([200, 503]).toContain(status);
+      }
+      cluster.store.setFaults({});
+      const { status } = await cluster.show(0, '00000000000000ff', ANSWER_TIMEOUT_MS);
+      expect.soft([200, 410]).toContain(status);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
   it(
     'leave the node within its machine: jobs with long texts in their steps',
     async () => {
--- a/tests/support/decoded-attack.ts
+++ b/tests/support/decoded-attack.ts
@@ -12,6 +12,9 @@
 const MEMORY_CROWD = 40;
 const TIME_CROWD = 200;
 
+/** Number of steps whose record is just inside the store's limit, without other fields. */
+const RECORD_STEPS = 700;
+
 /** Size of a text in a step, in bytes, and number of such jobs of a connection. */
 const LONG_TEXT_BYTES = 200_000;
 const JOBS_PER_CONNECTION = 50;
@@ -53,6 +56,16 @@
   wrongSteps: createCrowd(MEMORY_CROWD, () => wrap('{"steps":[', '0', ']}')),
 } as const satisfies Record<string, AttackKind>;
 
+/** Returns a crowd that submits jobs of many steps in small bodies, all of them with ids of their own. */
+export function createManyStepJobs(connections: number): AttackKind {
+  const steps = Array.from({ length: RECORD_STEPS }, () => '{"count":1}').join(',');
+  return {
+    connections,
+    isReading: true,
+    parts: (connection) => [createPost(`{"steps":[${steps}]}`, connection.toString(16).padStart(16, '0'))],
+  };
+}
+
 /** Crowd that submits job after job, each with a long text that is not the specification. */
 export const LONG_TEXT_JOBS: AttackKind = {
   connections: 20,
