fix(node): guard the address for other nodes as the others are

Seen by callers: with pipelined requests to the address for other nodes, whose answers are not read, ordinary jobs got 504 and 503 in place of 200.

Cause: that address had only a limit of connections (512 on any machine, with 400 for callers more than a machine of 1,000 descriptors has); nothing bounded requests ahead of their answers, bodies or times.

Change: the same guard as for callers, with limits of its own: 8 requests without an answer, 4 MB, 512 connections but at most a quarter of the descriptors. A body is still decoded only after the secret was checked. A node takes 408 and 431 for a call that was not carried out, and 503 for a leader without room, as it does 413 and 429; a node's calls are far inside these limits.

Evidence: eight crowds of hostile-clients.test.ts against that address, run alone.

--- a/packages/node/src/client-limits.ts
+++ b/packages/node/src/client-limits.ts
@@ -1,6 +1,7 @@
 import type { RequestLimits } from '@sequoiaquay/core/jobs';
 import type { GuardLimits, RequestBounds } from '@sequoiaquay/runtime';
 import type { NodeSettings } from './node-settings';
+import { MAX_CALL_BYTES, MAX_WAITING_BYTES } from './peer-limits';
 
 /** Memory and descriptors that are assumed where the settings don't state them: those of the smallest machines. */
 const DEFAULT_MEMORY_MB = 250;
@@ -44,6 +45,28 @@
 /** Bounds of requests for readiness and metrics. */
 export const INTERNAL_BOUNDS: RequestBounds = { ...DEFAULT_BOUNDS, bodyBytes: 1024 };
 
+/** Most connections of other nodes: 5 calls at a time from each of a hundred nodes. */
+const MAX_PEER_CONNECTIONS = 512;
+
+/** Share of the descriptors without those for files for connections of other nodes. */
+const PEER_DESCRIPTOR_SHARE = 0.25;
+
+/** Most bytes that are held for calls of other nodes: twice the records of other nodes that a leader lets wait. */
+const PEER_HELD_BYTES = 2 * MAX_WAITING_BYTES;
+
+/** Bounds of the calls of other nodes. */
+export const PEER_BOUNDS: RequestBounds = { ...DEFAULT_BOUNDS, bodyBytes: MAX_CALL_BYTES };
+
+/** Returns the limits for other nodes; they hold as well for clients that only know the address. */
+export function peerLimits(settings: NodeSettings): GuardLimits {
+  const share = Math.floor(statedDescriptors(settings) * PEER_DESCRIPTOR_SHARE);
+  return {
+    ...INTERNAL_LIMITS,
+    connections: Math.max(1, Math.min(MAX_PEER_CONNECTIONS, share)),
+    heldBytes: PEER_HELD_BYTES,
+  };
+}
+
 /** Returns the limits for callers; what the settings don't state follows from the machine. */
 export function callerLimits(settings: NodeSettings): GuardLimits {
   const memoryMb = statedMemoryMb(settings);
--- a/packages/node/src/leader-client.ts
+++ b/packages/node/src/leader-client.ts
@@ -7,10 +7,11 @@
 import type { LeaderCallError, LeaderLink, LeaderTarget, StoreAnswer, StoreCall } from './ports/leader-link';
 import { LEADER_FAILURE } from './ports/leader-link';
 
-const STATUS_TOO_MANY_CALLS = 429;
+/** Statuses with which the server refuses a call, before it carries it out, because it has too many. */
+const BUSY_STATUSES: readonly number[] = [429, 503];
 
 /** Statuses with which the server refuses a call before it carries it out. */
-const REFUSAL_STATUSES: readonly number[] = [401, 404, 413, STATUS_TOO_MANY_CALLS];
+const REFUSAL_STATUSES: readonly number[] = [401, 404, 408, 413, 431, ...BUSY_STATUSES];
 
 /** Codes of tRPC for calls that were refused before they were carried out. */
 const REFUSAL_CODES: readonly string[] = ['BAD_REQUEST', 'METHOD_NOT_SUPPORTED', 'NOT_FOUND', 'PARSE_ERROR'];
@@ -81,7 +82,7 @@
   const refusal = causes.find((cause) => cause instanceof RefusalError);
   const [message = ''] = causes.slice(-1).map((cause) => (cause instanceof Error ? cause.message : ''));
   if (refusal !== undefined) {
-    const isBusy = refusal.status === STATUS_TOO_MANY_CALLS;
+    const isBusy = BUSY_STATUSES.includes(refusal.status);
     return { kind: isBusy ? LEADER_FAILURE.busy : LEADER_FAILURE.refused, message };
   }
   const isRefused = REFUSAL_CODES.includes(rpcCodeOf(error)) || causes.some(isUnsent);
--- a/packages/node/src/peer-intake.ts
+++ b/packages/node/src/peer-intake.ts
@@ -3,6 +3,7 @@
 import { decodeJobRecord, JOB_RECORD } from '@sequoiaquay/core/jobs';
 import type { WriteOutcome } from './job-writer';
 import type { PeerOutcome, PeerRecord, StoreAnswer } from './ports/leader-link';
+import { MAX_WAITING_BYTES, MAX_WAITING_RECORDS } from './peer-limits';
 import { PEER_OUTCOME } from './ports/leader-link';
 import { contentBytes } from './record-bytes';
 
@@ -25,10 +26,6 @@
   records: readonly PeerRecord[];
 }
 
-/** Most records of other nodes that wait on the leader, and their bytes. */
-const MAX_WAITING_RECORDS = 1000;
-const MAX_WAITING_BYTES = 2_000_000;
-
 /** Part of the time limit of a call that is reserved for its answer, in ms. */
 const ANSWER_RESERVE_MS = 50;
 
--- a/packages/node/src/peer-server.ts
+++ b/packages/node/src/peer-server.ts
@@ -37,7 +37,7 @@
 
 /**
  * Creates the application for the calls of other nodes. `secret` returns the secret of the node's last term;
- * without one all calls are refused. A body is read only after the secret was checked.
+ * without one all calls are refused. A body is decoded only after the secret was checked.
  */
 export function createPeerApp(intake: PeerIntake, secret: () => string | undefined): Hono {
   const app = new Hono();
--- a/packages/node/tests/client-limits.test.ts
+++ b/packages/node/tests/client-limits.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import type { NodeSettings } from '../src';
 import { step } from '../../core/tests/jobs/support/jobs';
-import { callerLimits, nodeSettingsSchema, requestBounds, submissionBytes } from '../src';
+import { callerLimits, nodeSettingsSchema, peerLimits, requestBounds, submissionBytes } from '../src';
 
 const SETTINGS = {
   availabilityZone: 'z',
@@ -62,6 +62,18 @@
   );
 });
 
+// Guards against an address for other nodes that takes the descriptors of callers and of the store.
+describe('peerLimits', () => {
+  it.each<[more: object, connections: number]>([
+    [{ fileDescriptors: 1000 }, 200],
+    [{ fileDescriptors: 4100 }, 512],
+    [{ fileDescriptors: 100 }, 1],
+    [{}, 512],
+  ])('bounds the connections by %j', (more, connections) => {
+    expect(peerLimits(parse(more)).connections).toBe(connections);
+  });
+});
+
 // Guards against unbounded bodies before there is a configuration.
 describe('requestBounds', () => {
   it('bounds requests without a configuration, and by the configuration once there is one', () => {
--- a/tests/hostile-clients.test.ts
+++ b/tests/hostile-clients.test.ts
@@ -22,8 +22,8 @@
   await cluster.stop();
 });
 
-function startCluster(nodes: number): Promise<NodeCluster> {
-  return NodeCluster.start({ limits: LIMITS, nodes, settings: SMALLEST_MACHINE }, []);
+function startCluster(nodes: number, peers = false): Promise<NodeCluster> {
+  return NodeCluster.start({ limits: LIMITS, nodes, peers, settings: SMALLEST_MACHINE }, []);
 }
 
 // Guards against clients that make a process of the node end, outgrow its machine or stop serving others.
@@ -69,6 +69,25 @@
     TEST_TIMEOUT_MS,
   );
 
+  // Clients that are not nodes reach the address for other nodes too.
+  it.each<[string, AttackKind]>([
+    ['large chunks', ATTACK.largeChunks],
+    ['one-byte chunks', ATTACK.oneByteChunks],
+    ['sent bodies', ATTACK.sentBodies],
+    ['short bodies', ATTACK.shortBodies],
+    ['endless headers', ATTACK.endlessHeaders],
+    ['idle connections', ATTACK.idleConnections],
+    ['unread answers', createPathPipeline('/rpc/status')],
+    ['unread answers to bodies', ATTACK.pipelinedPosts],
+  ])(
+    'leave the callers served: peerPort, %s',
+    async (_, kind) => {
+      cluster = await startCluster(1, true);
+      expectServed(await attack(cluster, 0, 'peerPort', [kind]));
+    },
+    TEST_TIMEOUT_MS,
+  );
+
   // Guards against a leader that can't store its heartbeat in time because of its callers.
   it(
     'leave the leader its term',
