fix(node): decode no body for a caller who may not use the queue, and bound the lines about refused bodies

Seen by operators: a crowd of invalid bodies left a line for each of them, up to the 800 lines a second of the whole process, so that lines about ordinary requests were dropped.

Cause: answers about a body were logged like those about a known job. A body was decoded before it was known that the caller may use the queue, or that there is a configuration.

The body is decoded once the queue is known. sequoiaquay_requests_not_run_total counts the reasons. Answers to callers are the same.

Evidence: unit tests; the one for an unknown queue and for no configuration fails when the body is decoded first.

--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -161,12 +161,15 @@
     this.#access = cfg && new CallerAccess(cfg);
   }
 
-  /** Submits a job; the answer is `accepted` only once the job is stored. */
-  submit(req: CallerRequest, spec: Result<JobSpec, string>): Promise<CallerAnswer> {
-    return this.#recordRequest('submit', this.#submit(req, spec));
+  /**
+   * Submits a job; the answer is `accepted` only once the job is stored. `decode` is called once it is known that the
+   * caller may use the queue.
+   */
+  submit(req: CallerRequest, decode: () => Result<JobSpec, string>): Promise<CallerAnswer> {
+    return this.#recordRequest('submit', this.#submit(req, decode));
   }
 
-  async #submit(req: CallerRequest, spec: Result<JobSpec, string>): Promise<CallerAnswer> {
+  async #submit(req: CallerRequest, decode: () => Result<JobSpec, string>): Promise<CallerAnswer> {
     const resolved = this.#resolvePath(req);
     if ('kind' in resolved) {
       return this.#logRefusal('submit', req, resolved);
@@ -178,8 +181,9 @@
         problem: 'the path must end with a job id of 16 lowercase hexadecimal digits',
       };
     }
+    const spec = decode();
     if (spec.isErr()) {
-      return this.#logAnswer(id, { kind: CALLER_ANSWER.badRequest, problem: spec.error });
+      return this.#logRefusal('submit', req, { kind: CALLER_ANSWER.badRequest, problem: spec.error });
     }
     if (this.jobs.stateOf(id) !== undefined) {
       return this.#mayUseJob(id, workspace)
@@ -187,7 +191,7 @@
         : this.#forbid('submit', req, workspace);
     }
     if (this.jobs.activeBytes + estimateJobBytes(spec.value) > MAX_BACKLOG_BYTES) {
-      return this.#logAnswer(id, this.#fullAnswer(id, REFUSAL_REASON.backlogFull));
+      return this.#logRefusal('submit', req, this.#fullAnswer(id, REFUSAL_REASON.backlogFull));
     }
     if (!this.writer.isLikelyToSucceed(this.tail.reachableSince !== undefined)) {
       return this.#logAnswer(id, this.#notStoredAnswer(id));
@@ -289,6 +293,9 @@
     const startedAt = this.timers.mono();
     const answer = await handled;
     this.metrics.recordRequest(call, answer.kind, this.timers.mono() - startedAt);
+    if (answer.kind === CALLER_ANSWER.notRun) {
+      this.metrics.recordNotRun(answer.reason);
+    }
     return answer;
   }
 
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -78,6 +78,7 @@
   readonly #decisions = new LabelledCounter();
   readonly #eventLoopDelays = new LatencyHistograms();
   readonly #forwardTimes = new LatencyHistograms();
+  readonly #notRun = new LabelledCounter();
   readonly #orderTimes = new LatencyHistograms();
   readonly #requestTimes = new LatencyHistograms();
   readonly #requests = new LabelledCounter();
@@ -123,6 +124,11 @@
     this.#requestTimes.record({ call }, latencyMs);
   }
 
+  /** Counts a request that was not run, by the reason that its caller was told. */
+  recordNotRun(reason: string): void {
+    this.#notRun.increment({ reason });
+  }
+
   /** Records a call to the store and its latency, in ms; for reads that includes the wait for a record. */
   recordStoreCall(stream: string, call: string, outcome: string, latencyMs: number): void {
     this.#storeCalls.increment({ call, outcome, stream });
@@ -172,6 +178,10 @@
     metrics.registerCounter({ ...calls, name: 'sequoiaquay_store_calls_total' }, () =>
       this.#storeCalls.samples(),
     );
+    const notRun = { help: 'Requests of callers that were not run', labels: ['reason'] };
+    metrics.registerCounter({ ...notRun, name: 'sequoiaquay_requests_not_run_total' }, () =>
+      this.#notRun.samples(),
+    );
     const decisions = { help: 'Decisions of the leader', labels: ['decision', 'detail'] };
     metrics.registerCounter({ ...decisions, name: 'sequoiaquay_decisions_total' }, () =>
       this.#decisions.samples(),
--- a/packages/node/tests/caller-keys.test.ts
+++ b/packages/node/tests/caller-keys.test.ts
@@ -74,7 +74,7 @@
 
   function send(callers: CallerService, call: Call, queue: string, apiKey?: string): Promise<CallerAnswer> {
     const req: CallerRequest = { apiKey, host: 'h', path: `/${queue}/${ID}`, timeoutMs: 600 };
-    return call === 'submit' ? callers.submit(req, ok(SPEC)) : callers[call](req);
+    return call === 'submit' ? callers.submit(req, () => ok(SPEC)) : callers[call](req);
   }
 
   async function kinds(
@@ -116,8 +116,8 @@
     expect(await kinds(callers, 'quick')).toEqual(all('unauthorized'));
     expect(stream.records).toEqual([]);
     const bad = { apiKey: 'secret-x', host: 'h', path: '/quick/none', timeoutMs: 600 };
-    expect((await callers.submit(bad, err('bad'))).kind).toBe('unauthorized');
-    expect((await callers.submit({ ...bad, apiKey: 'secret-v' }, err('bad'))).kind).toBe('bad-request');
+    expect((await callers.submit(bad, () => err('bad'))).kind).toBe('unauthorized');
+    expect((await callers.submit({ ...bad, apiKey: 'secret-v' }, () => err('bad'))).kind).toBe('bad-request');
   });
 
   it.each<[string, string | undefined, string | undefined]>([
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -127,12 +127,12 @@
   it('answers that the outcome is unconfirmed if an earlier append of the job had no answer', async () => {
     const refused = Array.from({ length: 40 }, () => 'refused' as const);
     const callers = createService('lost-before', ...refused);
-    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('unsure');
-    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('unsure');
+    expect((await callers.submit(REQ, () => ok(SPEC))).kind).toBe('unsure');
+    expect((await callers.submit(REQ, () => ok(SPEC))).kind).toBe('unsure');
   });
 
   it('stores what the queue determines for its jobs with the job', async () => {
-    expect((await createService().submit(REQ, ok(SPEC))).kind).toBe('accepted');
+    expect((await createService().submit(REQ, () => ok(SPEC))).kind).toBe('accepted');
     const [queue] = CONFIG.queues;
     expect(queue && toJobPolicy(queue)).toMatchObject({
       maxAttempts: queue?.maxAttempts,
@@ -145,15 +145,15 @@
 
   it('refuses a job because the store is unavailable when certainly nothing was stored', async () => {
     const callers = createService('refused', 'refused');
-    const answer = await callers.submit(REQ, ok(SPEC));
+    const answer = await callers.submit(REQ, () => ok(SPEC));
     expect(answer).toMatchObject({ kind: 'not-run', reason: 'store-unavailable' });
     expect(stream.records).toEqual([]);
   });
 
   it('rejects a host without a queue and a path without a job id', async () => {
     const callers = createService();
-    expect((await callers.submit({ ...REQ, host: 'x' }, ok(SPEC))).kind).toBe('unknown-queue');
-    expect((await callers.submit({ ...REQ, path: '/q/none' }, ok(SPEC))).kind).toBe('bad-request');
+    expect((await callers.submit({ ...REQ, host: 'x' }, () => ok(SPEC))).kind).toBe('unknown-queue');
+    expect((await callers.submit({ ...REQ, path: '/q/none' }, () => ok(SPEC))).kind).toBe('bad-request');
   });
 
   it('returns the state of a job that another node has just accepted', async () => {
@@ -169,7 +169,7 @@
     const callers = createService();
     await expect.poll(() => callers.show(REQ)).toEqual({ kind: 'state', state });
     const stored = stream.records.length;
-    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('accepted');
+    expect((await callers.submit(REQ, () => ok(SPEC))).kind).toBe('accepted');
     expect((await callers.cancel(REQ)).kind).toBe('cancelled');
     expect(stream.records).toHaveLength(stored);
     store({ id: ID, kind: 'forget' });
@@ -209,7 +209,7 @@
     const large = { ...SPEC, schedule: { count: 70, firstAt: 0, intervalMs: 1000 }, steps };
     const submit = (number: number): Promise<CallerAnswer> => {
       const path = `${REQ.path.slice(0, -ID.length)}${String(number).padStart(16, '0')}`;
-      return callers.submit({ ...REQ, path }, ok(large));
+      return callers.submit({ ...REQ, path }, () => ok(large));
     };
     const answers = [await submit(1), await submit(2), await submit(3)];
     expect(answers.map(({ kind }) => kind)).toEqual(['accepted', 'accepted', 'not-run']);
@@ -230,7 +230,7 @@
     for (let number = 0; number < 160; number += 1) {
       jobs.apply({ job: { ...JOB, id: String(number).padStart(16, '0'), spec }, kind: 'submit' });
     }
-    expect(await callers.submit(REQ, ok(SPEC))).toMatchObject({ reason: 'backlog-full' });
+    expect(await callers.submit(REQ, () => ok(SPEC))).toMatchObject({ reason: 'backlog-full' });
   });
 
   it('refuses a job at once while those being stored fill its memory, and takes it once they are stored', async () => {
@@ -238,27 +238,38 @@
     const callers = createService();
     const path = '/q/00000bb87a21d94c';
     const large = { ...SPEC, body: 'x'.repeat(8000) };
-    const first = callers.submit(REQ, ok(large));
-    expect(await callers.submit({ ...REQ, path }, ok(large))).toEqual({
+    const first = callers.submit(REQ, () => ok(large));
+    expect(await callers.submit({ ...REQ, path }, () => ok(large))).toEqual({
       kind: 'not-run',
       reason: 'submissions-full',
       retryAfterS: 1,
     });
     expect((await first).kind).toBe('accepted');
     expect(stream.records).toHaveLength(1);
-    expect((await callers.submit({ ...REQ, path }, ok(large))).kind).toBe('accepted');
+    expect((await callers.submit({ ...REQ, path }, () => ok(large))).kind).toBe('accepted');
   });
 
   it('does not call a job refused for want of memory not run after an append of it without an answer', async () => {
     submissionBytes = 10_000;
     const callers = createService('lost-before', ...Array.from({ length: 40 }, () => 'refused' as const));
-    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('unsure');
+    expect((await callers.submit(REQ, () => ok(SPEC))).kind).toBe('unsure');
     const path = '/q/00000bb87a21d94c';
-    const other = callers.submit({ ...REQ, path }, ok({ ...SPEC, body: 'x'.repeat(8000) }));
-    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('unsure');
+    const other = callers.submit({ ...REQ, path }, () => ok({ ...SPEC, body: 'x'.repeat(8000) }));
+    expect((await callers.submit(REQ, () => ok(SPEC))).kind).toBe('unsure');
     await other;
   });
 
+  // Guards against bodies that are decoded for clients that may not use any queue.
+  it('decodes no body of a request for an unknown queue', async () => {
+    const callers = createService();
+    const decode = (): never => {
+      throw new Error('decoded');
+    };
+    expect((await callers.submit({ ...REQ, host: 'x' }, decode)).kind).toBe('unknown-queue');
+    callers.cfg = undefined;
+    expect((await callers.submit(REQ, decode)).kind).toBe('not-run');
+  });
+
   // Guards against a timer beyond the range of the runtime, which fires at once.
   it.each([2 ** 31, 1e12, Infinity])('answers a caller that waits for %d ms', async (timeoutMs) => {
     const callers = createService();
@@ -280,7 +291,7 @@
   it('calls a job that the store never takes a bad request, not an outage', async () => {
     const callers = createService();
     stream.maxAppendBytes = 100;
-    expect(await callers.submit(REQ, ok(SPEC))).toMatchObject({ kind: 'bad-request' });
+    expect(await callers.submit(REQ, () => ok(SPEC))).toMatchObject({ kind: 'bad-request' });
   });
 
   // Guards against 410 from a node that the store has just turned away: it acknowledges a cancellation, while the job
@@ -339,7 +350,7 @@
       new SubmissionBudget(submissionBytes),
       () => 0,
     );
-    await callers.submit(REQ, ok(SPEC));
+    await callers.submit(REQ, () => ok(SPEC));
     callers.cfg = CONFIG;
     await callers.show(REQ);
     await callers.cancel({ ...REQ, host: 'x' });
@@ -376,6 +387,6 @@
     const notCurrent = { kind: 'not-run', reason: 'state-not-current' };
     expect(await callers.show(REQ)).toMatchObject(notCurrent);
     expect(await callers.show({ ...REQ, path: '/q/00000bb87a21d94d' })).toMatchObject(notCurrent);
-    expect((await callers.submit(REQ, ok(SPEC))).kind).toBe('accepted');
+    expect((await callers.submit(REQ, () => ok(SPEC))).kind).toBe('accepted');
   });
 });
--- a/packages/node/tests/node-metrics.test.ts
+++ b/packages/node/tests/node-metrics.test.ts
@@ -24,6 +24,7 @@
       ],
     });
     nodeMetrics.recordRequest('submit', 'not-run', 12);
+    nodeMetrics.recordNotRun('submissions-full');
     nodeMetrics.recordStoreCall('jobs', 'append', 'lost', 400);
     nodeMetrics.recordDecision('run-ended', { end: 'failed' });
     nodeMetrics.recordFirstRun('quick', 250);
@@ -41,6 +42,7 @@
     nodeMetrics.recordOrderAnswer(nodeMetrics.orders.add(1000), 1300);
     const text = await metrics.renderText();
     expect(text).toContain('sequoiaquay_requests_total{answer="not-run",call="submit"} 1');
+    expect(text).toContain('sequoiaquay_requests_not_run_total{reason="submissions-full"} 1');
     expect(text).toContain('sequoiaquay_submission_bytes 17000');
     expect(text).toContain('sequoiaquay_store_calls_total{call="append",outcome="lost",stream="jobs"} 1');
     expect(text).toContain('sequoiaquay_decisions_total{decision="run-ended",detail="failed"} 1');
