--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -128,7 +128,10 @@
  * Delay after which callers may retry for want of memory, in seconds: jobs of a full backlog end slowly, a write takes a
  * second at most.
  */
-const FULL_RETRY_AFTER_S = { 'backlog-full': 10, 'submissions-full': 1 } as const;
+const FULL_RETRY_AFTER_S = {
+  [REFUSAL_REASON.backlogFull]: 10,
+  [REFUSAL_REASON.submissionsFull]: 1,
+} as const;
 
 /** Handles the requests of callers: submits and cancels jobs, and returns their state. */
 export class CallerService {
--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -45,7 +45,7 @@
   isAlone: boolean;
   /** Whether this node appends the record itself next, since a call to the leader with it failed. */
   isOwnNext: boolean;
-  /** Whether an append took records behind it, since it is too large to share one. */
+  /** Whether an append took records that came later, since this one is too large to share one. */
   isPassedOver: boolean;
   /** Whether the record is retried until its deadline, even if the store refuses it. */
   isPersistent: boolean;
@@ -432,7 +432,7 @@
     return [];
   }
 
-  // While appends take longer than the interval of the heartbeats, each has one, and a large record has none to itself.
+  // While appends take longer than the interval of the heartbeats, each contains one, and a large record has no turn.
   #settlePassedOver(): void {
     const now = this.timers.mono();
     this.#settleUnstored((item) => item.isPassedOver && item.deadline <= now);
