fix(node): leave room for sixteen of the largest bodies among the jobs that are being stored

Large jobs could take a half of the budget, 9 MB on the smallest machine, while sixteen bodies of 262,144 bytes at once, which the guard serves there, become 12.6 MB: some would have been refused in calm. They may take three quarters now. The new test fails with a half.

--- a/packages/node/src/submission-budget.ts
+++ b/packages/node/src/submission-budget.ts
@@ -2,7 +2,7 @@
 const LARGE_JOB_BYTES = 65_536;
 
 /** Share of the budget that large jobs may take, so that ordinary ones find room beside them. */
-const LARGE_JOB_SHARE = 0.5;
+const LARGE_JOB_SHARE = 0.75;
 
 /**
  * Memory for the jobs that are being stored. Addresses many small bodies that become large jobs, which are held until
--- a/packages/node/tests/client-limits.test.ts
+++ b/packages/node/tests/client-limits.test.ts
@@ -3,6 +3,7 @@
 import type { NodeSettings } from '../src';
 import { step } from '../../core/tests/jobs/support/jobs';
 import { callerLimits, nodeSettingsSchema, peerLimits, requestBounds, submissionBytes } from '../src';
+import { SubmissionBudget } from '../src/submission-budget';
 
 const SETTINGS = {
   availabilityZone: 'z',
@@ -62,6 +63,14 @@
   );
 });
 
+// Guards against a refusal of large requests inside the limits, which come at the same time in calm.
+it('has room for the jobs of sixteen bodies of the largest size on the smallest machine', () => {
+  const budget = new SubmissionBudget(submissionBytes(parse({ memoryMb: 250 })));
+  const spec = { body: 'x'.repeat(262_000), steps: [step()] };
+  const taken = Array.from({ length: 16 }, () => budget.take(estimateSubmissionBytes(spec)));
+  expect(taken).toEqual(Array(16).fill(true));
+});
+
 // Guards against an address for other nodes that takes the descriptors of callers and of the store.
 describe('peerLimits', () => {
   it.each<[more: object, connections: number]>([
