fix(node): leave ordinary jobs room beside a backlog of large ones

Seen by callers: 160 accepted jobs with long texts, which no worker can run, filled the backlog; every ordinary job got 503 backlog-full until they were cancelled.

Cause: all jobs shared the 32 MB alike.

Change: a job above 64 KB is refused from 25.6 MB on; the rest is for ordinary jobs, over a thousand of them. A crowd of ordinary jobs that can't run still fills the backlog (open, see docs/design/caller-limits.md).

--- a/packages/node/src/caller-service.ts
+++ b/packages/node/src/caller-service.ts
@@ -18,6 +18,7 @@
 import { WRITE_OUTCOME } from './job-writer';
 import { RecentIds } from './recent-ids';
 import { RefusalLog } from './refusal-log';
+import { LARGE_JOB_BYTES } from './submission-budget';
 
 /** Kinds of answers to callers. */
 export const CALLER_ANSWER = {
@@ -124,6 +125,9 @@
  */
 const MAX_BACKLOG_BYTES = 32_000_000;
 
+/** Part of that memory for all jobs once a large one comes, in bytes; ordinary ones find room in the rest. */
+const MAX_BACKLOG_BYTES_FOR_LARGE = 0.8 * MAX_BACKLOG_BYTES;
+
 /**
  * Delay after which callers may retry for want of memory, in seconds: jobs of a full backlog end slowly, a write takes a
  * second at most.
@@ -193,7 +197,7 @@
         ? this.#logAnswer(id, { kind: CALLER_ANSWER.accepted })
         : this.#forbid('submit', req, workspace);
     }
-    if (this.jobs.activeBytes + estimateJobBytes(spec.value) > MAX_BACKLOG_BYTES) {
+    if (!this.#hasBacklogRoom(estimateJobBytes(spec.value))) {
       return this.#logRefusal('submit', req, this.#fullAnswer(id, REFUSAL_REASON.backlogFull));
     }
     if (!this.writer.isLikelyToSucceed(this.tail.reachableSince !== undefined)) {
@@ -396,6 +400,11 @@
       : { kind: CALLER_ANSWER.notRun, reason, retryAfterS: FULL_RETRY_AFTER_S[reason] };
   }
 
+  #hasBacklogRoom(bytes: number): boolean {
+    const maxBytes = bytes > LARGE_JOB_BYTES ? MAX_BACKLOG_BYTES_FOR_LARGE : MAX_BACKLOG_BYTES;
+    return this.jobs.activeBytes + bytes <= maxBytes;
+  }
+
   #storeUnavailableAnswer(): CallerAnswer {
     return this.#notRunAnswer(REFUSAL_REASON.storeUnavailable);
   }
--- a/packages/node/src/submission-budget.ts
+++ b/packages/node/src/submission-budget.ts
@@ -1,5 +1,5 @@
-/** Job above this size, in bytes, counts as large: an ordinary one has a text of 4,000 bytes and a few steps. */
-const LARGE_JOB_BYTES = 65_536;
+/** A job above this size, in bytes, counts as large: an ordinary one has a text of 4,000 bytes and a few steps. */
+export const LARGE_JOB_BYTES = 65_536;
 
 /** Share of the budget that large jobs may take, so that ordinary ones find room beside them. */
 const LARGE_JOB_SHARE = 0.75;
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -233,6 +233,22 @@
     expect(await callers.submit(REQ, () => ok(SPEC))).toMatchObject({ reason: 'backlog-full' });
   });
 
+  // Guards against a crowd of large jobs that leaves ordinary ones no room until the jobs have ended.
+  it('takes ordinary jobs while large ones have filled their part of the memory of a leader', async () => {
+    const callers = createService();
+    const spec = { ...SPEC, body: 'x'.repeat(200_000) };
+    const submit = (number: number, job: JobSpec): Promise<CallerAnswer> =>
+      callers.submit({ ...REQ, path: `/q/${String(number).padStart(16, '0')}` }, () => ok(job));
+    let count = 0;
+    while (count < 200 && (await submit(count, spec)).kind === 'accepted') {
+      count += 1;
+    }
+    expect(await submit(count, spec)).toMatchObject({ reason: 'backlog-full' });
+    for (let number = 500; number < 1000; number += 1) {
+      expect(await submit(number, { ...SPEC, body: 'x'.repeat(4000) })).toEqual({ kind: 'accepted' });
+    }
+  });
+
   it('refuses a job at once while those being stored fill its memory, and takes it once they are stored', async () => {
     submissionBytes = 30_000;
     const callers = createService();
