refactor: give the turns of requests and the choice of an append's records modules of their own

No change of behaviour but one: a whole request on a connection that is closed meanwhile is not passed on, also in its first turn.

--- a/packages/node/src/job-writer.ts
+++ b/packages/node/src/job-writer.ts
@@ -7,11 +7,13 @@
   ProbeBackoff,
   SLOW_APPEND_MS,
 } from '@sequoiaquay/core/jobs';
+import type { BatchItem } from './append-batch';
 import type { AppendLimits } from './append-limits';
 import type { GroupCommit } from './group-commit';
 import type { KeyedStream, StoreError } from './ports/keyed-stream';
 import type { LeaderCallError, PeerOutcome, PeerRecord } from './ports/leader-link';
 import { AdaptiveTimeout } from './adaptive-timeout';
+import { takeBatch } from './append-batch';
 import { MAX_APPEND_BYTES, NO_APPEND_LIMITS, sendAllowanceMs } from './append-limits';
 import { MAX_CALL_BYTES, MAX_CALL_MS, MAX_CALL_RECORDS } from './peer-limits';
 import { STORE_FAILURE } from './ports/keyed-stream';
@@ -32,23 +34,15 @@
 /** Outcome of writing a record. */
 export type WriteOutcome = (typeof WRITE_OUTCOME)[keyof typeof WRITE_OUTCOME];
 
-interface PendingWrite {
-  /** Size of the keys and values to store, in bytes. */
-  bytes: number;
+interface PendingWrite extends BatchItem {
   /** Monotonic time after which the caller no longer waits, in ms. */
   callerDeadline: number;
   /** Monotonic time after which the writer stops trying, in ms. */
   deadline: number;
   /** Number of failed appends of the record. */
   failures: number;
-  /** Whether the record is appended by itself, since the store rejected it together with others. */
-  isAlone: boolean;
   /** Whether this node appends the record itself next, since a call to the leader with it failed. */
   isOwnNext: boolean;
-  /** Whether an append took records that came later, since this one is too large to share one. */
-  isPassedOver: boolean;
-  /** Whether the record is retried until its deadline, even if the store refuses it. */
-  isPersistent: boolean;
   /** Whether an append of the record had no answer. */
   isPossiblyStored: boolean;
   /** The record as it is sent to the leader; undefined if it must not or can't be. */
@@ -71,9 +65,6 @@
 /** Delay before a failed append is retried, in ms. */
 const RETRY_DELAY_MS = 60;
 
-/** Most writes in one append. */
-const MAX_BATCH_SIZE = 200;
-
 /** Longest time allowed for sending a batch of several records, in ms. */
 const MAX_SEND_ALLOWANCE_MS = 350;
 
@@ -331,26 +322,9 @@
     this.#queue.sort((a, b) => Number(isHeartbeat(b.record)) - Number(isHeartbeat(a.record)));
     const waiting =
       this.group === undefined ? this.#queue : this.#queue.filter((item) => !this.#waitsForLeader(item));
-    const batch = this.#takeBatch(waiting);
-    this.#removeFromQueue(batch);
-    return batch;
-  }
-
-  #takeBatch(waiting: readonly PendingWrite[]): PendingWrite[] {
     const maxBytes = Math.min(this.group?.maxAppendBytes ?? MAX_APPEND_BYTES, this.limits.callBytes);
-    const batch: PendingWrite[] = [];
-    let bytes = 0;
-    for (const item of waiting) {
-      const isFitting = !item.isAlone && bytes + item.bytes <= maxBytes;
-      if (batch.length === 0 || (isFitting && batch.length < MAX_BATCH_SIZE && batch[0]?.isAlone === false)) {
-        batch.push(item);
-        bytes += item.bytes;
-      } else if (!item.isPersistent && item.bytes > maxBytes) {
-        item.isPassedOver = true;
-      } else {
-        break;
-      }
-    }
+    const batch = takeBatch(waiting, maxBytes);
+    this.#removeFromQueue(batch);
     return batch;
   }
 
--- a/packages/runtime/src/server-guard/server-guard.ts
+++ b/packages/runtime/src/server-guard/server-guard.ts
@@ -4,6 +4,7 @@
 import type { TimerService } from '../timer-service';
 import type { GuardLimits, GuardRefusal, RequestBounds } from './guard-limits';
 import type { GuardStats, GuardUse } from './guard-stats';
+import { DispatchTurns } from './dispatch-turns';
 import { Exchange } from './exchange';
 import { GUARD_REFUSAL } from './guard-limits';
 import { GuardedConnection } from './guarded-connection';
@@ -35,28 +36,15 @@
 /** Bytes that take about as long to read as the handling of a chunk. */
 const CHUNK_COST_BYTES = 256;
 
-/** A body above this size, in bytes, counts as large: decoding it takes time. */
-const LARGE_BODY_BYTES = 16_384;
-
-/**
- * Turns of the event loop from a large body to the next. A turn accepts one connection, so that a client that comes
- * behind a crowd waits for a part of its bodies only.
- */
-const TURNS_PER_LARGE_BODY = 8;
-
 /** Interval between checks of the deadlines, in ms. */
 export const CHECK_INTERVAL_MS = 500;
 
 /** Keeps the memory and the descriptors that clients of a server can take within limits. */
 export class ServerGuard {
   readonly #connections = new Map<Socket, GuardedConnection>();
-  /** Connections that passed a request on in this turn of the event loop; their next one waits for another turn. */
-  readonly #servedInTurn = new Set<GuardedConnection>();
-  /** Connections whose next request has a large body that waits for a later turn, in their order. */
-  readonly #waitingForTurn = new Set<GuardedConnection>();
-  /** Turns until a large body may be passed on. */
-  #turnsUntilLarge = 0;
-  #isTurnScheduled = false;
+  readonly #turns = new DispatchTurns<GuardedConnection>((connection) => {
+    this.#serveNext(connection);
+  });
   #heldBytes = 0;
   /** Unfinished bodies that arrive in small chunks. */
   readonly #smallChunkBodies = new Set<Exchange>();
@@ -247,7 +235,7 @@
 
   #serveNext(connection: GuardedConnection): void {
     const [head] = connection.exchanges;
-    if (head === undefined || head.isDispatched) {
+    if (head === undefined || head.isDispatched || connection.socket.destroyed) {
       return;
     }
     const { refusal, req, res } = head;
@@ -255,9 +243,8 @@
       head.isDispatched = true;
       const isLargeBody = refusal === GUARD_REFUSAL.bodyTooLarge && !head.isComplete;
       head.writeRefusal(refusal, isLargeBody && this.#startLingering(res));
-    } else if (head.isComplete && !this.#servedInTurn.has(connection) && this.#takeTurn(connection, head)) {
+    } else if (head.isComplete && this.#turns.take(connection, head.body.length)) {
       head.isDispatched = true;
-      this.#markServed(connection);
       Object.assign(req, { rawBody: head.body.take() });
       this.handle(req, res);
     }
@@ -274,67 +261,10 @@
     return true;
   }
 
-  // Many large bodies in one turn would stop the event loop, and with it all other clients, while they are decoded.
-  #takeTurn(connection: GuardedConnection, { body }: Exchange): boolean {
-    if (body.length <= LARGE_BODY_BYTES) {
-      return true;
-    }
-    if (this.#turnsUntilLarge > 0) {
-      this.#waitingForTurn.add(connection);
-      return false;
-    }
-    this.#turnsUntilLarge = TURNS_PER_LARGE_BODY;
-    return true;
-  }
-
-  // Without this, all pipelined requests of a read would be carried out before any other client's.
-  #markServed(connection: GuardedConnection): void {
-    this.#servedInTurn.add(connection);
-    this.#scheduleTurn();
-  }
-
-  #scheduleTurn(): void {
-    if (!this.#isTurnScheduled) {
-      this.#isTurnScheduled = true;
-      setImmediate(() => {
-        this.#startTurn();
-      });
-    }
-  }
-
-  #startTurn(): void {
-    const connections = [...this.#servedInTurn];
-    this.#servedInTurn.clear();
-    this.#isTurnScheduled = false;
-    this.#turnsUntilLarge = Math.max(0, this.#turnsUntilLarge - 1);
-    this.#serveWaiting();
-    for (const connection of connections) {
-      if (!connection.socket.destroyed) {
-        this.#serveNext(connection);
-      }
-    }
-    if (this.#turnsUntilLarge > 0) {
-      this.#scheduleTurn();
-    }
-  }
-
-  // A connection whose request was refused meanwhile takes no turn.
-  #serveWaiting(): void {
-    for (const connection of this.#waitingForTurn) {
-      if (this.#turnsUntilLarge > 0) {
-        return;
-      }
-      this.#waitingForTurn.delete(connection);
-      this.#serveNext(connection);
-    }
-  }
-
   #onAnswered(connection: GuardedConnection, exchange: Exchange): void {
     this.#release(connection, exchange);
     connection.remove(exchange, this.timers.mono());
-    if (!connection.socket.destroyed) {
-      this.#serveNext(connection);
-    }
+    this.#serveNext(connection);
   }
 
   #close(connection: GuardedConnection, refusal: GuardRefusal): void {
@@ -353,7 +283,7 @@
       exchange.body.clear();
       this.#release(connection, exchange);
     }
-    this.#waitingForTurn.delete(connection);
+    this.#turns.forget(connection);
     this.#connections.delete(socket);
   }
 
