test(review): show two runs of a task after a hand-over beside an idle executor

Cause: the lease of a start on an executor that was idle for long is longer than usual by 2% of that time, and the next leader takes it for one of the usual length.

Tried: 85 s without work, then a job; its executor is cut off and the leader gets a SIGTERM at once.

Fixes nothing.

--- /dev/null
+++ b/review/11/run.mjs
@@ -0,0 +1,74 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { Executor } from '../support-3/executor.mjs';
+import { createConfig, HAS_TROUBLE, runCase, waitUntil } from '../support-3/site.mjs';
+
+/** Rate of the executors' steady clocks, which may be 2% slow. */
+const CLOCK_RATE = 0.98;
+
+/** Time in which the service has nothing to do, in ms. */
+const QUIET_MS = 85_000;
+
+/** Time for which an executor is cut off, in ms: that of `node_cut` with `how = "servers"` in the site file. */
+const CUT_MS = 5500;
+
+/** Work of the task, in ms. */
+const WORK_MS = 15_000;
+
+/** Time after which two runs of a task count as at the same time, in ms: more than the stand-ins' own resolution. */
+const OVERLAP_MS = 50;
+
+const JOB_ID = '5c0e7a21d94b36f8';
+
+await runCase(async (site) => {
+  site.store.put('keyed.op', 'config', createConfig(['billing']));
+  const executors = Array.from({ length: 4 }, (_, index) => {
+    const info = {
+      capacity: { cpu: 16_000, gpus: 0, mem_mb: 65_536 },
+      labels: ['a', `r${index + 1}`],
+      service: 'billing',
+      zone: `bc-coast-${'abcd'[index]}`,
+    };
+    return new Executor(site, `i-0000000${index + 1}`, info, { clockRate: CLOCK_RATE, onStart });
+  });
+  // Only the first run of the task is disturbed: its executor is cut off, and its leader is told to stop.
+  function onStart(entry, executor) {
+    if (!HAS_TROUBLE || site.history.length > 1) {
+      return;
+    }
+    const { leader } = site;
+    afterAnswer(() => {
+      executor.cut(CUT_MS);
+      leader.process.kill('SIGTERM');
+      site.record(`SIGTERM to ${leader.name}, which leads`);
+    });
+  }
+  await Promise.all(executors.map((executor) => executor.start()));
+  await site.startNodes(3);
+  await waitUntil(() => site.leader.terms.length > 0, 5000);
+  await delay(QUIET_MS);
+  const step = { count: 1, cpu: 1000, estimated_ms: WORK_MS, mem_mb: 256 };
+  const other = site.nodes.find((node) => node !== site.leader);
+  const body = { specification: JSON.stringify({ ms: WORK_MS }), steps: [step] };
+  const answer = await site.call(other, 'POST', `/billing/${JOB_ID}`, body);
+  if (answer.status !== 200) {
+    throw new Error('the job was not accepted');
+  }
+  await delay(12_000);
+  await site.call(other, 'GET', `/billing/${JOB_ID}`);
+  return site.history.flatMap((first, index) =>
+    site.history.slice(index + 1).flatMap((second) => {
+      const overlapMs =
+        Math.min(first.endedAt ?? site.now(), second.endedAt ?? site.now()) - second.startedAt;
+      return first.task === second.task && overlapMs > OVERLAP_MS
+        ? [
+            `TWICE: ${first.task} ran on ${first.executor} (run ${first.run}) and on ${second.executor} ` +
+              `(run ${second.run}) at the same time for ${Math.round(overlapMs)} ms`,
+          ]
+        : [];
+    }),
+  );
+});
+
+function afterAnswer(callback) {
+  void delay(20).then(callback);
+}
