--- a/review/support-3/site.mjs
+++ b/review/support-3/site.mjs
@@ -16,6 +16,9 @@
 const HOST = 'pule25.example';
 const READY_TIMEOUT_MS = 20_000;
 
+/** Starts of a node with other ports each time. */
+const MAX_ATTEMPTS = 5;
+
 /** Time after which a script gives up, in ms: it may take 120 s. */
 const MAX_RUN_MS = 115_000;
 
@@ -56,9 +59,16 @@
 
   /** Starts nodes with the settings that the template gives for a machine of a small deployment. */
   async startNodes(count, { cloud } = {}) {
-    const ports = await freePorts(3 * count);
-    for (let index = 0; index < count; index += 1) {
-      const [callers, readiness, metrics] = ports.splice(0, 3);
+    await Promise.all(Array.from({ length: count }, (_, index) => this.#startNode(index, cloud)));
+    this.record(`${count} nodes are ready`);
+  }
+
+  async #startNode(index, cloud) {
+    const name = `frontend-${index + 1}`;
+    const node = { file: join(this.#directory, `${name}.json`), name, terms: [] };
+    this.nodes[index] = node;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      const [callers, readiness, metrics] = await freePorts(3);
       const settings = {
         availabilityZone: `bc-coast-${'abcd'[index % 4]}`,
         bounds: {
@@ -75,20 +85,21 @@
         linkMbps: 1000,
         memoryMb: 350,
         metricsAddress: `127.0.0.1:${metrics}`,
-        name: `frontend-${index + 1}`,
+        name,
         readinessAddress: `127.0.0.1:${readiness}`,
         storeAddress: this.store.address,
         storeCallBytes: 2_097_152,
         storeRecordBytes: 262_144,
         ...(cloud === undefined ? {} : { vmServiceAddress: cloud }),
       };
-      const file = join(this.#directory, `node-${index + 1}.json`);
-      writeFileSync(file, JSON.stringify(settings));
-      this.nodes.push({ callers, file, name: settings.name, readiness, terms: [] });
-      this.#spawn(this.nodes[index]);
+      writeFileSync(node.file, JSON.stringify(settings));
+      Object.assign(node, { callers, readiness });
+      this.#spawn(node);
+      if (await this.#becomesReady(node)) {
+        return;
+      }
     }
-    await Promise.all(this.nodes.map((node) => this.#untilReady(node)));
-    this.record(`${count} nodes are ready`);
+    throw new Error(`${name} does not start`);
   }
 
   #spawn(node) {
@@ -119,12 +130,17 @@
     return this.nodes.reduce((best, node) => (newest(node) > newest(best) ? node : best));
   }
 
-  async #untilReady(node) {
+  // Returns false if the process ends, as when another program has taken a port since it was chosen.
+  async #becomesReady(node) {
     const end = this.now() + READY_TIMEOUT_MS;
     while (this.now() < end) {
+      if (node.process.exitCode !== null) {
+        this.record(`${node.name} has ended with status ${node.process.exitCode} before it was ready`);
+        return false;
+      }
       const answer = await send(node.readiness, 'GET', '/readiness');
       if (answer.status === 200) {
-        return;
+        return true;
       }
       await delay(50);
     }
