--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Executor } from '../support-3/executor.mjs';
-import { createConfig, HAS_TROUBLE, runCase, waitUntil } from '../support-3/site.mjs';
+import { createConfig, findOverlaps, HAS_TROUBLE, runCase, waitUntil } from '../support-3/site.mjs';
 
 /** Rate of the executors' steady clocks, which may be 2% slow. */
 const CLOCK_RATE = 0.98;
@@ -14,9 +14,6 @@
 /** Work of the task, in ms. */
 const WORK_MS = 15_000;
 
-/** Time after which two runs of a task count as at the same time, in ms: more than the stand-ins' own resolution. */
-const OVERLAP_MS = 50;
-
 const JOB_ID = '5c0e7a21d94b36f8';
 
 await runCase(async (site) => {
@@ -55,18 +52,7 @@
   }
   await delay(12_000);
   await site.call(other, 'GET', `/billing/${JOB_ID}`);
-  return site.history.flatMap((first, index) =>
-    site.history.slice(index + 1).flatMap((second) => {
-      const overlapMs =
-        Math.min(first.endedAt ?? site.now(), second.endedAt ?? site.now()) - second.startedAt;
-      return first.task === second.task && overlapMs > OVERLAP_MS
-        ? [
-            `TWICE: ${first.task} ran on ${first.executor} (run ${first.run}) and on ${second.executor} ` +
-              `(run ${second.run}) at the same time for ${Math.round(overlapMs)} ms`,
-          ]
-        : [];
-    }),
-  );
+  return findOverlaps(site);
 });
 
 function afterAnswer(callback) {
--- a/review/support-3/site.mjs
+++ b/review/support-3/site.mjs
@@ -22,6 +22,9 @@
 /** Time after which a script gives up, in ms: it may take 120 s. */
 const MAX_RUN_MS = 115_000;
 
+/** Time from which on two runs of a task count as at the same time, in ms: above the resolution of the stand-ins. */
+const OVERLAP_MS = 50;
+
 /** Ports that the nodes may listen on. */
 const FIRST_PORT = 20_000;
 const PORT_COUNT = 12_000;
@@ -226,6 +229,22 @@
   };
 }
 
+/** Returns the pairs of runs of one task that went on at the same time, on executors that were up. */
+export function findOverlaps(site) {
+  const endOf = ({ endedAt = site.now() }) => endedAt;
+  return site.history.flatMap((first, index) =>
+    site.history.slice(index + 1).flatMap((second) => {
+      const overlapMs = Math.round(Math.min(endOf(first), endOf(second)) - second.startedAt);
+      return first.task === second.task && overlapMs > OVERLAP_MS
+        ? [
+            `TWICE: ${first.task} ran on ${first.executor} (run ${first.run}) and on ${second.executor} ` +
+              `(run ${second.run}) at the same time for ${overlapMs} ms`,
+          ]
+        : [];
+    }),
+  );
+}
+
 /** Waits until a condition holds; returns false at the timeout. */
 export async function waitUntil(condition, timeoutMs) {
   const end = performance.now() + timeoutMs;
--- a/review/support-3/store.mjs
+++ b/review/support-3/store.mjs
@@ -92,18 +92,24 @@
     const query = url.searchParams;
     switch (url.pathname) {
       case '/log-append': {
-        const lateMs = this.loseAppend(decode(body).map(({ key }) => key));
+        const at = query.has('at') ? Number(query.get('at')) : undefined;
+        const records = decode(body);
+        const lateMs = this.loseAppend(records.map(({ key }) => key));
         if (lateMs !== undefined) {
-          setTimeout(() => this.#append(topic, decode(body)), lateMs).unref();
+          setTimeout(() => {
+            if (at === undefined || at === topic.records.length) {
+              this.#append(topic, records);
+            }
+          }, lateMs).unref();
           return undefined;
         }
         topic.turn = topic.turn.then(() => delay(APPEND_MS));
         await topic.turn;
         const end = topic.records.length;
-        if (query.has('at') && Number(query.get('at')) !== end) {
+        if (at !== undefined && at !== end) {
           return { body: { end }, status: 412 };
         }
-        const offset = this.#append(topic, decode(body));
+        const offset = this.#append(topic, records);
         return { body: { end: topic.records.length, offset }, status: 200 };
       }
       case '/log-read':
