--- a/review/support-3/executor.mjs
+++ b/review/support-3/executor.mjs
@@ -16,6 +16,7 @@
   runs = new Map();
   finished = [];
   ended = new Map();
+  hasEnded = false;
   lastNumber = 0;
   token = 0;
   leaseEnd = -Infinity;
@@ -68,6 +69,7 @@
 
   /** The process ends without a word: its port is closed, nothing runs. */
   crash() {
+    this.hasEnded = true;
     clearInterval(this.timer);
     clearTimeout(this.heartbeat);
     this.gate.close();
@@ -201,6 +203,13 @@
       return;
     }
     this.token = token;
+    const heldMs = req.url === '/hold' ? undefined : this.site.holdOrder(this, req.url, call);
+    if (heldMs !== undefined) {
+      setTimeout(() => {
+        this.#carryOutLate(req.url, call);
+      }, heldMs).unref();
+      return;
+    }
     switch (req.url) {
       case '/run-start':
         this.#onStart(call, answer);
@@ -216,6 +225,19 @@
     }
   }
 
+  // The fence of a later call holds for it as well.
+  #carryOutLate(path, call) {
+    if (!this.hasEnded && (call.fencing_token ?? 0) >= this.token) {
+      this.site.record(`${this.id}: ${path} of run ${call.run} of ${call.task} is carried out late`);
+      const noAnswer = () => undefined;
+      if (path === '/run-start') {
+        this.#onStart(call, noAnswer);
+      } else if (path === '/run-stop') {
+        this.#onStop(call, noAnswer);
+      }
+    }
+  }
+
   #extend(deadline) {
     if (deadline !== undefined) {
       this.leaseEnd = Math.max(this.leaseEnd, Math.min(deadline, this.clock + this.site.maxHoldMs));
--- a/review/support-3/site.mjs
+++ b/review/support-3/site.mjs
@@ -39,6 +39,8 @@
 export class Site {
   heartbeatMs = 1500;
   history = [];
+  /** Called for each order to an executor; a time in ms that it returns is that after which it is carried out, unanswered. */
+  holdOrder = () => undefined;
   maxHoldMs = 10_000;
   nodes = [];
   store = new Store();
