--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -1,87 +1,63 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Executor } from '../support-3/executor.mjs';
-import { createConfig, HAS_TROUBLE, runCase, waitUntil } from '../support-3/site.mjs';
+import { Machines } from '../support-3/machines.mjs';
+import { createConfig, HAS_TROUBLE, runCase } from '../support-3/site.mjs';
 
-/** Time for which answers of the store are lost, in ms, and after which the lost writes are carried out. */
-const LOSS_MS = 1200;
-const LATE_MS = 5500;
+/** Waves, each of one machine that was added shortly before. */
+const WAVES = 6;
 
-/** Bounds of the deployment, in ms. */
-const CANCEL_MS = 3000;
-const STOP_TIMEOUT_MS = 200;
+/** Time from the arrival of a machine to the request for its upkeep, in ms; a calm one in a run without disruption. */
+const REQUEST_AFTER_MS = HAS_TROUBLE ? 100 : 5000;
 
-/** Work of the task, in ms. */
-const WORK_MS = 4000;
-
-/** Jobs of other clients at the same time, and the work of each, in ms. */
-const OTHER_JOBS = 6;
-const OTHER_WORK_MS = 300;
-
-const JOB_ID = '5c0e7a21d94b36f8';
-const PATH = `/billing/${JOB_ID}`;
+const PAUSE_MS = 6270;
 
 await runCase(async (site) => {
+  const machines = new Machines(site);
+  await machines.start();
   site.store.put('keyed.op', 'config', createConfig(['billing']));
-  const executors = Array.from({ length: 4 }, (_, index) => {
+  let count = 0;
+  const create = (machine) => {
+    count += 1;
     const info = {
       capacity: { cpu: 16_000, gpus: 0, mem_mb: 65_536 },
-      labels: ['a', `r${index + 1}`],
+      labels: ['a', `r${Math.ceil(machine / 4)}`],
       service: 'billing',
-      zone: `bc-coast-${'abcd'[index]}`,
+      zone: `bc-coast-${'abcd'[machine % 4]}`,
     };
-    return new Executor(site, `i-0000000${index + 1}`, info);
-  });
-  await Promise.all(executors.map((executor) => executor.start()));
-  await site.startNodes(3);
-  await waitUntil(() => site.leader.terms.length > 0, 5000);
-  await delay(3000);
-  const [first, second] = site.nodes.filter((node) => node !== site.leader);
-
-  // Of the writes of that time only those with the job are lost; the others, of the leader, are answered.
-  const lossEndsAt = site.now() + LOSS_MS;
-  const counts = { all: 0, lost: 0 };
-  site.store.loseAppend = (keys) => {
-    if (!HAS_TROUBLE || site.now() > lossEndsAt) {
-      return undefined;
-    }
-    counts.all += 1;
-    if (!keys.includes(`j.${JOB_ID}`)) {
-      return undefined;
-    }
-    counts.lost += 1;
-    site.record(
-      `the store does not answer a write of ${keys.join(', ')}, and carries it out ${LATE_MS} ms later`,
-    );
-    return LATE_MS;
+    return new Executor(site, `i-${String(count).padStart(8, '0')}`, info);
   };
-  const createBody = (ms) => ({
-    specification: JSON.stringify({ ms }),
-    steps: [{ count: 1, cpu: 1000, estimated_ms: ms, mem_mb: 256 }],
-  });
-  const others = Array.from({ length: OTHER_JOBS }, (_, index) =>
-    site.call(second, 'POST', `/billing/${String(index).padStart(16, '0')}`, createBody(OTHER_WORK_MS)),
-  );
-  await site.call(first, 'POST', PATH, createBody(WORK_MS));
-  await Promise.all(others);
-  const cancelled = await site.call(second, 'DELETE', PATH);
-  const acknowledgedAt = site.now();
-  if (cancelled.status !== 200 && cancelled.status !== 410) {
-    throw new Error('the cancelling was not acknowledged');
+  const addMachine = async (machine) => {
+    const executor = create(machine);
+    await executor.start();
+    machines.add(`m-${machine}`, executor, () => create(machine));
+  };
+  for (let machine = 1; machine <= 8; machine += 1) {
+    await addMachine(machine);
   }
-  await delay(LATE_MS + WORK_MS + 2000);
-  site.record(`writes of the time of the loss: ${counts.all}, of these without an answer: ${counts.lost}`);
-  await site.call(second, 'GET', PATH);
-  return site.history
-    .filter(({ task }) => task.startsWith(JOB_ID))
-    .filter(({ endedAt = site.now(), startedAt }) => {
-      const isLateStart = startedAt > acknowledgedAt + CANCEL_MS;
-      return isLateStart || endedAt > acknowledgedAt + CANCEL_MS + STOP_TIMEOUT_MS;
-    })
-    .map(({ executor, run, startedAt, task }) => {
-      const afterMs = Math.round(startedAt - acknowledgedAt);
-      return (
-        `UNASKED: run ${run} of ${task} was started on ${executor} ${afterMs} ms after the cancelling of its job ` +
-        `was acknowledged`
-      );
+  const broken = [];
+  site.store.onRecord('keyed.status', (key, value) => {
+    const [, wave] = /^wave\/(\d+)$/.exec(key) ?? [];
+    const { state } = JSON.parse(value);
+    site.record(`status/${key}: ${state}`);
+    const machine = `m-${8 + Number(wave)}`;
+    if (state === 'completed' && !machines.upkeepBegan.has(`${wave} ${machine}`)) {
+      broken.push(`MIXED: wave ${wave} is said to be completed, and ${machine} has not begun its upkeep`);
+    }
+  });
+  await site.startNodes(3, { cloud: machines.address });
+  await delay(5000);
+  for (let wave = 1; wave <= WAVES; wave += 1) {
+    const machine = 8 + wave;
+    await addMachine(machine);
+    await delay(REQUEST_AFTER_MS);
+    site.store.put('keyed.op', `wave/${wave}`, {
+      duration_s: 12,
+      machines: [`m-${machine}`],
+      maximum: 1,
+      wave,
     });
+    site.record(`op/wave/${wave} requests the upkeep of m-${machine}`);
+    await delay(PAUSE_MS);
+  }
+  return broken;
 });
