--- a/review/support-3/site.mjs
+++ b/review/support-3/site.mjs
@@ -44,6 +44,7 @@
   maxHoldMs = 10_000;
   nodes = [];
   store = new Store();
+  #isStopping = false;
   #directory = mkdtempSync(join(tmpdir(), 'sequoiaquay-review-'));
   #startedAt = performance.now();
 
@@ -98,7 +99,7 @@
         ...(cloud === undefined ? {} : { vmServiceAddress: cloud }),
       };
       writeFileSync(node.file, JSON.stringify(settings));
-      Object.assign(node, { callers, readiness });
+      Object.assign(node, { callers, metrics, readiness });
       this.#spawn(node);
       if (await this.#becomesReady(node)) {
         return;
@@ -113,6 +114,11 @@
     const env = { HOME: process.env.HOME, PATH: process.env.PATH, SEQUOIAQUAY_BOOT: node.file };
     node.process = spawn(program, args, { cwd: ROOT, env, stdio: ['ignore', 'pipe', 'ignore'] });
     node.exited = new Promise((resolve) => node.process.once('exit', resolve));
+    node.process.once('exit', (status, signal) => {
+      if (!this.#isStopping) {
+        this.record(`${node.name} has ended: ${signal ?? `status ${status}`}`);
+      }
+    });
     // The log only tells which node leads, to choose the one to disturb; it is not judged.
     let rest = '';
     node.process.stdout.on('data', (chunk) => {
@@ -140,11 +146,11 @@
     const end = this.now() + READY_TIMEOUT_MS;
     while (this.now() < end) {
       if (node.process.exitCode !== null) {
-        this.record(`${node.name} has ended with status ${node.process.exitCode} before it was ready`);
         return false;
       }
       const answer = await send(node.readiness, 'GET', '/readiness');
-      if (answer.status === 200) {
+      // The metrics come last: a node whose port for them was taken ends after it was ready for a moment.
+      if (answer.status === 200 && (await send(node.metrics, 'GET', '/metrics')).status === 200) {
         return true;
       }
       await delay(50);
@@ -160,6 +166,7 @@
   }
 
   async stop() {
+    this.#isStopping = true;
     for (const node of this.nodes) {
       node.process.kill('SIGKILL');
     }
