test(review): keep the cut of an executor within the share of the site file

One executor of four is a share of 0.25, above the 0.17 of node_cut in the site file; the case has eight executors now.

--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -5,6 +5,9 @@
 /** Rate of the executors' steady clocks, which may be 2% slow. */
 const CLOCK_RATE = 0.98;
 
+/** Executors, of which one is cut off: a share of 0.125. */
+const EXECUTORS = 8;
+
 /** Time in which the service has nothing to do, in ms. */
 const QUIET_MS = 85_000;
 
@@ -18,12 +21,12 @@
 
 await runCase(async (site) => {
   site.store.put('keyed.op', 'config', createConfig(['billing']));
-  const executors = Array.from({ length: 4 }, (_, index) => {
+  const executors = Array.from({ length: EXECUTORS }, (_, index) => {
     const info = {
       capacity: { cpu: 16_000, gpus: 0, mem_mb: 65_536 },
-      labels: ['a', `r${index + 1}`],
+      labels: ['a', `r${Math.floor(index / 4) + 1}`],
       service: 'billing',
-      zone: `bc-coast-${'abcd'[index]}`,
+      zone: `bc-coast-${'abcd'[index % 4]}`,
     };
     return new Executor(site, `i-0000000${index + 1}`, info, { clockRate: CLOCK_RATE, onStart });
   });
