fix(jobs): grant no lease that is longer than a later leader waits

Cause: an idle worker is asked for no reports, and the deadline of a lease was computed from its last reading as if the clock had kept pace since. On a slow clock the lease grows by 2% of the age of the reading, up to the longest lease. The leader itself counts that, its successor can't: it waits for a lease of the usual length.

So that a clock that keeps pace loses at most 200 ms of its lease, a reading older than 10 s is renewed before the next order: one report, which also finds a worker that is lost before a task is sent there. A longer wait at each change of the leader would have cost all callers whose workers can't be reached.

order-refusal.test.ts asked for the deadline by the old formula (94,010): it asks for that by the new one, to the ms.

--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -42,6 +42,9 @@
   return leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
 }
 
+/** Age from which on a reading of a worker's clock is renewed before a lease is granted by it, in ms. */
+const MAX_CLOCK_AGE_MS = 10_000;
+
 /** Longest time from the start of a call that extends the lease until the worker receives it, in ms. */
 const MAX_CALL_MS = 1700;
 
@@ -285,6 +288,11 @@
     this.lastReportAt = at;
   }
 
+  /** Whether the reading of the clock is recent enough to grant a whole lease by it at a monotonic time in ms. */
+  isClockRecent(now: number): boolean {
+    return this.#clock !== undefined && now - this.#clock.at <= MAX_CLOCK_AGE_MS;
+  }
+
   /** Forgets a clock reading that has proved wrong: the worker has to report before it gets further orders. */
   forgetClock(): void {
     this.#clock = undefined;
@@ -300,7 +308,7 @@
     if (clock === undefined) {
       return undefined;
     }
-    const minClockMs = clock.value + MIN_CLOCK_RATE * (now - clock.at) - CLOCK_RESOLUTION_MS;
+    const minClockMs = slowestReading(clock, now) - CLOCK_RESOLUTION_MS;
     return { aliveAt: clock.askedAt, bornAt: this.info.bornAt, minClockMs };
   }
 
@@ -356,7 +364,8 @@
 
   /**
    * Extends the lease of the worker's runs and returns the deadline of the lease on the worker's clock, to be
-   * sent with an order. Returns undefined while the worker's clock is not known.
+   * sent with an order. Returns undefined while the worker's clock is not known. The clock counts as the slowest since
+   * its reading, so that no lease lasts for longer than a later leader waits; a faster clock ends it sooner.
    *
    * @param now Monotonic time, in ms.
    * @param leaseMs Duration of the lease, in ms.
@@ -366,9 +375,8 @@
     if (clock === undefined) {
       return undefined;
     }
-    const deadline = Math.floor(clock.value + (now - clock.at) + leaseMs);
-    const endsAt = clock.at + longestLeaseMs(deadline - clock.value);
-    this.leaseEndsAt = Math.max(this.leaseEndsAt, endsAt);
+    const deadline = Math.floor(slowestReading(clock, now) + leaseMs);
+    this.leaseEndsAt = Math.max(this.leaseEndsAt, now + longestLeaseMs(leaseMs));
     this.#leaseExtendedAt = now;
     return deadline;
   }
@@ -392,6 +400,11 @@
   }
 }
 
+/** Returns the lowest reading that a worker's clock may have at a monotonic time in ms. */
+function slowestReading(clock: ClockReading, now: number): number {
+  return clock.value + MIN_CLOCK_RATE * (now - clock.at);
+}
+
 // What is reserved and freed again must leave nothing, also of fractions that have no exact binary form.
 function roundSum(sum: number): number {
   return Math.round(sum * SUMS_PER_UNIT) / SUMS_PER_UNIT;
--- a/packages/core/tests/jobs/order-refusal.test.ts
+++ b/packages/core/tests/jobs/order-refusal.test.ts
@@ -65,7 +65,7 @@
     scheduler.onReport(known, { ...report(), clockMs: 90_000 }, 35, 40);
     scheduler.requestAssignment();
     expect(startedOn(scheduler, 20 + SCHEDULER_SETTINGS.roomPauseMs)).toEqual(['j.0.0.0 a']);
-    expect(known.extendLease(50, 4000)).toBe(94_010);
+    expect(known.extendLease(50, 4000)).toBe(94_009);
   });
 
   it('pause a worker that refuses for another reason, and do not end a longer pause', () => {
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -75,6 +75,7 @@
 export class NodeMetrics {
   /** Start orders of this node as leader that have no answer. */
   readonly orders = new OrdersInFlight();
+  #clockRefreshes = 0;
   readonly #decisions = new LabelledCounter();
   readonly #eventLoopDelays = new LatencyHistograms();
   readonly #forwardTimes = new LatencyHistograms();
@@ -118,6 +119,11 @@
     this.#decisions.increment({ decision, detail: typeof detail === 'string' ? detail : '' });
   }
 
+  /** Counts a request for the clock of a worker, made before an order. */
+  recordClockRefresh(): void {
+    this.#clockRefreshes += 1;
+  }
+
   /** Records the answer to a caller's request and its latency, in ms. */
   recordRequest(call: string, answer: string, latencyMs: number): void {
     this.#requests.increment({ answer, call });
@@ -165,6 +171,7 @@
   /** Registers all metrics of the node. */
   publish(metrics: Metrics, gauges: NodeGauges): void {
     this.#publishCounters(metrics);
+    this.#publishClockRefreshes(metrics);
     this.#publishLatencies(metrics);
     publishGauges(metrics, gauges);
   }
@@ -200,6 +207,13 @@
     );
   }
 
+  #publishClockRefreshes(metrics: Metrics): void {
+    const help = 'Requests for the clock of an idle worker before an order to it';
+    metrics.registerCounter({ help, labels: [], name: 'sequoiaquay_clock_refreshes_total' }, () =>
+      singleSample(this.#clockRefreshes),
+    );
+  }
+
   #publishLatencies(metrics: Metrics): void {
     const request = { help: 'Time to answer a request', labels: ['call', 'quantile'] };
     metrics.registerGauge({ ...request, name: 'sequoiaquay_request_seconds' }, () =>
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -22,6 +22,8 @@
   /** Called when a worker has accepted orders of a later term. */
   onFenced: (reason: string) => void;
   permits: Pick<PermitCache, 'onPermitRefused' | 'permitFor'>;
+  /** Requests a new reading of a worker's clock; resolves once it has arrived or failed. */
+  refreshClock: (worker: Worker) => Promise<void>;
   scheduler: Scheduler;
   timers: TimerService;
 }
@@ -94,7 +96,12 @@
   async #start(order: StartOrder): Promise<void> {
     const { link, timers } = this.ctx;
     const { run, task, worker } = order;
-    if (!this.ctx.scheduler.isStartPending(order)) {
+    // A lease by an old reading is shorter; the worker may also have been lost since.
+    if (!worker.isClockRecent(timers.mono())) {
+      this.ctx.metrics.recordClockRefresh();
+      await this.ctx.refreshClock(worker);
+    }
+    if (!this.#isPending(order)) {
       return;
     }
     // The worker's capacity may have become smaller while the order waited.
@@ -139,6 +146,10 @@
     this.ctx.onAnswer(worker);
   }
 
+  #isPending(order: StartOrder): boolean {
+    return !this.signal.aborted && this.ctx.scheduler.isStartPending(order);
+  }
+
   /** Limits a run to a percentage of its processor time. */
   async throttle(order: ThrottleOrder): Promise<void> {
     const { percent, run, task, worker } = order;
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -162,6 +162,7 @@
         },
         onFenced: onLost,
         permits: this.#permitCache,
+        refreshClock: (worker) => this.#workerLoops.refreshClock(worker),
         scheduler: this.#scheduler,
         timers,
       },
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -48,6 +48,8 @@
 /** Requests the reports of one worker, which extends the leases of its runs and returns their ends. */
 export class WorkerLoop {
   #endPause: (() => void) | undefined;
+  /** Called once the next report has arrived or failed. */
+  #onNextReport: (() => void)[] = [];
 
   constructor(
     private readonly worker: Worker,
@@ -60,21 +62,49 @@
     this.#endPause?.();
   }
 
+  /** Requests a report of an idle worker; resolves once it has been handled, has failed or can't be requested. */
+  refresh(): Promise<void> {
+    if (!this.#isNeeded) {
+      return Promise.resolve();
+    }
+    const settled = new Promise<void>((resolve) => {
+      this.#onNextReport.push(resolve);
+    });
+    this.wakeUp();
+    return settled;
+  }
+
   /** Runs until the signal aborts or the scheduler drops the worker. */
   async run(): Promise<void> {
-    const { scheduler } = this.ctx;
+    try {
+      await this.#requestReports();
+    } finally {
+      this.#settleRefresh();
+    }
+  }
+
+  get #isNeeded(): boolean {
+    return !this.signal.aborted && this.ctx.scheduler.workers.get(this.worker.info.id) === this.worker;
+  }
+
+  async #requestReports(): Promise<void> {
     let hasBeenIdle = false;
-    while (!this.signal.aborted && scheduler.workers.get(this.worker.info.id) === this.worker) {
+    while (this.#isNeeded) {
       // Usually the next report of a busy worker carries the acknowledgement.
       const needsReport: boolean = this.#needsReport() || (hasBeenIdle && this.#hasUnacknowledgedEnds());
       hasBeenIdle = !needsReport;
-      if (!needsReport) {
-        await this.#sleep(REPORT_WAIT_MS);
-      } else if (this.ctx.canExtendLeases()) {
+      if (needsReport && this.ctx.canExtendLeases()) {
         await this.#requestReport();
-      } else {
-        await this.#sleep(RETRY_DELAY_MS);
+        continue;
       }
+      this.#settleRefresh();
+      await this.#sleep(needsReport ? RETRY_DELAY_MS : REPORT_WAIT_MS);
+    }
+  }
+
+  #settleRefresh(): void {
+    for (const settle of this.#onNextReport.splice(0)) {
+      settle();
     }
   }
 
@@ -82,7 +112,8 @@
     const { worker } = this;
     return (
       worker.info.address !== '' &&
-      (!worker.isFenced ||
+      (this.#onNextReport.length > 0 ||
+        !worker.isFenced ||
         worker.isUnresponsive ||
         worker.runs.size > 0 ||
         worker.orphans.size > 0 ||
@@ -124,6 +155,7 @@
         worker.endsAcknowledged = Math.max(worker.endsAcknowledged, endsStored);
       }
       ctx.scheduler.onReport(worker, res.value, requestedAt, ctx.timers.mono());
+      this.#settleRefresh();
       ctx.onChange();
       await this.#pauseAfterReport();
       return;
@@ -155,6 +187,7 @@
     } else {
       ctx.scheduler.onWorkerUnresponsive(worker);
     }
+    this.#settleRefresh();
     // Open connections may have gone silent while new ones work.
     ctx.link.disconnect(worker.info);
     await this.#sleep(RETRY_DELAY_MS);
@@ -180,8 +213,9 @@
 
   #reportWaitMs(): number {
     const { worker } = this;
+    const isAwaited = this.#onNextReport.length > 0;
     const needsReportNow = !worker.isFenced || worker.isUnresponsive || worker.runs.size === 0;
-    if (needsReportNow || worker.endsStored < worker.endsRead || this.#hasStoppingRun()) {
+    if (isAwaited || needsReportNow || worker.endsStored < worker.endsRead || this.#hasStoppingRun()) {
       return 0;
     }
     const runs = [...worker.runs.values()];
--- a/packages/node/src/worker-loops.ts
+++ b/packages/node/src/worker-loops.ts
@@ -53,6 +53,11 @@
     }
   }
 
+  /** Requests a report, with a new reading of the worker's clock; resolves once it has arrived or failed. */
+  async refreshClock(worker: Worker): Promise<void> {
+    await this.#loops.get(worker)?.refresh();
+  }
+
   /** Ends the current pause of a worker's loop, so that it checks at once whether a report is needed. */
   wakeUp(worker: Worker): void {
     this.#loops.get(worker)?.wakeUp();
--- a/packages/node/tests/node-metrics.test.ts
+++ b/packages/node/tests/node-metrics.test.ts
@@ -38,6 +38,7 @@
     nodeMetrics.recordRackStart({ cause: 'waited', place: 'near', waitedMs: 400 });
     nodeMetrics.recordRackStart({ cause: 'limit', place: 'far', waitedMs: 1400 });
     nodeMetrics.recordRackStart(undefined);
+    nodeMetrics.recordClockRefresh();
     nodeMetrics.orders.add(1000);
     nodeMetrics.recordOrderAnswer(nodeMetrics.orders.add(1000), 1300);
     const text = await metrics.renderText();
@@ -47,6 +48,7 @@
     expect(text).toContain('sequoiaquay_store_calls_total{call="append",outcome="lost",stream="jobs"} 1');
     expect(text).toContain('sequoiaquay_decisions_total{decision="run-ended",detail="failed"} 1');
     expect(text).toContain('sequoiaquay_first_run_wait_seconds{queue="quick",quantile="0.5"} 0.25');
+    expect(text).toContain('sequoiaquay_clock_refreshes_total 1');
     expect(text).toContain('sequoiaquay_config_version 7');
     expect(text).toContain('sequoiaquay_workspace_reserved_cores{workspace="bc-rail"} 2.5');
     expect(text).toContain('sequoiaquay_workspace_maximum_cores{workspace="bc-rail"} 64');
--- a/packages/node/tests/order-capacity.test.ts
+++ b/packages/node/tests/order-capacity.test.ts
@@ -63,6 +63,7 @@
       onAnswer: () => undefined,
       onFenced: () => undefined,
       permits: { onPermitRefused: () => undefined, permitFor: () => '' },
+      refreshClock: () => Promise.resolve(),
       scheduler,
       timers: new SystemTimerService(),
     },
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -46,7 +46,13 @@
   }
 }
 
-const worker = { extendLease: () => 5000, info: WORKER, isUnresponsive: false, proofAt: () => undefined };
+const worker = {
+  extendLease: () => 5000,
+  info: WORKER,
+  isClockRecent: () => true,
+  isUnresponsive: false,
+  proofAt: () => undefined,
+};
 
 function orderOf(index: number): StartOrder {
   const task = { checkpoint: '', job: { job: { spec: { body: BODY } } }, name: `t${index}` };
@@ -57,6 +63,9 @@
 interface SenderState {
   answers: string[];
   canExtendLeases: boolean;
+  isStartPending: boolean;
+  /** Ends the requests for a new reading of the worker's clock. */
+  readonly refreshed: (() => void)[];
   /** Runs whose orders were reported to the scheduler as being sent. */
   sent: number[];
 }
@@ -70,12 +79,18 @@
 }
 
 function startAll(count: number, linkBytesPerS: number | undefined): Started {
-  const state: SenderState = { answers: [], canExtendLeases: true, sent: [] };
+  const state: SenderState = {
+    answers: [],
+    canExtendLeases: true,
+    isStartPending: true,
+    refreshed: [],
+    sent: [],
+  };
   const link = new HoldingLink();
   const metrics = new NodeMetrics();
   const stop = new AbortController();
   const scheduler = {
-    isStartPending: () => true,
+    isStartPending: () => state.isStartPending,
     onStartAnswer: (_order: StartOrder, answer: string) => state.answers.push(answer),
     onStartSent: (order: StartOrder) => state.sent.push(order.run),
     onStopAcknowledged: () => undefined,
@@ -91,6 +106,10 @@
       onAnswer: () => undefined,
       onFenced: () => undefined,
       permits: { onPermitRefused: () => undefined, permitFor: () => '' },
+      refreshClock: () =>
+        new Promise((resolve) => {
+          state.refreshed.push(resolve);
+        }),
       scheduler,
       timers: new SystemTimerService(),
     },
@@ -162,4 +181,40 @@
     await expect.poll(() => metrics.orders.count).toBe(0);
     expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
   });
+
+  // Guards against a lease by a reading from before a long idle time.
+  describe('to a worker whose clock was read long ago', () => {
+    const withOldClock = { ...worker, isClockRecent: () => false };
+
+    function startOne(): Started {
+      const started = startAll(0, undefined);
+      started.sender.start({ ...orderOf(0), worker: withOldClock as unknown as StartOrder['worker'] }, 0);
+      return started;
+    }
+
+    it('sends an order once the clock has been read again', async () => {
+      const { link, state } = startOne();
+      expect(state.refreshed).toHaveLength(1);
+      expect(link.started).toEqual([]);
+      state.refreshed[0]?.();
+      await expect.poll(() => link.started).toEqual(['t0']);
+    });
+
+    it('sends no order that was withdrawn meanwhile', async () => {
+      const { link, metrics, state } = startOne();
+      state.isStartPending = false;
+      state.refreshed[0]?.();
+      await expect.poll(() => metrics.orders.count).toBe(0);
+      expect(link.started).toEqual([]);
+      expect(state.answers).toEqual([]);
+    });
+
+    it('refuses an order to a worker that did not answer', async () => {
+      const { link, state } = startOne();
+      withOldClock.isUnresponsive = true;
+      state.refreshed[0]?.();
+      await expect.poll(() => state.answers).toEqual(['refused']);
+      expect(link.started).toEqual([]);
+    });
+  });
 });
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -86,6 +86,7 @@
 describe('WorkerLoop', () => {
   const link = { current: new SlowWorker() };
   let mayExtend = true;
+  let loop: WorkerLoop;
   let scheduler: Scheduler;
   let stop: AbortController;
 
@@ -101,7 +102,7 @@
     if (worker === undefined) {
       throw new Error('the worker is not known');
     }
-    const loop = new WorkerLoop(
+    loop = new WorkerLoop(
       worker,
       {
         canExtendLeases: () => mayExtend,
@@ -233,6 +234,73 @@
     expect(known?.extendLease(performance.now(), LEASE_MS)).toBeDefined();
   });
 
+  // Guards against orders that wait for ever for a reading of the clock.
+  describe('asked for a new reading of the clock of an idle worker', () => {
+    let known: Worker | undefined;
+    let settled = 0;
+
+    beforeEach(async () => {
+      known = scheduler.workers.get(WORKER.id);
+      settled = 0;
+      scheduler.onCancel(JOB_ID, performance.now());
+      for (const order of scheduler.plan(performance.now(), 0).stops) {
+        scheduler.onStopAcknowledged(order, performance.now());
+      }
+      link.current.hasStarted = false;
+      await vi.advanceTimersByTimeAsync(60_000);
+      expect(known?.isClockRecent(performance.now())).toBe(false);
+    });
+
+    function refresh(): void {
+      void loop.refresh().then(() => {
+        settled += 1;
+      });
+    }
+
+    it('requests one report at once', async () => {
+      const { reports } = link.current;
+      refresh();
+      refresh();
+      await vi.advanceTimersByTimeAsync(50);
+      expect(settled).toBe(2);
+      expect(link.current.reports).toBe(reports + 1);
+      expect(known?.isClockRecent(performance.now())).toBe(true);
+    });
+
+    it.each([
+      [
+        'does not answer',
+        (): void => {
+          link.current.answerDelayMs = Infinity;
+        },
+      ],
+      [
+        'may not be asked',
+        (): void => {
+          mayExtend = false;
+        },
+      ],
+      [
+        'is dropped',
+        (): void => {
+          scheduler.onWorkerDeregistered(WORKER.id);
+        },
+      ],
+      [
+        'belongs to an ended term',
+        (): void => {
+          stop.abort();
+        },
+      ],
+    ])('goes on if the worker %s', async (_, disturb) => {
+      disturb();
+      refresh();
+      await vi.advanceTimersByTimeAsync(1000);
+      expect(settled).toBe(1);
+      expect(known?.isClockRecent(performance.now())).toBe(false);
+    });
+  });
+
   it('extends no lease while it is not permitted to', async () => {
     mayExtend = false;
     expect(await isRunKept(LEASE_MS + 1500)).toBe(false);
