fix(node): count the leases by a leader that was replaced before the last one

A leader that is cut off from the store extends leases for 4.5 s after its last heartbeat. If its successor releases leadership within that time, the third leader counted from the release only, and could start tasks again 2 to 3 s too soon on workers that it can't reach.

Cause: TermStart holds the last heartbeat only.

Change: a term that ends without a release counts until 4.5 s after the first heartbeat of the next one, whatever follows. A node that has just started knows no older terms and takes the first heartbeat that it reads for such a change.

Cost: none where terms last longer than 4.5 s; below, the runs of unreachable workers wait for up to 4.5 s more.

Evidence: leadership.test.ts "counts the leases by the leader before the last one, which released at once" fails without the change (-Infinity in place of the time of the change and 4.5 s). No run with processes was made.

--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -23,6 +23,7 @@
 import type { LeaderLink, LeaderTarget } from './ports/leader-link';
 import type { StreamTail } from './stream-tail';
 import { WRITE_OUTCOME } from './job-writer';
+import { MAX_HEARTBEAT_AGE_MS } from './lease-times';
 import { NewestPages } from './newest-pages';
 import { readNewest } from './newest-records';
 import { STORE_FAILURE } from './ports/keyed-stream';
@@ -50,6 +51,8 @@
   epoch: number;
   /** Monotonic time of the previous leader's last heartbeat, in ms, and whether it released leadership then. */
   lastHeartbeat: { at: number; released: boolean };
+  /** Monotonic time until which the leaders of the terms before the last one may have extended leases, in ms. */
+  olderTermsExtendUntil: number;
   /** Records of the stream of runs that are not about tasks. */
   otherRecords: KeyedRecord[];
   /** Offset after the last record of the stream of runs. */
@@ -125,6 +128,7 @@
   #handOver: ((successor: string) => void) | undefined;
   #latestEpoch = 0;
   #latestLeader: string | undefined;
+  #olderTermsExtendUntil = -Infinity;
   #ownHeartbeatAt = -Infinity;
   #ownHeartbeatWallAt = -Infinity;
   #releasedAt: number | undefined;
@@ -216,6 +220,7 @@
     }
     if (record.epoch > this.#latestEpoch) {
       this.log.info({ epoch: record.epoch, leader: record.node }, 'leader changed');
+      this.#onTermChange();
     }
     this.#latestEpoch = record.epoch;
     this.#latestLeader = record.node;
@@ -232,6 +237,13 @@
     }
   }
 
+  // Heartbeats of earlier terms were stored before those of the new one. This node may have read only some of them.
+  #onTermChange(): void {
+    if (this.#releasedAt === undefined) {
+      this.#olderTermsExtendUntil = this.timers.mono() + MAX_HEARTBEAT_AGE_MS;
+    }
+  }
+
   #toTarget({ epoch, node, peerAddress, secret }: LeaderRecord): LeaderTarget | undefined {
     const isOther = node !== this.settings.node;
     return isOther && peerAddress !== undefined && secret !== undefined
@@ -446,6 +458,7 @@
       ...loaded,
       lastHeartbeat: this.#previousHeartbeat(),
       epoch: loaded.end + 1,
+      olderTermsExtendUntil: this.#olderTermsExtendUntil,
       runsEnd: loaded.end + 1,
     };
   }
@@ -460,6 +473,7 @@
       return false;
     }
     this.log.info({ epoch, seen }, 'another node has just taken over');
+    this.#onTermChange();
     this.#latestEpoch = Math.max(this.#latestEpoch, epoch);
     this.#releasedAt = undefined;
     this.#latestLeader ??= '';
--- a/packages/node/src/lease-times.ts
+++ b/packages/node/src/lease-times.ts
@@ -12,10 +12,14 @@
 
 /**
  * Returns the monotonic time until which leases of earlier terms may last, in ms. The previous leader may have
- * extended leases until its last heartbeat was too old, or until it released leadership. `longestLeaseMs`
- * allows for slow clocks of workers.
+ * extended leases until its last heartbeat was too old, or until it released leadership; the leaders before it may
+ * still have extended some after that release. `longestLeaseMs` allows for slow clocks of workers.
  */
-export function earlierLeasesEndAt(lastHeartbeat: TermStart['lastHeartbeat'], leaseMs: number): number {
+export function earlierLeasesEndAt(
+  { lastHeartbeat, olderTermsExtendUntil }: Pick<TermStart, 'lastHeartbeat' | 'olderTermsExtendUntil'>,
+  leaseMs: number,
+): number {
   const { at, released } = lastHeartbeat;
-  return at + (released ? 0 : MAX_HEARTBEAT_AGE_MS) + longestLeaseMs(leaseMs);
+  const lastTermExtendsUntil = released ? at : at + MAX_HEARTBEAT_AGE_MS;
+  return Math.max(lastTermExtendsUntil, olderTermsExtendUntil) + longestLeaseMs(leaseMs);
 }
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -136,8 +136,8 @@
     this.#scheduler = new Scheduler(
       {
         ...SCHEDULER_SETTINGS,
-        earlierLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, this.#leaseMs),
-        earlierLongestLeasesEndAt: earlierLeasesEndAt(start.lastHeartbeat, ctx.settings.bounds.maxLeaseMs),
+        earlierLeasesEndAt: earlierLeasesEndAt(start, this.#leaseMs),
+        earlierLongestLeasesEndAt: earlierLeasesEndAt(start, ctx.settings.bounds.maxLeaseMs),
         maxLeaseMs: ctx.settings.bounds.maxLeaseMs,
         maxRecordBytes: maxContentBytes(appendLimits(ctx.settings)),
         remoteFactor: ctx.settings.bounds.remoteFactor,
--- a/packages/node/tests/leadership.test.ts
+++ b/packages/node/tests/leadership.test.ts
@@ -11,6 +11,7 @@
 import type { TermStart } from '../src/leadership';
 import { JobWriter } from '../src/job-writer';
 import { Leadership } from '../src/leadership';
+import { MAX_HEARTBEAT_AGE_MS } from '../src/lease-times';
 import { StreamTail } from '../src/stream-tail';
 import { MemoryStream } from './support/memory-stream';
 import { quietLog } from './support/quiet-log';
@@ -185,6 +186,33 @@
     expect(second.starts[0]?.lastHeartbeat.released).toBe(true);
   });
 
+  // Guards against a second run of a task while the lease by a leader that is cut off from the store may last.
+  it('counts the leases by the leader before the last one, which released at once', async () => {
+    const node = new Candidate(new SharedStore(), 'c');
+    const heartbeat = { kind: JOB_RECORD.leader, released: false };
+    node.leadership.onRecord({ ...heartbeat, epoch: 8, node: 'a' });
+    const readAt = performance.now();
+    node.leadership.onRecord({ ...heartbeat, epoch: 9, node: 'b' });
+    node.leadership.onRecord({ ...heartbeat, epoch: 9, node: 'b', released: true });
+    await expect.poll(() => node.starts[0]?.lastHeartbeat.released).toBe(true);
+    const [start] = node.starts;
+    expect(start?.olderTermsExtendUntil).toBeGreaterThanOrEqual(readAt + MAX_HEARTBEAT_AGE_MS);
+  });
+
+  it('counts no leases by a leader that released before the last one began', async () => {
+    const node = new Candidate(new SharedStore(), 'c');
+    const heartbeat = { kind: JOB_RECORD.leader, released: false };
+    node.leadership.onRecord({ ...heartbeat, epoch: 8, node: 'a' });
+    const readAt = performance.now();
+    await delay(5);
+    node.leadership.onRecord({ ...heartbeat, epoch: 8, node: 'a', released: true });
+    node.leadership.onRecord({ ...heartbeat, epoch: 9, node: 'b' });
+    node.leadership.onRecord({ ...heartbeat, epoch: 9, node: 'b', released: true });
+    await expect.poll(() => node.starts[0]?.lastHeartbeat.released).toBe(true);
+    const [start] = node.starts;
+    expect(start?.olderTermsExtendUntil).toBeLessThanOrEqual(readAt + MAX_HEARTBEAT_AGE_MS);
+  });
+
   it('ends its term when it reads a heartbeat of a later term', async () => {
     const store = new SharedStore();
     const first = new Candidate(store, 'a');
--- a/packages/node/tests/term.test.ts
+++ b/packages/node/tests/term.test.ts
@@ -161,7 +161,8 @@
     tasks.add(record);
   });
   const lastHeartbeat = { at: -Infinity, released: true };
-  return { epoch: 1, lastHeartbeat, otherRecords: [], runsEnd: 0, tasks };
+  const olderTermsExtendUntil = -Infinity;
+  return { epoch: 1, lastHeartbeat, olderTermsExtendUntil, otherRecords: [], runsEnd: 0, tasks };
 }
 
 function contextOf(link: WorkerLink, jobs = new JobTable(), runs = new MemoryStream()): TermContext {
