fix(maintenance): take a VM for gone only by lists from after the request of its wave

Cause: reportProgress took a VM that the newest list doesn't contain for one that has left. The list is up to 0.6 s old, in an outage older, so it may be from before the request and before the VM.

A VM that no list of the term has contained is waited for until 55% of the wave's duration. The completion is stored before it is reported, so that a later leader, whose first lists can't tell, doesn't take it back. wave-reported logs how many VMs have left.

--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -60,9 +60,6 @@
 /** Typical time for the evacuation and maintenance of one VM, in ms. */
 const VM_CYCLE_MS = 5000;
 
-/** Share of a wave's duration within which the maintenance of all its VMs should begin. */
-const START_TIME_SHARE = 0.55;
-
 /** Largest share of a pool that may be evacuating or down at once, over all waves. */
 const MAX_UNAVAILABLE_SHARE = 0.5;
 
@@ -87,8 +84,12 @@
 /** Time after which an order without a clear answer is repeated, in ms. */
 const ORDER_RETRY_MS = 500;
 
+/** Prefix of the keys of records that the maintenance of a VM has begun for a wave. */
 const RECORD_PREFIX = 'v.';
 
+/** Prefix of the keys of records that a wave is completed. */
+const COMPLETED_PREFIX = 'w.';
+
 /** Runs maintenance waves: evacuates VMs, orders their maintenance, and reports the progress. */
 export class WavePlanner {
   #areVmsListed = true;
@@ -99,7 +100,6 @@
   readonly #restoredKeys = new Set<string>();
   readonly #runs = new Map<number, WaveRun>();
   #vms = new Map<string, VmInfo>();
-  #vmsRequestedAt = -Infinity;
 
   constructor(
     private readonly fleet: WaveFleet,
@@ -111,8 +111,9 @@
     if (this.#runs.has(wave.id)) {
       return;
     }
-    const run = new WaveRun(wave, requestedAt + wave.durationMs);
+    const run = new WaveRun(wave, requestedAt);
     for (const vm of run.vms.values()) {
+      vm.isKnown = this.#vms.has(vm.id);
       const key = recordKey(wave.id, vm.id);
       Object.assign(vm, this.#earlierOrders.get(key));
       if (this.#restoredKeys.has(key)) {
@@ -125,7 +126,7 @@
 
   /** Restores a record of an earlier term; returns false for records of another kind. */
   restore(key: string): boolean {
-    if (!key.startsWith(RECORD_PREFIX)) {
+    if (!key.startsWith(RECORD_PREFIX) && !key.startsWith(COMPLETED_PREFIX)) {
       return false;
     }
     this.#restoredKeys.add(key);
@@ -147,8 +148,9 @@
     this.#areVmsListed = true;
     this.#vms = new Map(vms.map((vm) => [vm.id, vm]));
     this.#listedDown = new Set(vms.filter(({ state }) => state === VM_STATE.maintenance).map(({ id }) => id));
-    this.#vmsRequestedAt = requestedAt;
+    const listed = new Set(this.#vms.keys());
     for (const run of this.#runs.values()) {
+      run.onList(listed, requestedAt);
       for (const vm of run.vms.values()) {
         if (
           vm.stage === 'maintenance' &&
@@ -199,7 +201,7 @@
       this.#selectVms(run, now);
       this.#evacuateVms(run, now);
       this.#orderMaintenance(run, plan, now);
-      this.#reportProgress(run, plan);
+      this.#reportProgress(run, plan, now);
     }
     return plan;
   }
@@ -232,8 +234,7 @@
   // Number of VMs to process at once so that the maintenance of all VMs begins within the planned share of the
   // wave's duration.
   #requiredConcurrency(run: WaveRun, now: number): number {
-    const plannedEnd = run.deadline - (1 - START_TIME_SHARE) * run.wave.durationMs;
-    const cyclesLeft = Math.max(1, (plannedEnd - now) / VM_CYCLE_MS);
+    const cyclesLeft = Math.max(1, (run.plannedEnd - now) / VM_CYCLE_MS);
     return Math.max(1, Math.ceil(run.remainingCount / cyclesLeft));
   }
 
@@ -284,18 +285,21 @@
     }
   }
 
-  // A VM that isn't listed any more needs no maintenance and doesn't keep the wave open.
-  #reportProgress(run: WaveRun, plan: WavePlan): void {
-    const isListed = this.#vmsRequestedAt > -Infinity;
-    const isOpen = [...run.vms.values()].some(
-      (vm) => vm.stage !== 'maintenance' && vm.stage !== 'done' && this.#vms.has(vm.id),
-    );
-    const state = isListed && !isOpen ? 'completed' : 'running';
-    if (run.reportedState !== state && run.reportedState !== 'completed') {
-      run.reportedState = state;
-      plan.reports.push({ state, wave: run.wave.id });
-      this.log('wave-reported', { open: run.remainingCount, state, wave: run.wave.id });
+  // A wave that an earlier leader found completed stays so, also where this one can't tell yet.
+  #reportProgress(run: WaveRun, plan: WavePlan, now: number): void {
+    const key = `${COMPLETED_PREFIX}${run.wave.id}`;
+    const wasCompleted = this.#restoredKeys.has(key);
+    const state = wasCompleted || run.isComplete(now) ? 'completed' : 'running';
+    if (run.reportedState === state || run.reportedState === 'completed') {
+      return;
+    }
+    run.reportedState = state;
+    plan.reports.push({ state, wave: run.wave.id });
+    if (state === 'completed' && !wasCompleted) {
+      plan.records.push({ key, value: '1' });
     }
+    const { remainingCount: open, wave } = run;
+    this.log('wave-reported', { left: run.leftCount(now), open, state, wave: wave.id });
   }
 
   #isUp(vm: WaveVm): boolean {
