fix(maintenance): count a VM that is down for one wave in each that contains it

Callers saw a VM taken down for maintenance while another VM of its wave was down for that of another wave, though the wave allows one at a time.

Cause: each wave counted its own orders. A VM that another wave had ordered was pending for this one, or done, and counted only once a list, up to 0.6 s old, showed it as down; a VM that the wave was done with did not count.

WaveLimits counts once for all waves, and a VM is taken only if each of its waves has room.

--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -7,6 +7,7 @@
 import { CLAIM_REASON } from '../jobs/vm-claims';
 import { selectTasksToMove } from './evacuation';
 import { VM_STATE } from './wave';
+import { WaveLimits } from './wave-limits';
 import { WaveRun } from './wave-run';
 import { LATE_VM_ORDER_WINDOW_MS, WorkerIncarnation } from './worker-incarnation';
 
@@ -197,16 +198,18 @@
   plan(now: number): WavePlan {
     const plan: WavePlan = { orders: [], records: this.#records, reports: [] };
     this.#records = [];
-    for (const run of this.#runs.values()) {
-      this.#selectVms(run, now);
+    const runs = [...this.#runs.values()];
+    const limits = new WaveLimits(runs, this.#listedDown, now);
+    for (const run of runs) {
+      this.#selectVms(run, limits, now);
       this.#evacuateVms(run, now);
-      this.#orderMaintenance(run, plan, now);
+      this.#orderMaintenance(run, limits, plan, now);
       this.#reportProgress(run, plan, now);
     }
     return plan;
   }
 
-  #selectVms(run: WaveRun, now: number): void {
+  #selectVms(run: WaveRun, limits: WaveLimits, now: number): void {
     if (!this.#areVmsListed) {
       return;
     }
@@ -221,8 +224,9 @@
           this.#loadOf(a) - this.#loadOf(b),
       );
     for (const vm of candidates) {
-      if (run.countInProgress(vm, this.#listedDown, now) < limit && this.#isWithinPoolLimit(vm, now)) {
+      if (limits.maySelect(run, vm, limit) && this.#isWithinPoolLimit(vm, now)) {
         run.advance(vm, 'select', now);
+        limits.onSelected(vm);
         vm.progressAt = now;
         vm.fewestRuns = this.#workerOf(vm)?.runs.size ?? 0;
         this.#claimWorker(run, vm, now + EVACUATION_STALL_MS, now);
@@ -262,18 +266,18 @@
     }
   }
 
-  #orderMaintenance(run: WaveRun, plan: WavePlan, now: number): void {
+  #orderMaintenance(run: WaveRun, limits: WaveLimits, plan: WavePlan, now: number): void {
     for (const vm of run.vms.values()) {
       if (vm.stage === 'ordered' && now - vm.orderedAt >= ORDER_DECISION_LIMIT_MS) {
         vm.lateUntil = vm.isOutstanding ? now + LATE_VM_ORDER_WINDOW_MS : vm.lateUntil;
         this.#postpone(run, vm, 'unanswered', POSTPONEMENT_MS, now);
       }
       const isEmpty = (this.#workerOf(vm)?.runs.size ?? 0) === 0;
-      const isDue =
-        vm.stage === 'evacuating' && isEmpty && run.countDown(vm, this.#listedDown, now) < run.wave.maxAtOnce;
+      const isDue = vm.stage === 'evacuating' && isEmpty && limits.mayOrder(run, vm);
       const isOverdue = vm.stage === 'ordered' && now - vm.since > ORDER_RETRY_MS;
       if (isDue) {
         run.advance(vm, 'order', now);
+        limits.onOrdered(vm);
         vm.orderedAt = now;
         this.#claimWorker(run, vm, now + ORDER_DECISION_LIMIT_MS, now);
       }
--- a/packages/core/src/maintenance/wave-run.ts
+++ b/packages/core/src/maintenance/wave-run.ts
@@ -38,9 +38,6 @@
   worker: WorkerIncarnation | undefined;
 }
 
-/** Stages in which a VM counts as down: its maintenance order may already have been carried out. */
-const DOWN_STAGES: ReadonlySet<WaveStage> = new Set(['maintenance', 'ordered']);
-
 /** Progress of a maintenance wave. */
 export class WaveRun {
   /** State that was last reported to the operators. */
@@ -93,6 +90,13 @@
     return [...this.vms.values()].every((vm) => hasBegun(vm) || this.#hasLeft(vm, now));
   }
 
+  /** Whether all VMs that have not left are back from their maintenance, at a monotonic time in ms. */
+  isOver(now: number): boolean {
+    return [...this.vms.values()].every(
+      (vm) => vm.stage === 'done' || (!hasBegun(vm) && this.#hasLeft(vm, now)),
+    );
+  }
+
   /** Number of VMs that have left, at a monotonic time in ms, before their maintenance began. */
   leftCount(now: number): number {
     return this.#count((vm) => !hasBegun(vm) && this.#hasLeft(vm, now));
@@ -109,19 +113,9 @@
     return true;
   }
 
-  /**
-   * Number of VMs, without one of them, that are down for the wave, or may be at a monotonic time in ms. `listedDown`
-   * has the VMs that are listed as down for maintenance.
-   */
-  countDown(except: WaveVm, listedDown: ReadonlySet<string>, now: number): number {
-    return this.#count((vm) => vm !== except && mayBeDown(vm, listedDown, now));
-  }
-
-  /** Number of VMs, without one of them, that are or may be down for the wave or are being evacuated. */
-  countInProgress(except: WaveVm, listedDown: ReadonlySet<string>, now: number): number {
-    return this.#count(
-      (vm) => vm !== except && (vm.stage === 'evacuating' || mayBeDown(vm, listedDown, now)),
-    );
+  /** Number of VMs of the wave, without one of them, that are in a set of ids. */
+  countIn(ids: ReadonlySet<string>, except: string): number {
+    return this.#count(({ id }) => id !== except && ids.has(id));
   }
 
   /** Number of VMs whose maintenance hasn't begun. */
@@ -143,9 +137,3 @@
 function hasBegun({ stage }: WaveVm): boolean {
   return stage === 'maintenance' || stage === 'done';
 }
-
-// A VM that another leader ordered may be listed as down before this one has confirmed its maintenance.
-function mayBeDown(vm: WaveVm, listedDown: ReadonlySet<string>, now: number): boolean {
-  const isDown = DOWN_STAGES.has(vm.stage) || vm.lateUntil > now || listedDown.has(vm.id);
-  return isDown && vm.stage !== 'done';
-}
