fix(node): store each maintenance order that may be late, not the last order alone

A wave could take a second VM down beside one that an earlier leader had ordered: an order without an answer may be carried out seconds later, and the next leader counts its VM as down meanwhile. But the record of a VM held its last order only. After an order for another wave, or a move, the earlier one was forgotten with the change of the leader.

--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -81,7 +81,7 @@
 export class MaintenanceLoop {
   #lastVmListAt = -Infinity;
   #isListingVms = false;
-  readonly #earlierOrders = new VmOrderTimes();
+  readonly #orderTimes = new VmOrderTimes();
   readonly #pendingVms = new Set<string>();
   #planStored = Promise.resolve(true);
 
@@ -92,7 +92,7 @@
 
   /** Starts the loop, which ends when the signal aborts; `records` hold the orders of earlier terms for VMs. */
   run(records: readonly KeyedRecord[]): void {
-    this.#earlierOrders.restore(records);
+    this.#orderTimes.restore(records);
     this.#restoreMaintenanceOrders();
     this.ctx.balancer.restore(records);
     this.ctx.timers.every(
@@ -109,7 +109,7 @@
   // An order of a clock that is ahead, or of an unreadable time, counts from now on.
   #restoreMaintenanceOrders(): void {
     const { leaseDurationMs, planner, timers } = this.ctx;
-    for (const { order, orderedAt } of this.#earlierOrders.maintenanceOrders) {
+    for (const { order, orderedAt } of this.#orderTimes.maintenanceOrders) {
       const ageMs = Math.max(0, timers.now() - orderedAt) || 0;
       const sentAt = timers.mono() - ageMs;
       planner.restoreOrder(order, {
@@ -213,11 +213,11 @@
     if (this.#pendingVms.has(vm)) {
       return undefined;
     }
-    if (this.#earlierOrders.hasRecentOrder(vm, timers.now(), this.ctx.leaseDurationMs)) {
+    if (this.#orderTimes.hasRecentOrder(vm, timers.now(), this.ctx.leaseDurationMs)) {
       return UNSENT;
     }
     this.#pendingVms.add(vm);
-    const isStored = await termLog.append([VmOrderTimes.encode(vm, timers.now(), wave)]);
+    const isStored = await termLog.append([this.#orderTimes.add(vm, timers.now(), wave)]);
     const maySend = (): boolean => this.ctx.isLeadershipConfirmed() && isWanted();
     const canSend = isStored && maySend();
     const req: VmOrder = {
--- a/packages/node/tests/maintenance-loop.test.ts
+++ b/packages/node/tests/maintenance-loop.test.ts
@@ -1,4 +1,4 @@
-import type { Worker } from '@sequoiaquay/core/jobs';
+import type { KeyedRecord, Worker } from '@sequoiaquay/core/jobs';
 import { PoolBalancer, Scheduler, WavePlanner } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
@@ -31,6 +31,11 @@
   }
 }
 
+/** Returns the record of an order for a VM that an earlier term gave now. */
+function recordOf(vm: string, wave?: number): KeyedRecord {
+  return new VmOrderTimes().add(vm, Date.now(), wave);
+}
+
 /** Loop on two idle workers of one pool and a job that waits for a VM in another pool. */
 class Harness {
   readonly maintained: string[] = [];
@@ -39,6 +44,7 @@
   isListing = true;
   moveOutcome: VmOrderOutcome = 'unknown';
   readonly scheduler = new Scheduler(SCHEDULER_SETTINGS, () => undefined);
+  readonly stream: MemoryStream;
   readonly #stop = new AbortController();
   readonly #timers = new SystemTimerService();
 
@@ -57,8 +63,8 @@
       this.scheduler.onReport(item, report(), now, now);
     }
     this.scheduler.onJob({ ...job('j', [step()]), pool: 'other' }, [], now, now);
-    const stream = new DelayedStream(appendMs);
-    const termLog = new TermLog(stream, 0, () => undefined, this.#timers, this.#stop.signal);
+    this.stream = new DelayedStream(appendMs);
+    const termLog = new TermLog(this.stream, 0, () => undefined, this.#timers, this.#stop.signal);
     const log = (): void => undefined;
     this.planner = new WavePlanner(this.scheduler, log);
     this.loop = new MaintenanceLoop(
@@ -148,7 +154,7 @@
 describe('MaintenanceLoop', () => {
   it('keeps workers open whose VMs another term has ordered so recently that no order may be sent', async () => {
     harness = new Harness(1);
-    harness.loop.run(['vm-a', 'vm-b'].map((vm) => VmOrderTimes.encode(vm, Date.now())));
+    harness.loop.run(['vm-a', 'vm-b'].map((vm) => recordOf(vm)));
     expect(await harness.countClosed(LEASE_DURATION_MS)).toBe(0);
     expect(harness.moved).toEqual([]);
     await harness.countClosed(2000);
@@ -157,7 +163,7 @@
 
   it('begins no maintenance of a wave while an order of an earlier term for another of its VMs may be late', async () => {
     harness = new Harness(1);
-    harness.loop.run([VmOrderTimes.encode('vm-a', Date.now(), 1)]);
+    harness.loop.run([recordOf('vm-a', 1)]);
     harness.planner.onWave({ durationMs: 20_000, id: 1, maxAtOnce: 1, vms: ['vm-a', 'vm-b'] }, 0);
     await harness.countClosed(LEASE_DURATION_MS);
     expect(harness.maintained).toEqual([]);
@@ -165,9 +171,23 @@
     expect(new Set(harness.maintained)).toEqual(new Set(['vm-a']));
   });
 
+  it('tells the next leader of a maintenance order that may be late, also after a move of its VM', async () => {
+    harness = new Harness(1);
+    const earlier = ['vm-a', 'vm-b'].map((vm) => recordOf(vm, 1));
+    harness.loop.run(earlier);
+    await harness.countClosed(LEASE_DURATION_MS + 2000);
+    expect(harness.moved).not.toEqual([]);
+    const later = new VmOrderTimes();
+    later.restore([...earlier, ...harness.stream.records]);
+    expect(later.maintenanceOrders.map(({ order }) => order)).toEqual([
+      { vm: 'vm-a', wave: 1 },
+      { vm: 'vm-b', wave: 1 },
+    ]);
+  });
+
   it('keeps workers open while the VM list is not available, and moves VMs once it is again', async () => {
     harness = new Harness(1);
-    harness.loop.run(['vm-a', 'vm-b'].map((vm) => VmOrderTimes.encode(vm, Date.now())));
+    harness.loop.run(['vm-a', 'vm-b'].map((vm) => recordOf(vm)));
     await harness.countClosed(700);
     harness.isListing = false;
     await harness.countClosed(3000);
