fix(node): count the order of an earlier leader as late from when it may have been sent

A wave could take a VM down beside one that an earlier leader had ordered and that goes down late: the later leader took the order for void 15 s after its record. But an order is sent up to 2 s after it is recorded, and the clock of the later leader may be ahead, or may have been set meanwhile. A call is carried out up to 12 s late.

The new test (2 s to store, 4.5 s between the clocks, 12 s late) fails without the change.

The record of an order now counts for 22 s by any clock: 15 s, 2 s until it is sent, 5 s between the clocks. Only a VM whose maintenance was not confirmed is waited for, so hand-overs cost nothing else.

--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -73,8 +73,8 @@
 /** The same for a worker that has only long-running tasks left, which may have to wait for room on it, in ms. */
 const LONG_RUNNING_STALL_MS = 2500;
 
-/** Time after the first order at which a VM without a clear answer is given up, in ms. */
-const ORDER_DECISION_LIMIT_MS = 2000;
+/** Time after the first order at which a VM without a clear answer is given up, and is ordered no more, in ms. */
+export const ORDER_DECISION_LIMIT_MS = 2000;
 
 /** Time after a VM was given up for which it isn't selected again, in ms. */
 const POSTPONEMENT_MS = 3000;
--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -9,12 +9,11 @@
   WaveReport,
 } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import { LATE_VM_ORDER_WINDOW_MS } from '@sequoiaquay/core/jobs';
 import type { KeyedStream } from './ports/keyed-stream';
 import type { VmOrder, VmOrderOutcome, VmService } from './ports/vm-service';
 import type { TermLog } from './term-log';
 import { VM_ORDER_OUTCOME } from './ports/vm-service';
-import { CLOCK_MARGIN_MS, VmOrderTimes } from './vm-order-times';
+import { CLOCK_MARGIN_MS, LATE_RECORD_WINDOW_MS, VmOrderTimes } from './vm-order-times';
 
 /** Dependencies of the loop on its term. */
 export interface MaintenanceLoopContext {
@@ -111,10 +110,10 @@
     const { leaseDurationMs, planner, timers } = this.ctx;
     for (const { order, orderedAt } of this.#orderTimes.maintenanceOrders) {
       const ageMs = Math.max(0, timers.now() - orderedAt) || 0;
-      const sentAt = timers.mono() - ageMs;
+      const recordedAt = timers.mono() - ageMs;
       planner.restoreOrder(order, {
-        lateUntil: sentAt + LATE_VM_ORDER_WINDOW_MS,
-        notBefore: sentAt + leaseDurationMs + CLOCK_MARGIN_MS,
+        lateUntil: recordedAt + LATE_RECORD_WINDOW_MS,
+        notBefore: recordedAt + leaseDurationMs + CLOCK_MARGIN_MS,
       });
     }
   }
--- a/packages/node/src/vm-order-times.ts
+++ b/packages/node/src/vm-order-times.ts
@@ -1,5 +1,5 @@
 import type { KeyedRecord, MaintenanceOrder } from '@sequoiaquay/core/jobs';
-import { LATE_VM_ORDER_WINDOW_MS } from '@sequoiaquay/core/jobs';
+import { LATE_VM_ORDER_WINDOW_MS, ORDER_DECISION_LIMIT_MS } from '@sequoiaquay/core/jobs';
 
 const KEY_PREFIX = 'm.';
 
@@ -14,6 +14,16 @@
 /** Allowance for clock differences between nodes, in ms. */
 export const CLOCK_MARGIN_MS = 500;
 
+/** Largest difference between the clocks of nodes, of which one may have been set meanwhile, in ms. */
+const MAX_CLOCK_DIFFERENCE_MS = 5000;
+
+/**
+ * Age of the record of a maintenance order, by the clock of any node, from which on the order is not carried out any
+ * more, in ms: it may have been sent some time after it was recorded.
+ */
+export const LATE_RECORD_WINDOW_MS =
+  LATE_VM_ORDER_WINDOW_MS + ORDER_DECISION_LIMIT_MS + MAX_CLOCK_DIFFERENCE_MS;
+
 /**
  * Records when terms gave orders for VMs: two leaders must not give orders for the same VM within the lease duration, and
  * a VM counts as down for a wave while an order for it may still be carried out. The record of a VM has its newest order
@@ -48,7 +58,7 @@
     const before = this.#recorded.get(vm) ?? this.#earlier.get(vm) ?? [];
     const stillLate = before.filter(
       (order) =>
-        order.wave !== undefined && order.wave !== wave && isWithin(order, wallNow, LATE_VM_ORDER_WINDOW_MS),
+        order.wave !== undefined && order.wave !== wave && isWithin(order, wallNow, LATE_RECORD_WINDOW_MS),
     );
     const orders = [{ orderedAt: wallNow, wave }, ...stillLate];
     this.#recorded.set(vm, orders);
--- a/packages/node/tests/maintenance-loop.test.ts
+++ b/packages/node/tests/maintenance-loop.test.ts
@@ -171,6 +171,18 @@
     expect(new Set(harness.maintained)).toEqual(new Set(['vm-a']));
   });
 
+  it('counts an order that was sent long after it was recorded, by a clock that is behind', async () => {
+    harness = new Harness(1);
+    const [storingMs, clockDifferenceMs, lateMs] = [2000, 4500, 12_000];
+    const recordedAt = Date.now() - storingMs - clockDifferenceMs;
+    harness.loop.run([new VmOrderTimes().add('vm-unlisted', recordedAt, 1)]);
+    harness.planner.onWave({ durationMs: 60_000, id: 1, maxAtOnce: 1, vms: ['vm-unlisted', 'vm-b'] }, 0);
+    await harness.countClosed(lateMs);
+    expect(harness.maintained).toEqual([]);
+    await harness.countClosed(lateMs);
+    expect(new Set(harness.maintained)).toEqual(new Set(['vm-b']));
+  });
+
   it('tells the next leader of a maintenance order that may be late, also after a move of its VM', async () => {
     harness = new Harness(1);
     const earlier = ['vm-a', 'vm-b'].map((vm) => recordOf(vm, 1));
