fix(maintenance): go on with a wave when a VM in maintenance has left or failed

Operators would see a wave that allows one VM at a time stand still: a VM counted as down for its maintenance until a list showed it as up, so one that left or failed meanwhile counted for good.

Found while looking at which view says that a VM is back.

A VM is back once a list that was asked for after its maintenance began shows it in another state, or once two lists in a row are without it.

--- a/packages/core/src/maintenance/wave-planner.ts
+++ b/packages/core/src/maintenance/wave-planner.ts
@@ -153,11 +153,9 @@
     for (const run of this.#runs.values()) {
       run.onList(listed, requestedAt);
       for (const vm of run.vms.values()) {
-        if (
-          vm.stage === 'maintenance' &&
-          requestedAt > vm.since &&
-          this.#vms.get(vm.id)?.state === VM_STATE.up
-        ) {
+        const state = this.#vms.get(vm.id)?.state;
+        const isBack = state === undefined ? run.isGone(vm) : state !== VM_STATE.maintenance;
+        if (vm.stage === 'maintenance' && requestedAt > vm.since && isBack) {
           run.advance(vm, 'return', requestedAt);
         }
       }
--- a/packages/core/src/maintenance/wave-run.ts
+++ b/packages/core/src/maintenance/wave-run.ts
@@ -90,6 +90,11 @@
     return [...this.vms.values()].every((vm) => hasBegun(vm) || this.#hasLeft(vm, now));
   }
 
+  /** Whether enough lists in a row, all asked for after the request for the wave, did not contain a VM. */
+  isGone(vm: WaveVm): boolean {
+    return vm.listsWithout >= LISTS_WITHOUT_GONE_VM;
+  }
+
   /** Whether all VMs that have not left are back from their maintenance, at a monotonic time in ms. */
   isOver(now: number): boolean {
     return [...this.vms.values()].every(
@@ -126,7 +131,7 @@
   // A list that is older than the request doesn't show that a VM has left. One that no list has contained may still
   // arrive in time.
   #hasLeft(vm: WaveVm, now: number): boolean {
-    return vm.listsWithout >= LISTS_WITHOUT_GONE_VM && (vm.isKnown || now >= this.plannedEnd);
+    return this.isGone(vm) && (vm.isKnown || now >= this.plannedEnd);
   }
 
   #count(matches: (vm: WaveVm) => boolean): number {
