fix(node): write the reports of a wave in their order

Operators could see a wave as completed and then as running for good: the two reports of a wave were written and retried side by side, without a condition, so one that was refused at first, or got no answer and was carried out late, also one of an earlier leader, could replace a newer one.

Reports are written one after another, each at the end of the stream that is known, and only by a node that certainly leads.

--- a/packages/node/src/maintenance-loop.ts
+++ b/packages/node/src/maintenance-loop.ts
@@ -6,27 +6,21 @@
   MoveOrder,
   PoolBalancer,
   WavePlanner,
-  WaveReport,
 } from '@sequoiaquay/core/jobs';
-import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import type { KeyedStream } from './ports/keyed-stream';
 import type { VmOrder, VmOrderOutcome, VmService } from './ports/vm-service';
 import type { TermLog } from './term-log';
+import type { WaveReporterContext } from './wave-reporter';
 import { VM_ORDER_OUTCOME } from './ports/vm-service';
 import { CLOCK_MARGIN_MS, LATE_RECORD_WINDOW_MS, VmOrderTimes } from './vm-order-times';
+import { WaveReporter } from './wave-reporter';
 
 /** Dependencies of the loop on its term. */
-export interface MaintenanceLoopContext {
+export interface MaintenanceLoopContext extends WaveReporterContext {
   balancer: PoolBalancer;
-  /** Encodes the report of a wave's progress to the operators. */
-  encodeReport: (report: WaveReport) => { key: string; value: string };
   /** Fencing token of the term. */
   epoch: number;
-  /** Returns whether this node is certainly still the leader. */
-  isLeadershipConfirmed: () => boolean;
   /** Time for which two leaders must not give orders for the same VM, in ms. */
   leaseDurationMs: number;
-  log: Logger;
   /** Name of this node, the holder of the lease in its orders. */
   node: string;
   /** Called after each round of planning and after each answer to an order. */
@@ -34,9 +28,7 @@
   planner: WavePlanner;
   /** Returns the names of the spare pools, whose VMs are switched off. */
   sparePoolNames: () => ReadonlySet<string>;
-  status: KeyedStream;
   termLog: TermLog;
-  timers: TimerService;
   vms: VmService;
 }
 
@@ -49,12 +41,9 @@
 /** Age of the newest list from which on, once a further one has failed, no more VMs are selected, in ms. */
 const MAX_VM_LIST_AGE_MS = 3000;
 
-/** Timeout of a call to the VM service, or of a report to the operators, in ms. */
+/** Timeout of a call to the VM service, in ms. */
 const CALL_TIMEOUT_MS = 1500;
 
-/** Delay before a failed report to the operators is retried, in ms. */
-const REPORT_RETRY_DELAY_MS = 200;
-
 /** Outcome of an order that was not sent, so that it is certainly not carried out. */
 const UNSENT = 'unsent';
 
@@ -82,12 +71,14 @@
   #isListingVms = false;
   readonly #orderTimes = new VmOrderTimes();
   readonly #pendingVms = new Set<string>();
-  #planStored = Promise.resolve(true);
+  readonly #reporter: WaveReporter;
 
   constructor(
     private readonly ctx: MaintenanceLoopContext,
     private readonly signal: AbortSignal,
-  ) {}
+  ) {
+    this.#reporter = new WaveReporter(ctx, signal);
+  }
 
   /** Starts the loop, which ends when the signal aborts; `records` hold the orders of earlier terms for VMs. */
   run(records: readonly KeyedRecord[]): void {
@@ -141,12 +132,12 @@
     }
     const plan = planner.plan(now);
     const balance = this.ctx.balancer.plan(now, timers.now(), this.ctx.sparePoolNames());
-    this.#planStored = this.ctx.termLog.append([...plan.records, ...balance.records]);
+    const planStored = this.ctx.termLog.append([...plan.records, ...balance.records]);
     for (const order of plan.orders) {
       void this.#startMaintenance(order);
     }
     for (const report of plan.reports) {
-      void this.#publishReport(report);
+      this.#reporter.publish(report, planStored);
     }
     for (const move of balance.orders) {
       void this.#moveVm(move);
@@ -231,23 +222,4 @@
     this.#pendingVms.delete(vm);
     return this.signal.aborted ? undefined : outcome;
   }
-
-  // A report is published only after the records of the plan that it follows from are stored.
-  async #publishReport(report: WaveReport): Promise<void> {
-    if (!(await this.#planStored)) {
-      return;
-    }
-    const records = [this.ctx.encodeReport(report)];
-    while (!this.signal.aborted) {
-      const appended = await this.ctx.status.append({
-        records,
-        signal: this.signal,
-        timeoutMs: CALL_TIMEOUT_MS,
-      });
-      if (appended.isOk()) {
-        return;
-      }
-      await this.ctx.timers.sleep(REPORT_RETRY_DELAY_MS, this.signal);
-    }
-  }
 }
