fix(jobs): take no entry of a service that is not configured for a restart

Cause: a later start time in an entry was taken for a restart of the worker, whatever pool the entry named, and its runs were released at once. One with an earlier start time changed the address, one with the same the figures.

Such an entry now only closes the worker for new tasks until its own entry is back, as an entry that can't be read does, and proves no end of a worker.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -37,10 +37,21 @@
     private readonly losses: WorkerLossHandler,
   ) {}
 
-  /** Adds or updates a worker from its entry in the registry. */
+  /**
+   * Adds or updates a worker from its entry in the registry. One at the key of a worker that names a pool which is
+   * neither that worker's nor configured comes from another writer. It says nothing about the worker, so it only closes
+   * it for new tasks until its own entry is back.
+   */
   register(info: WorkerInfo, now: number): void {
-    this.losses.handleEntry(info, now);
     const known = this.ctx.workers.get(info.id);
+    const isNamed = this.ctx.cfg === undefined || this.ctx.getPoolConfig(info.pool) !== undefined;
+    if (known !== undefined && !isNamed && isOfOtherPool(info, known)) {
+      this.deregister(info.id);
+      return;
+    }
+    if (isNamed) {
+      this.losses.handleEntry(info, now);
+    }
     if (known === undefined) {
       const worker = new Worker(info, now, this.ctx.workspaceUse);
       this.ctx.workers.set(info.id, worker);
@@ -209,6 +220,11 @@
   }
 }
 
+// A worker that is known only from stored assignments has no pool yet.
+function isOfOtherPool({ pool }: WorkerInfo, { info }: Worker): boolean {
+  return info.bornAt !== UNKNOWN_BORN_AT && pool !== info.pool;
+}
+
 function listsRun(report: WorkerReport, task: Task): boolean {
   return [...report.running, ...report.ended].some((row) => row.task === task.name && row.run === task.run);
 }
--- a/packages/core/tests/jobs/worker-directory.test.ts
+++ b/packages/core/tests/jobs/worker-directory.test.ts
@@ -294,3 +294,60 @@
     expect(harness.scheduler.jobs.get('i')?.hasEnded).toBe(true);
   });
 });
+
+// Guards against a second run of a task: another writer's entry at the key of its worker was taken for a restart of it.
+describe('An entry of a pool that is not configured, at the key of a worker', () => {
+  let harness: Harness;
+
+  beforeEach(() => {
+    harness = new Harness();
+    harness.register({ address: 'a:1', bornAt: 5000 });
+    harness.report(report([], [], 5000));
+    harness.submit('i', 'p');
+    harness.start();
+    harness.report(report([['i.0.0.0', 1]], [], 5000));
+  });
+
+  it.each([
+    ['later', 9000],
+    ['earlier', 2000],
+    ['the same', 5000],
+  ])(
+    'with %s start time neither ends nor releases its runs, nor changes what is known of it',
+    (_, bornAt) => {
+      const before = harness.worker.info;
+      harness.register({ address: 'x:9', bornAt, labels: ['odd'], pool: 'elsewhere', rack: 'r9' });
+      harness.submit('j', 'p');
+      for (let count = 0; count < 10; count += 1) {
+        harness.now += 100;
+        harness.worker.extendLease(harness.now, 1000);
+        harness.report(report([['i.0.0.0', 1]], [], 5000));
+        harness.scheduler.tick(harness.now, 0);
+        expect(harness.plan()).toMatchObject({ starts: [], stops: [] });
+      }
+      expect(harness.worker.info).toEqual(before);
+      harness.register({ address: 'a:1', bornAt: 5000 });
+      expect(harness.start()).toEqual(['j.0.0.0']);
+      expect(harness.worker.runs.size).toBe(2);
+    },
+  );
+
+  it('does not hide a restart that a report shows meanwhile', () => {
+    harness.register({ address: 'x:9', bornAt: 9000, pool: 'elsewhere' });
+    harness.report(report([], [], 6000));
+    harness.register({ address: 'a:1', bornAt: 6000 });
+    harness.report(report([], [], 6000));
+    expect(harness.start()).toEqual(['i.0.0.0']);
+  });
+
+  it('is not needed for a pool that is dropped from the configuration: a restart is still seen', () => {
+    harness.scheduler.onConfig({ ...config(), pools: POOLS.filter(({ name }) => name !== 'p') });
+    harness.register({ address: 'a:1', bornAt: 9000 });
+    expect(harness.worker.info.bornAt).toBe(9000);
+  });
+
+  it('is one of the worker itself where the pool is configured', () => {
+    harness.register({ bornAt: 9000, pool: 'q' });
+    expect(harness.worker.info).toMatchObject({ bornAt: 9000, pool: 'q' });
+  });
+});
