fix(jobs): show a job as running only once a run of it has begun

A caller could be told that a job is running while the order for its first run was not answered, or not even sent: each report of a worker marked the jobs of all its assigned tasks. Found by reading; more frequent since an idle worker is asked for its clock before an order.

A report now marks the jobs of tasks that are known to run. One of the two new tests fails without the change.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -248,8 +248,10 @@
     }
     worker.finishedMembers.applyReport(report, askedAt);
     this.#runControl.stopOrphans(worker, findings.orphans, now);
-    for (const task of worker.runs.values()) {
-      this.#runControl.reportRunning(task.job);
+    for (const { job, phase } of worker.runs.values()) {
+      if (phase === 'running') {
+        this.#runControl.reportRunning(job);
+      }
     }
     this.#throttle(worker);
     this.#ctx.getOrCreatePool(worker.info.pool).needsAssignment = true;
