--- a/packages/node/src/leadership.ts
+++ b/packages/node/src/leadership.ts
@@ -3,30 +3,20 @@
   LeaderRecord,
   LeaderRequestRecord,
   LeadershipRecord,
+  StoredTasks,
   SuccessionSettings,
 } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
-import {
-  decodeTaskRecord,
-  encodeTermRecord,
-  JOB_RECORD,
-  LeaderContact,
-  MAX_CONFIRMED_AGE_MS,
-  StoredTasks,
-  Succession,
-  TERM_KEY,
-} from '@sequoiaquay/core/jobs';
-import { randomBytes, randomUUID } from 'node:crypto';
+import { JOB_RECORD, LeaderContact, MAX_CONFIRMED_AGE_MS, Succession } from '@sequoiaquay/core/jobs';
+import { randomBytes } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { JobWriter } from './job-writer';
-import type { KeyedStream, StoredRecord } from './ports/keyed-stream';
+import type { KeyedStream } from './ports/keyed-stream';
 import type { LeaderLink, LeaderTarget } from './ports/leader-link';
 import type { StreamTail } from './stream-tail';
 import { WRITE_OUTCOME } from './job-writer';
 import { MAX_HEARTBEAT_AGE_MS } from './lease-times';
-import { NewestPages } from './newest-pages';
-import { readNewest } from './newest-records';
-import { STORE_FAILURE } from './ports/keyed-stream';
+import { TermStore } from './term-store';
 
 /** Settings of the leader election. */
 export interface LeadershipSettings {
@@ -61,14 +51,6 @@
   tasks: StoredTasks;
 }
 
-interface LoadedRuns {
-  end: number;
-  otherRecords: KeyedRecord[];
-  tasks: StoredTasks;
-  /** Offset of the record that started the last term; -1 if there is none. */
-  termOffset: number;
-}
-
 /**
  * Runs a term until the signal aborts, or until its records are stored after `retire` has aborted; `onLost`
  * reports that leadership is lost, which ends the term.
@@ -135,11 +117,12 @@
   #lastHeartbeatAt: number;
   #termController: AbortController | undefined;
   #backoffUntil = 0;
+  readonly #store: TermStore;
   readonly #succession: Succession;
 
   constructor(
     private readonly settings: LeadershipSettings,
-    private readonly runs: KeyedStream,
+    runs: KeyedStream,
     private readonly jobsTail: StreamTail,
     private readonly writer: JobWriter,
     private readonly runTerm: TermRunner,
@@ -148,6 +131,7 @@
     private readonly link?: LeaderLink,
   ) {
     this.#lastHeartbeatAt = timers.mono();
+    this.#store = new TermStore(settings, runs, timers, log);
     this.#succession = new Succession(settings.succession);
   }
 
@@ -433,26 +417,12 @@
 
   async #beginTerm(signal: AbortSignal): Promise<TermStart | undefined> {
     const seen = this.#latestEpoch;
-    const loaded = await this.#loadRuns(signal);
+    const loaded = await this.#store.load(signal);
     if (loaded === undefined || this.#isUnseenTerm(loaded.termOffset + 1, seen)) {
       return undefined;
     }
-    const record = encodeTermRecord(this.settings.node, randomUUID());
-    const req = {
-      expectedEnd: loaded.end,
-      records: [record],
-      signal,
-      timeoutMs: this.settings.storeTimeoutMs,
-    };
-    const appended = await this.runs.append(req);
-    if (appended.isErr()) {
-      const isStored =
-        appended.error.kind === STORE_FAILURE.lost &&
-        (await this.#isOwnRecordStored(loaded.end, record.value, signal));
-      if (!isStored) {
-        this.log.info({ end: loaded.end, error: appended.error.message }, 'take-over failed');
-        return undefined;
-      }
+    if (!(await this.#store.appendTerm(loaded.end, signal))) {
+      return undefined;
     }
     return {
       ...loaded,
@@ -480,43 +450,4 @@
     this.#lastHeartbeatAt = this.timers.mono();
     return true;
   }
-
-  async #isOwnRecordStored(offset: number, value: string | undefined, signal: AbortSignal): Promise<boolean> {
-    const page = await this.runs.read({
-      fromOffset: offset,
-      signal,
-      timeoutMs: this.settings.storeTimeoutMs,
-      waitMs: 0,
-    });
-    return page.isOk() && page.value.end === offset + 1 && page.value.records[0]?.value === value;
-  }
-
-  async #loadRuns(signal: AbortSignal): Promise<LoadedRuns | undefined> {
-    const pages = new NewestPages(this.runs, 'runs', this.timers, this.log);
-    const loaded = { otherRecords: [], tasks: new StoredTasks(), termOffset: -1 };
-    const onRecord = (record: StoredRecord): void => {
-      this.#addRecord(record, loaded);
-    };
-    const newest = await readNewest(pages, onRecord, this.settings.storeTimeoutMs, this.timers, signal);
-    // If the stream changed between two pages, the conditional append would fail.
-    if (newest.isErr() || newest.value.hasChanged) {
-      return undefined;
-    }
-    return { ...loaded, end: newest.value.end };
-  }
-
-  #addRecord(record: StoredRecord, loaded: Omit<LoadedRuns, 'end'>): void {
-    if (record.key === TERM_KEY) {
-      loaded.termOffset = record.offset;
-      return;
-    }
-    const decoded = decodeTaskRecord(record.key, record.value ?? '');
-    if (decoded.isErr()) {
-      this.log.error({ error: decoded.error, key: record.key }, 'record skipped');
-    } else if (decoded.value === undefined) {
-      loaded.otherRecords.push(record);
-    } else {
-      loaded.tasks.add(decoded.value);
-    }
-  }
 }
