--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,3 +1,4 @@
+export * from './caller-answer';
 export * from './caller-service';
 export * from './instrumented-stream';
 export * from './node';
--- a/packages/node/tests/caller-keys.test.ts
+++ b/packages/node/tests/caller-keys.test.ts
@@ -3,7 +3,7 @@
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { err, ok, ResultAsync } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import type { CallerAnswer, CallerRequest } from '../src/caller-service';
+import type { CallerAnswer, CallerRequest } from '../src/caller-answer';
 import { accessConfig, workspace } from '../../core/tests/jobs/support/access-config';
 import { step } from '../../core/tests/jobs/support/jobs';
 import { CallerService } from '../src/caller-service';
--- a/packages/node/tests/caller-service.test.ts
+++ b/packages/node/tests/caller-service.test.ts
@@ -3,7 +3,7 @@
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { errAsync, ok, ResultAsync } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { CallerAnswer } from '../src/caller-service';
+import type { CallerAnswer } from '../src/caller-answer';
 import type { AppendFault } from './support/memory-stream';
 import { step } from '../../core/tests/jobs/support/jobs';
 import { CallerService } from '../src/caller-service';
--- a/packages/node/tests/node.test.ts
+++ b/packages/node/tests/node.test.ts
@@ -3,7 +3,7 @@
 import { err, errAsync, ok } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
-import type { CallerAnswer } from '../src/caller-service';
+import type { CallerAnswer } from '../src/caller-answer';
 import type { FleetCodec } from '../src/ports/fleet-codec';
 import type { WorkerLink } from '../src/ports/worker-link';
 import { accessConfig, workspace } from '../../core/tests/jobs/support/access-config';
