--- a/packages/core/tests/jobs/unnoticed-restart.test.ts
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -48,11 +48,7 @@
 
   /** Assigns the task to the first worker, whose present incarnation answers with the reading of its clock. */
   order(clockMs: number): void {
-    this.scheduler.onJob(job('j', [step()]), [], this.now, 0);
-    const [order] = this.plan();
-    if (order === undefined) {
-      throw new Error('the task was not assigned');
-    }
+    const order = this.#assign();
     const expected = order.worker.proofAt(this.now);
     order.worker.extendLease(this.now, LEASE_MS);
     const clock: AnswerClock | undefined = expected && { expected, readingMs: clockMs };
@@ -60,6 +56,24 @@
     this.scheduler.onStartAnswer(order, START_ANSWER.started, this.now, clock);
     this.addOther();
   }
+
+  /** Assigns the task to the first worker, which gives no answer. */
+  orderUnanswered(): void {
+    const order = this.#assign();
+    order.worker.extendLease(this.now, LEASE_MS);
+    this.scheduler.onStartSent(order);
+    this.scheduler.onStartAnswer(order, START_ANSWER.noAnswer, this.now);
+    this.addOther();
+  }
+
+  #assign(): StartOrder {
+    this.scheduler.onJob(job('j', [step()]), [], this.now, 0);
+    const [order] = this.plan();
+    if (order === undefined) {
+      throw new Error('the task was not assigned');
+    }
+    return order;
+  }
 }
 
 // Guards against a second run beside the first: a worker that is back under its id takes the order that was meant for
@@ -138,15 +152,7 @@
   });
 
   it('keeps the run of an order without an answer for the longest lease', () => {
-    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
-    const [order] = harness.plan();
-    if (order === undefined) {
-      throw new Error('the task was not assigned');
-    }
-    order.worker.extendLease(harness.now, LEASE_MS);
-    harness.scheduler.onStartSent(order);
-    harness.scheduler.onStartAnswer(order, START_ANSWER.noAnswer, harness.now);
-    harness.addOther();
+    harness.orderUnanswered();
     const sentAt = harness.now;
     harness.now = sentAt + SCHEDULER_SETTINGS.maxLeaseMs;
     expect(harness.plan()).toEqual([]);
@@ -155,15 +161,7 @@
   });
 
   it('gives up the run of an order without an answer after its lease when the registry shows no restart', () => {
-    harness.scheduler.onJob(job('j', [step()]), [], harness.now, 0);
-    const [order] = harness.plan();
-    if (order === undefined) {
-      throw new Error('the task was not assigned');
-    }
-    order.worker.extendLease(harness.now, LEASE_MS);
-    harness.scheduler.onStartSent(order);
-    harness.scheduler.onStartAnswer(order, START_ANSWER.noAnswer, harness.now);
-    harness.addOther();
+    harness.orderUnanswered();
     const sentAt = harness.now;
     harness.scheduler.tick(sentAt + 5000, 0, sentAt + 1000);
     expect(harness.plan()).toEqual([]);
