feat(jobs): log which acknowledgements went astray and what a lost run was judged by

A run that never began, one that was lost with its incarnation and one whose end was dropped unread left the same line, run-lost. It now names the report that decided, with the incarnation that gave it and the ends that had been read and acknowledged. An acknowledgement without an answer, and one that another incarnation answered, have a line each. Both are counted as decisions.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -6,6 +6,7 @@
 export * from '../maintenance/worker-incarnation';
 export * from './assigner';
 export * from './demand';
+export * from './end-acknowledgement';
 export * from './fleet-config';
 export * from './job-record';
 export * from './job-retention';
--- a/packages/core/src/jobs/run-control.ts
+++ b/packages/core/src/jobs/run-control.ts
@@ -124,10 +124,22 @@
     }
   }
 
-  /** Releases a task that its worker is known not to run, so that it can be assigned again. */
-  release(task: Task, reason: string, now: number): void {
-    const { run, worker } = task;
-    this.ctx.log(DECISION.lost, { reason, run, task: task.name, worker: worker?.info.id });
+  /**
+   * Releases a task that its worker is known not to run, so that it can be assigned again. `evidence` is added to the
+   * log line.
+   */
+  release(task: Task, reason: string, now: number, evidence: Readonly<Record<string, unknown>> = {}): void {
+    const { phase, provenBornAt, run, worker } = task;
+    const id = worker?.info.id;
+    this.ctx.log(DECISION.lost, {
+      reason,
+      run,
+      task: task.name,
+      worker: id,
+      phase,
+      provenBornAt,
+      ...evidence,
+    });
     task.applyEvent('release', now);
     this.storeTask(task);
     this.ctx.getOrCreatePool(task.job.job.pool).needsAssignment = true;
--- a/packages/core/src/jobs/scheduler-output.ts
+++ b/packages/core/src/jobs/scheduler-output.ts
@@ -44,6 +44,8 @@
 
 /** Logged decisions about jobs and workers. */
 export const DECISION = {
+  acknowledgedByOther: 'ends-acknowledged-to-another',
+  acknowledgementUnanswered: 'ends-acknowledgement-unanswered',
   assigned: 'task-assigned',
   checkpointNotStored: 'checkpoint-not-stored',
   crashDisproved: 'crash-disproved',
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,5 +1,6 @@
 import type { AdviceLookup } from './assigner';
 import type { Demand } from './demand';
+import type { EndAcknowledgement } from './end-acknowledgement';
 import type { FleetConfig } from './fleet-config';
 import type { Job } from './job-spec';
 import type { NearPlaceRule } from './near-place-wait';
@@ -241,7 +242,7 @@
     }
     this.#runControl.resendStops(worker, now);
     for (const task of findings.released) {
-      this.#runControl.release(task, 'not-listed', now);
+      this.#runControl.release(task, 'not-listed', now, describeReport(worker, report, askedAt, now));
     }
     for (const task of findings.unconfirmed) {
       this.#runControl.stop(task, 'order-unanswered', now);
@@ -258,6 +259,24 @@
     this.#directory.removeIfIdle(worker);
   }
 
+  /** Handles the answer to an acknowledgement by the incarnation of a worker that started at `answeredBy`. */
+  onAcknowledgementAnswered(worker: Worker, sent: EndAcknowledgement, answeredBy: number): void {
+    const { bornAt, number } = sent;
+    if (answeredBy !== bornAt) {
+      const data = { answeredBy, bornAt, number, worker: worker.info.id };
+      this.#ctx.log(DECISION.acknowledgedByOther, data);
+    } else if (worker.info.bornAt === bornAt) {
+      worker.endsAcknowledged = Math.max(worker.endsAcknowledged, number);
+    }
+  }
+
+  /** Handles that an acknowledgement got no usable answer, for a reason as it appears in the log. */
+  onAcknowledgementUnanswered(worker: Worker, sent: EndAcknowledgement, reason: string, now: number): void {
+    const { bornAt, number, sentAt } = sent;
+    const data = { bornAt, number, reason, sentAgoMs: Math.round(now - sentAt), worker: worker.info.id };
+    this.#ctx.log(DECISION.acknowledgementUnanswered, data);
+  }
+
   /** Marks a worker as unresponsive after a call without an answer. */
   onWorkerUnresponsive(worker: Worker): void {
     worker.isUnresponsive = true;
@@ -478,6 +497,18 @@
   }
 }
 
+// What a run was given up by: a report that lists it neither as running nor as ended.
+function describeReport(
+  { endsAcknowledged, endsRead }: Worker,
+  { bornAt, ended, running }: WorkerReport,
+  askedAt: number,
+  now: number,
+): Record<string, unknown> {
+  const newest = ended.at(-1)?.number;
+  const ageMs = Math.round(now - askedAt);
+  return { ageMs, bornAt, ended: ended.length, endsAcknowledged, endsRead, newest, running: running.length };
+}
+
 function defaultNearPlaceRule({ remoteFactor = 1 }: SchedulerSettings): NearPlaceRule | undefined {
   return remoteFactor > 1 ? new BoundedNearPlaceWait(remoteFactor) : undefined;
 }
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -1,4 +1,4 @@
-import type { Scheduler, Worker } from '@sequoiaquay/core/jobs';
+import type { EndAcknowledgement, Scheduler, Worker } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import type { LinkError, WorkerLink } from './ports/worker-link';
 import { LINK_FAILURE } from './ports/worker-link';
@@ -150,9 +150,10 @@
     if (this.signal.aborted) {
       return;
     }
+    const sent: EndAcknowledgement = { bornAt: info.bornAt, number: endsStored, sentAt: requestedAt };
     if (res.isOk()) {
-      if (res.value.bornAt === worker.info.bornAt && info.bornAt === worker.info.bornAt) {
-        worker.endsAcknowledged = Math.max(worker.endsAcknowledged, endsStored);
+      if (endsStored > 0) {
+        ctx.scheduler.onAcknowledgementAnswered(worker, sent, res.value.bornAt);
       }
       ctx.scheduler.onReport(worker, res.value, requestedAt, ctx.timers.mono());
       this.#settleRefresh();
@@ -160,6 +161,10 @@
       await this.#pauseAfterReport();
       return;
     }
+    if (endsStored > 0) {
+      const { kind } = res.error;
+      ctx.scheduler.onAcknowledgementUnanswered(worker, sent, kind, ctx.timers.mono());
+    }
     if (worker.info.address === info.address || res.error.kind === LINK_FAILURE.fenced) {
       await this.#handleFailure(res.error);
     } else {
