fix(jobs): never let an acknowledgement and an order meet in an unknown life of a worker

Cause: each report request repeated the number of the last stored end until one answer, also while it waited up to 1 s for the next end. Ends are numbered anew in each life of a worker, and no call names the life that it is for. A request that reached the next life dropped the first end of that life as it came; the report listed the run neither as running nor as ended, and the task was started again.

Evidence: the record acknowledges both ends at the moment at which they came.

Change: another order of acts. An acknowledgement is a request of its own that waits for nothing. It is sent only when no order to the worker has an unknown outcome and the known life is known to have begun every run; while it has no outcome, no order to start is sent. Without an answer it may still be carried out: the worker gets no orders until a report of that life no longer lists the ends, or until late calls have ended (15 s, as for orders), also if its entry goes and comes back. If orders keep one from being sent for 0.5 s, the worker gets no more of them until it is.

--- a/packages/core/src/jobs/end-acknowledgement.ts
+++ b/packages/core/src/jobs/end-acknowledgement.ts
@@ -1,3 +1,6 @@
+import type { WorkerReport } from './worker-report';
+import { LATE_ORDER_WINDOW_MS } from './late-order-window';
+
 /** Acknowledgement of the ends of runs, for the incarnation of a worker that has listed them. */
 export interface EndAcknowledgement {
   /** Start time of the incarnation, in ms since the epoch. */
@@ -7,3 +10,89 @@
   /** Monotonic time at which the request that carries it was made, in ms. */
   sentAt: number;
 }
+
+/** Acknowledgement without an answer. */
+interface LateAcknowledgement extends EndAcknowledgement {
+  /** Monotonic time from which on it is no longer carried out, in ms. */
+  until: number;
+}
+
+/** Time for which an acknowledgement waits for the orders of its worker before the worker gets no others, in ms. */
+const MAX_BLOCKED_MS = 500;
+
+/**
+ * Acknowledgement to a worker that may not have been carried out yet. No call names the incarnation that it is meant for,
+ * and each numbers its ends from 1: one that carries out an acknowledgement for an earlier one drops its own ends unread.
+ * So none is sent while a later incarnation may have begun a run, and no run is ordered while one is pending.
+ */
+export class PendingAcknowledgement {
+  #blockedSince: number | undefined;
+  #late: LateAcknowledgement | undefined;
+  /** Whether it has been sent and its outcome is not known yet. */
+  isInFlight = false;
+
+  /** Whether an acknowledgement may still be carried out. */
+  get isPending(): boolean {
+    return this.isInFlight || this.#late !== undefined;
+  }
+
+  /** Records that one is being sent. */
+  begin(): void {
+    this.isInFlight = true;
+    this.#blockedSince = undefined;
+  }
+
+  /** Records that the one in flight was carried out, or certainly will not be. */
+  settle(): void {
+    this.isInFlight = false;
+  }
+
+  /** Records that the one in flight got no answer until a monotonic time in ms. */
+  lose(sent: EndAcknowledgement, now: number): void {
+    this.isInFlight = false;
+    this.#late = { ...sent, until: now + LATE_ORDER_WINDOW_MS };
+  }
+
+  /** Records that one is due but can't be sent at a monotonic time in ms. */
+  block(now: number): void {
+    this.#blockedSince ??= now;
+  }
+
+  /** Forgets that one is due, for example because the worker has restarted. */
+  unblock(): void {
+    this.#blockedSince = undefined;
+  }
+
+  /** Whether the worker gets no orders at a monotonic time in ms so that one that is due can be sent; it ends some time. */
+  isOverdue(now: number): boolean {
+    const blockedMs = now - (this.#blockedSince ?? now);
+    return Number.isFinite(blockedMs) && blockedMs > MAX_BLOCKED_MS;
+  }
+
+  /** Returns the time for which one without an answer may still be carried out, in ms; 0 if there is none. */
+  lateForMs(now: number): number {
+    return this.#late === undefined ? 0 : Math.max(0, this.#late.until - now);
+  }
+
+  /** Forgets one without an answer that is no longer carried out at a monotonic time in ms; returns whether it did. */
+  expire(now: number): boolean {
+    const hasExpired = this.#late !== undefined && this.#late.until <= now;
+    this.#late = hasExpired ? undefined : this.#late;
+    return hasExpired;
+  }
+
+  /**
+   * Applies a report that was requested after the answer was missed. Returns the acknowledgement without an answer if the
+   * report shows that it was carried out: its incarnation no longer lists the ends.
+   */
+  applyReport({ bornAt, ended, hasMoreEnds }: WorkerReport): EndAcknowledgement | undefined {
+    const late = this.#late;
+    const isSettled =
+      late?.bornAt === bornAt && hasMoreEnds !== true && ended.every(({ number }) => number > late.number);
+    if (!isSettled) {
+      return undefined;
+    }
+    this.#late = undefined;
+    return late;
+  }
+}
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -232,6 +232,10 @@
     if (askedAt > (worker.vmClaims.get(CLAIM_HOLDER)?.since ?? Infinity)) {
       this.vmClaims.release(worker, CLAIM_HOLDER, 'reported', now);
     }
+    const acknowledged = worker.acknowledgement.applyReport(report);
+    if (acknowledged !== undefined) {
+      this.#recordAcknowledgement(worker, acknowledged);
+    }
     worker.updateClock(report.clockMs, askedAt, now);
     worker.isUnresponsive = false;
     this.#workerLosses.handleReport(worker, askedAt);
@@ -259,19 +263,43 @@
     this.#directory.removeIfIdle(worker);
   }
 
+  /**
+   * Returns the acknowledgement that can be sent to a worker at a monotonic time in ms; undefined if none is due, or if
+   * it could drop an end that nobody has read. One that is returned has to get an outcome.
+   */
+  beginAcknowledgement(worker: Worker, now: number): EndAcknowledgement | undefined {
+    if (!worker.hasUnacknowledgedEnds) {
+      return undefined;
+    }
+    const { acknowledgement, info, isFenced, isUnresponsive } = worker;
+    const isSafe = isFenced && !isUnresponsive && !acknowledgement.isPending && worker.hasOnlyProvenRuns;
+    if (!isSafe) {
+      acknowledgement.block(now);
+      return undefined;
+    }
+    acknowledgement.begin();
+    return { bornAt: info.bornAt, number: worker.endsStored, sentAt: now };
+  }
+
   /** Handles the answer to an acknowledgement by the incarnation of a worker that started at `answeredBy`. */
   onAcknowledgementAnswered(worker: Worker, sent: EndAcknowledgement, answeredBy: number): void {
-    const { bornAt, number } = sent;
-    if (answeredBy !== bornAt) {
-      const data = { answeredBy, bornAt, number, worker: worker.info.id };
-      this.#ctx.log(DECISION.acknowledgedByOther, data);
-    } else if (worker.info.bornAt === bornAt) {
-      worker.endsAcknowledged = Math.max(worker.endsAcknowledged, number);
+    worker.acknowledgement.settle();
+    if (answeredBy === sent.bornAt) {
+      this.#recordAcknowledgement(worker, sent);
+      return;
     }
+    const { bornAt, number } = sent;
+    this.#ctx.log(DECISION.acknowledgedByOther, { answeredBy, bornAt, number, worker: worker.info.id });
+  }
+
+  /** Handles that an acknowledgement certainly is not carried out. */
+  onAcknowledgementUnsent(worker: Worker): void {
+    worker.acknowledgement.settle();
   }
 
   /** Handles that an acknowledgement got no usable answer, for a reason as it appears in the log. */
   onAcknowledgementUnanswered(worker: Worker, sent: EndAcknowledgement, reason: string, now: number): void {
+    worker.acknowledgement.lose(sent, now);
     const { bornAt, number, sentAt } = sent;
     const data = { bornAt, number, reason, sentAgoMs: Math.round(now - sentAt), worker: worker.info.id };
     this.#ctx.log(DECISION.acknowledgementUnanswered, data);
@@ -380,6 +408,9 @@
   tick(now: number, wallNow: number, registryCurrentAt = -Infinity): void {
     for (const worker of [...this.#ctx.workers.values()]) {
       this.vmClaims.expire(worker, now);
+      if (worker.acknowledgement.expire(now)) {
+        this.#directory.removeIfIdle(worker);
+      }
       // A responsive worker reports the outcome of its runs itself.
       if (now > worker.leaseEndsAt && (worker.isUnresponsive || worker.isDeregistered)) {
         this.#workerLosses.releaseExpired(worker, now, registryCurrentAt);
@@ -444,6 +475,12 @@
     }
   }
 
+  #recordAcknowledgement(worker: Worker, { bornAt, number }: EndAcknowledgement): void {
+    if (worker.info.bornAt === bornAt) {
+      worker.endsAcknowledged = Math.max(worker.endsAcknowledged, number);
+    }
+  }
+
   // The order may still be executed, so it has to be revoked. One that is not sent yet is dropped by its sender.
   #loseOrder(order: StartOrder, now: number): void {
     order.worker.addUnansweredOrder(order, now);
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -143,10 +143,14 @@
     return this.ctx.workers.get(worker.info.id) === worker;
   }
 
-  /** Removes a worker that is no longer in the registry once it has no runs, nor any that may go on uncounted. */
+  /**
+   * Removes a worker that is no longer in the registry once it has no runs, nor any that may go on uncounted, and no
+   * acknowledgement that another incarnation under its id may carry out.
+   */
   removeIfIdle(worker: Worker): void {
     const hasRuns = worker.runs.size > 0 || worker.finishedMembers.size > 0;
-    if (worker.isDeregistered && !hasRuns && this.isKept(worker)) {
+    const isNeeded = hasRuns || worker.acknowledgement.isPending;
+    if (worker.isDeregistered && !isNeeded && this.isKept(worker)) {
       this.ctx.workers.delete(worker.info.id);
       worker.orphans.clear();
       this.ctx.getOrCreatePool(worker.info.pool).workers.delete(worker);
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -5,6 +5,7 @@
 import type { WorkerClosure } from './worker-closure';
 import type { WorkspaceUse } from './workspace-use';
 import { addTo } from './counts';
+import { PendingAcknowledgement } from './end-acknowledgement';
 import { FinishedMembers } from './finished-members';
 import { LATE_ORDER_WINDOW_MS } from './late-order-window';
 import { OrphanedRuns } from './orphaned-runs';
@@ -102,6 +103,8 @@
   endsStored = 0;
   /** Ends up to this sequence number have been read from reports. */
   endsRead = 0;
+  /** Acknowledgement that the worker may not have carried out yet. */
+  readonly acknowledgement = new PendingAcknowledgement();
   /** Claims to the VM of the worker, by holder; no new tasks are assigned while there are any. */
   readonly vmClaims = new Map<string, VmClaim>();
   /** Orders for the VM of the worker that may still be carried out although the worker is open, by holder. */
@@ -246,6 +249,13 @@
     if (this.orphans.size > 0) {
       return { detail: this.orphans.size, reason: CLOSURE.orphans };
     }
+    const lateForMs = this.acknowledgement.lateForMs(now);
+    if (lateForMs > 0) {
+      return { detail: Math.round(lateForMs), reason: CLOSURE.acknowledgedLate };
+    }
+    if (this.acknowledgement.isOverdue(now)) {
+      return { reason: CLOSURE.acknowledging };
+    }
     return this.pausedUntil > now
       ? { detail: Math.round(this.pausedUntil - now), reason: CLOSURE.paused }
       : undefined;
@@ -271,6 +281,27 @@
     return this.info.capacity.cpuMilli - this.reserved.cpuMilli;
   }
 
+  /** Whether ends are stored that are not acknowledged to the worker. */
+  get hasUnacknowledgedEnds(): boolean {
+    return this.endsAcknowledged < this.endsStored;
+  }
+
+  /** Whether an order to start a run has been sent and has no outcome yet. */
+  get hasStartInFlight(): boolean {
+    return [...this.runs.values()].some(({ isOrderSent, phase }) => phase === 'starting' && isOrderSent);
+  }
+
+  /**
+   * Whether no later incarnation than the known one can have begun a run by an order of this term, nor by one of an
+   * earlier term once the known one has refused those.
+   */
+  get hasOnlyProvenRuns(): boolean {
+    return [...this.runs.values()].every(
+      ({ isOrderSent, isRestored, phase, provenBornAt }) =>
+        isRestored || provenBornAt === this.info.bornAt || (phase === 'starting' && !isOrderSent),
+    );
+  }
+
   /** Records an unanswered order to start, which the worker may still execute later. */
   addUnansweredOrder(order: { run: number; task: Task }, now: number): void {
     this.#unanswered.push({ at: now, run: order.run, task: order.task.name });
@@ -352,6 +383,7 @@
     this.#clock = undefined;
     this.disconnection = undefined;
     this.isCrashRecorded = false;
+    this.acknowledgement.unblock();
     this.endsAcknowledged = 0;
     this.endsRead = 0;
     this.endsStored = 0;
--- a/packages/core/tests/jobs/scheduler-model.test.ts
+++ b/packages/core/tests/jobs/scheduler-model.test.ts
@@ -10,6 +10,9 @@
 /** Time within which all jobs must complete after the last fault, in ms. */
 const RECOVERY_MS = 20_000;
 
+/** Time in which a worker gets no orders after an acknowledgement without an answer, in ms. */
+const LATE_CALLS_MS = 15_000;
+
 const cases: [name: string, faults: Faults][] = [
   ['no faults', NONE],
   ['lost answers', { ...NONE, lostAnswer: 0.2 }],
@@ -217,4 +220,31 @@
       expect(cluster.ended.size, `seed ${seed}`).toBe(5);
     }
   });
+
+  // Guards against an end that a new life drops for the acknowledgement of a former one, before anyone has read it.
+  it.each<[name: string, faults: Faults]>([
+    ['report requests are executed late', { ...UNNOTICED_RESTARTS, delayedReport: 0.1 }],
+    ['answers to report requests are lost', { ...UNNOTICED_RESTARTS, lostReport: 0.2 }],
+    [
+      'report requests are executed late and answers to orders are lost',
+      { ...UNNOTICED_RESTARTS, delayedReport: 0.1, lateReport: 0.2, lostAnswer: 0.1 },
+    ],
+    [
+      'report requests are executed late and registry entries are lost',
+      { ...UNNOTICED_RESTARTS, delayedReport: 0.1, registryLoss: 0.03, silence: 0.01 },
+    ],
+    [
+      'report requests are executed late and leaders change',
+      { ...UNNOTICED_RESTARTS, delayedReport: 0.1, leaderChange: 0.01, leaderCrash: 0.005 },
+    ],
+  ])('starts no task again that is done when workers restart unnoticed while %s', (_, faults) => {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const cluster = new SimulatedCluster(seed, faults);
+      cluster.run(FAULT_PHASE_MS, false);
+      cluster.run(RECOVERY_MS + LATE_CALLS_MS, true);
+      const found = cluster.violations.filter((text) => /while it runs|acknowledged/.test(text));
+      expect(found, `seed ${seed}`).toEqual([]);
+      expect(cluster.ended.size, `seed ${seed}`).toBe(5);
+    }
+  });
 });
--- a/packages/core/tests/jobs/support/injected-faults.ts
+++ b/packages/core/tests/jobs/support/injected-faults.ts
@@ -4,6 +4,8 @@
 export interface Faults {
   /** An order is executed up to `MAX_ORDER_DELAY_MS` later and gets no answer. */
   delayedOrder: number;
+  /** A report request is executed up to `MAX_ORDER_DELAY_MS` later and gets no answer; a probability per request. */
+  delayedReport: number;
   /** Most of the runs that start on a worker fail, for up to `MAX_FAILING_MS`. */
   failingWorker: number;
   /** A change of the registry is read up to `MAX_ENTRY_DELAY_MS` later; a probability per change. */
@@ -16,6 +18,8 @@
   leaderCrash: number;
   /** An order is executed, but its answer is lost. */
   lostAnswer: number;
+  /** A report request is executed, but its answer is lost. */
+  lostReport: number;
   /** A worker is unreachable for up to `MAX_PARTITION_MS`. */
   partition: number;
   /** The registry entry of a worker is missing for up to `MAX_PARTITION_MS`. */
@@ -30,6 +34,9 @@
   slowStore: number;
 }
 
+/** What becomes of a report request: its answer may come late or be lost, or it is executed late without an answer. */
+export type ReportFate = 'answered' | 'delayed' | 'late' | 'lost';
+
 /** Faults that the cluster carries out itself. */
 interface ClusterFaults {
   changesLeader: boolean;
@@ -46,12 +53,14 @@
 
 export const NO_FAULTS: Faults = {
   delayedOrder: 0,
+  delayedReport: 0,
   failingWorker: 0,
   lateEntry: 0,
   lateReport: 0,
   leaderChange: 0,
   leaderCrash: 0,
   lostAnswer: 0,
+  lostReport: 0,
   partition: 0,
   registryLoss: 0,
   restart: 0,
@@ -99,6 +108,17 @@
     return (this.#failingUntil.get(id) ?? 0) > now && this.random() < FAILING_SHARE;
   }
 
+  /** Returns what becomes of a report request. */
+  fateOfReport(): ReportFate {
+    if (this.#occurs(this.faults.delayedReport)) {
+      return 'delayed';
+    }
+    if (this.#occurs(this.faults.lostReport)) {
+      return 'lost';
+    }
+    return this.#occurs(this.faults.lateReport) ? 'late' : 'answered';
+  }
+
   /** Returns the time after which a change of the registry is read, in ms. */
   entryDelayMs(): number {
     return this.#occurs(this.faults.lateEntry) ? MAX_ENTRY_DELAY_MS * this.random() : 0;
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -1,4 +1,14 @@
-import type { FleetConfig, Job, KeyedRecord, Plan, StartOrder, TaskRecord, Worker } from '../../../src/jobs';
+import type {
+  EndAcknowledgement,
+  FleetConfig,
+  Job,
+  KeyedRecord,
+  Plan,
+  StartOrder,
+  TaskRecord,
+  Worker,
+  WorkerReport,
+} from '../../../src/jobs';
 import type { Faults } from './injected-faults';
 import { decodeTaskRecord, HOLD, longestLeaseMs, Scheduler, START_ANSWER } from '../../../src/jobs';
 import { IdleJobCheck } from './idle-job-check';
@@ -13,6 +23,10 @@
 const LEASE_MS = 1000;
 const MAX_STALENESS_MS = 800;
 const REPORT_PERIOD_MS = 100;
+
+/** Time after which a report request without an answer is given up, in ms. */
+const REPORT_TIMEOUT_MS = 200;
+
 const WORKER_COUNT = 4;
 const RUNS_PER_WORKER = 3;
 
@@ -335,11 +349,19 @@
       return;
     }
     const { run, task } = order;
-    const deadline = order.worker.extendLease(this.#now, LEASE_MS);
+    const { acknowledgement } = order.worker;
+    if (acknowledgement.isInFlight) {
+      this.#schedule(TICK_MS, () => {
+        this.#start(leader, order, calm);
+      });
+      return;
+    }
+    const deadline = acknowledgement.isPending ? undefined : order.worker.extendLease(this.#now, LEASE_MS);
     if (deadline === undefined) {
       scheduler.onStartAnswer(order, START_ANSWER.refused, this.#now);
       return;
     }
+    scheduler.onStartSent(order);
     const durationMs = 100 + Math.floor(this.#random() * 900);
     const expected = order.worker.proofAt(this.#now);
     const willAnswer = this.#send(order.worker, calm, (worker) => {
@@ -390,23 +412,53 @@
       return;
     }
     const askedAt = this.#now;
+    const sent = leader.scheduler.beginAcknowledgement(known, askedAt);
     const deadline =
       known.runs.size > 0 && !known.isUnresponsive ? known.extendLease(askedAt, LEASE_MS) : undefined;
-    const endsStored = known.info.bornAt === worker.info.bornAt ? known.endsStored : 0;
-    const report = worker.report(leader.epoch, endsStored, deadline, this.#now);
+    const execute = (): WorkerReport | undefined =>
+      worker.report(leader.epoch, sent?.number ?? 0, deadline, this.#now);
+    const fate = calm ? 'answered' : this.#injected.fateOfReport();
+    if (fate === 'delayed') {
+      this.#schedule(MAX_ORDER_DELAY_MS * this.#random(), execute);
+      this.#missReport(leader, known, sent);
+      return;
+    }
+    const report = execute();
     if (report === undefined) {
       leader.activeUntil = 0;
       return;
     }
-    const isLate = !calm && this.faults.lateReport > 0 && this.#random() < this.faults.lateReport;
-    if (!isLate) {
+    const answer = (): void => {
+      if (sent !== undefined) {
+        leader.scheduler.onAcknowledgementAnswered(known, sent, report.bornAt);
+      }
       leader.scheduler.onReport(known, report, askedAt, this.#now);
-      return;
+    };
+    if (fate === 'answered') {
+      answer();
+    } else if (fate === 'lost') {
+      this.#missReport(leader, known, sent);
+    } else {
+      this.#settleLater(known, MAX_REPORT_DELAY_MS * this.#random(), answer);
     }
+  }
+
+  // A report request without an answer is given up after a while.
+  #missReport({ scheduler }: Leader, known: Worker, sent: EndAcknowledgement | undefined): void {
+    this.#settleLater(known, REPORT_TIMEOUT_MS, () => {
+      if (sent !== undefined) {
+        scheduler.onAcknowledgementUnanswered(known, sent, 'silent', this.#now);
+      }
+      scheduler.onWorkerUnresponsive(known);
+    });
+  }
+
+  // Only one report of a worker is requested at a time.
+  #settleLater(known: Worker, delayMs: number, settle: () => void): void {
     this.#pendingReports.add(known);
-    this.#schedule(MAX_REPORT_DELAY_MS * this.#random(), () => {
+    this.#schedule(delayMs, () => {
       this.#pendingReports.delete(known);
-      leader.scheduler.onReport(known, report, askedAt, this.#now);
+      settle();
     });
   }
 
--- a/packages/node/src/order-sender.ts
+++ b/packages/node/src/order-sender.ts
@@ -7,6 +7,8 @@
 
 /** Dependencies of the sender on its term. */
 export interface OrderSenderContext {
+  /** Resolves once an acknowledgement to a worker that is in flight has an outcome. */
+  acknowledged: (worker: Worker) => Promise<void>;
   /** Returns whether this node may still extend the leases of runs. */
   canExtendLeases: () => boolean;
   /** Fencing token of the term. */
@@ -101,6 +103,9 @@
       this.ctx.metrics.recordClockRefresh();
       await this.ctx.refreshClock(worker);
     }
+    if (worker.acknowledgement.isInFlight) {
+      await this.ctx.acknowledged(worker);
+    }
     if (!this.#isPending(order)) {
       return;
     }
@@ -110,7 +115,8 @@
       return;
     }
     // Leadership or the worker may have been lost while the order waited.
-    const canSend = this.ctx.canExtendLeases() && !worker.isUnresponsive;
+    const mayStart = !worker.isUnresponsive && !worker.acknowledgement.isPending;
+    const canSend = this.ctx.canExtendLeases() && mayStart;
     const deadline = canSend ? worker.extendLease(timers.mono(), this.ctx.leaseMs) : undefined;
     if (deadline === undefined) {
       this.ctx.scheduler.onStartAnswer(order, START_ANSWER.refused, timers.mono());
--- a/packages/node/src/ports/worker-link.ts
+++ b/packages/node/src/ports/worker-link.ts
@@ -15,6 +15,8 @@
 
 /** Failure of a call to a worker. */
 export interface LinkError {
+  /** Whether the worker certainly does not carry out the call; it may if undefined. */
+  isUnsent?: boolean;
   kind: (typeof LINK_FAILURE)[keyof typeof LINK_FAILURE];
   message: string;
 }
@@ -64,7 +66,7 @@
 export interface ReportCall extends WorkerCall {
   /** Time on the worker's clock at which the lease of its runs ends, in ms; undefined to leave the lease. */
   deadline: number | undefined;
-  /** Highest number of an end that is stored; the worker may drop ends up to it. */
+  /** Number up to which the worker drops its ends, whichever incarnation receives the call; 0 to drop none. */
   endsStored: number;
   /**
    * Checked when the call is about to be written to a connection: it may have waited for one, or the process may
--- a/packages/node/src/term.ts
+++ b/packages/node/src/term.ts
@@ -150,6 +150,7 @@
     const canExtendLeases = (): boolean => ctx.ownHeartbeatAgeMs() < MAX_HEARTBEAT_AGE_MS;
     this.#sender = new OrderSender(
       {
+        acknowledged: (worker) => this.#workerLoops.acknowledged(worker),
         canExtendLeases,
         epoch: start.epoch,
         leaseMs: this.#leaseMs,
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -1,5 +1,6 @@
-import type { EndAcknowledgement, Scheduler, Worker } from '@sequoiaquay/core/jobs';
+import type { EndAcknowledgement, Scheduler, Worker, WorkerReport } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
+import type { Result } from 'neverthrow';
 import type { LinkError, WorkerLink } from './ports/worker-link';
 import { LINK_FAILURE } from './ports/worker-link';
 
@@ -36,18 +37,20 @@
  */
 const PROBE_TIMEOUT_MS = 1600;
 
-/** Delay after a failed report request, in ms. */
+/** Delay after a failed report request, and between reports while an acknowledgement may still be carried out, in ms. */
 const RETRY_DELAY_MS = 250;
 
 /** Longest pause between reports while the ends of runs are being stored, in ms. */
 const MAX_STORE_WAIT_MS = 400;
 
-/** Pause between reports while a run is being stopped, in ms. */
-const STOP_POLL_INTERVAL_MS = 60;
+/** Pause between reports while a run is being stopped, and longest wait for the answers to start orders, in ms. */
+const POLL_INTERVAL_MS = 60;
 
 /** Requests the reports of one worker, which extends the leases of its runs and returns their ends. */
 export class WorkerLoop {
   #endPause: (() => void) | undefined;
+  /** Called once the acknowledgement in flight has an outcome. */
+  #onAcknowledged: (() => void)[] = [];
   /** Called once the next report has arrived or failed. */
   #onNextReport: (() => void)[] = [];
 
@@ -74,12 +77,23 @@
     return settled;
   }
 
+  /** Resolves once the acknowledgement in flight, if there is one, has an outcome. */
+  acknowledged(): Promise<void> {
+    if (!this.worker.acknowledgement.isInFlight) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      this.#onAcknowledged.push(resolve);
+    });
+  }
+
   /** Runs until the signal aborts or the scheduler drops the worker. */
   async run(): Promise<void> {
     try {
       await this.#requestReports();
     } finally {
       this.#settleRefresh();
+      settleAll(this.#onAcknowledged);
     }
   }
 
@@ -88,11 +102,8 @@
   }
 
   async #requestReports(): Promise<void> {
-    let hasBeenIdle = false;
     while (this.#isNeeded) {
-      // Usually the next report of a busy worker carries the acknowledgement.
-      const needsReport: boolean = this.#needsReport() || (hasBeenIdle && this.#hasUnacknowledgedEnds());
-      hasBeenIdle = !needsReport;
+      const needsReport = this.#needsReport();
       if (needsReport && this.ctx.canExtendLeases()) {
         await this.#requestReport();
         continue;
@@ -103,9 +114,7 @@
   }
 
   #settleRefresh(): void {
-    for (const settle of this.#onNextReport.splice(0)) {
-      settle();
-    }
+    settleAll(this.#onNextReport);
   }
 
   #needsReport(): boolean {
@@ -118,28 +127,33 @@
         worker.runs.size > 0 ||
         worker.orphans.size > 0 ||
         worker.finishedMembers.size > 0 ||
-        worker.endsStored < worker.endsRead)
+        worker.endsAcknowledged < worker.endsRead)
     );
   }
 
-  #hasUnacknowledgedEnds(): boolean {
-    return this.worker.endsAcknowledged < this.worker.endsStored;
-  }
-
-  // Each number is sent until one answer: a new incarnation would drop its own ends up to the number, unread.
-  #endsToAcknowledge(): number {
-    const { worker } = this;
-    return worker.isFenced && this.#hasUnacknowledgedEnds() ? worker.endsStored : 0;
+  // Orders that are planned with the end of a run are sent when it is stored, and answered soon after.
+  async #awaitStartsInFlight(): Promise<void> {
+    const { ctx, worker } = this;
+    const giveUpAt = ctx.timers.mono() + POLL_INTERVAL_MS;
+    let remainingMs = POLL_INTERVAL_MS;
+    while (worker.hasUnacknowledgedEnds && worker.hasStartInFlight && remainingMs > 0 && this.#isNeeded) {
+      await this.#sleep(remainingMs);
+      remainingMs = giveUpAt - ctx.timers.mono();
+    }
   }
 
   async #requestReport(): Promise<void> {
     const { ctx, worker } = this;
+    await this.#awaitStartsInFlight();
+    if (!this.#isNeeded) {
+      return;
+    }
     const { info } = worker;
-    const endsStored = this.#endsToAcknowledge();
     const requestedAt = ctx.timers.mono();
+    const acknowledgement = ctx.scheduler.beginAcknowledgement(worker, requestedAt);
     const res = await ctx.link.report({
       deadline: this.#nextLeaseDeadline(requestedAt),
-      endsStored,
+      endsStored: acknowledgement?.number ?? 0,
       epoch: ctx.epoch,
       limitMs: worker.isUnresponsive ? PROBE_TIMEOUT_MS : REPORT_TIMEOUT_MS,
       maySend: () => ctx.canExtendLeases(),
@@ -150,21 +164,16 @@
     if (this.signal.aborted) {
       return;
     }
-    const sent: EndAcknowledgement = { bornAt: info.bornAt, number: endsStored, sentAt: requestedAt };
+    if (acknowledgement !== undefined) {
+      this.#settleAcknowledgement(acknowledgement, res);
+    }
     if (res.isOk()) {
-      if (endsStored > 0) {
-        ctx.scheduler.onAcknowledgementAnswered(worker, sent, res.value.bornAt);
-      }
       ctx.scheduler.onReport(worker, res.value, requestedAt, ctx.timers.mono());
       this.#settleRefresh();
       ctx.onChange();
       await this.#pauseAfterReport();
       return;
     }
-    if (endsStored > 0) {
-      const { kind } = res.error;
-      ctx.scheduler.onAcknowledgementUnanswered(worker, sent, kind, ctx.timers.mono());
-    }
     if (worker.info.address === info.address || res.error.kind === LINK_FAILURE.fenced) {
       await this.#handleFailure(res.error);
     } else {
@@ -173,6 +182,18 @@
     }
   }
 
+  #settleAcknowledgement(sent: EndAcknowledgement, res: Result<WorkerReport, LinkError>): void {
+    const { ctx, worker } = this;
+    if (res.isOk()) {
+      ctx.scheduler.onAcknowledgementAnswered(worker, sent, res.value.bornAt);
+    } else if (res.error.isUnsent === true) {
+      ctx.scheduler.onAcknowledgementUnsent(worker);
+    } else {
+      ctx.scheduler.onAcknowledgementUnanswered(worker, sent, res.error.kind, ctx.timers.mono());
+    }
+    settleAll(this.#onAcknowledged);
+  }
+
   async #handleFailure({ kind, message }: LinkError): Promise<void> {
     const { ctx, worker } = this;
     if (kind === LINK_FAILURE.fenced) {
@@ -212,7 +233,9 @@
     if (this.worker.endsStored < this.worker.endsRead) {
       await this.#sleep(MAX_STORE_WAIT_MS);
     } else if (this.#hasStoppingRun()) {
-      await this.#sleep(STOP_POLL_INTERVAL_MS);
+      await this.#sleep(POLL_INTERVAL_MS);
+    } else if (this.worker.acknowledgement.isPending) {
+      await this.#sleep(RETRY_DELAY_MS);
     }
   }
 
@@ -220,7 +243,9 @@
     const { worker } = this;
     const isAwaited = this.#onNextReport.length > 0;
     const needsReportNow = !worker.isFenced || worker.isUnresponsive || worker.runs.size === 0;
-    if (isAwaited || needsReportNow || worker.endsStored < worker.endsRead || this.#hasStoppingRun()) {
+    // Ends that the worker lists already end its wait at once.
+    const hasListedEnds = worker.hasUnacknowledgedEnds || worker.endsStored < worker.endsRead;
+    if (isAwaited || needsReportNow || hasListedEnds || this.#hasStoppingRun()) {
       return 0;
     }
     const runs = [...worker.runs.values()];
@@ -247,3 +272,9 @@
     this.#endPause = undefined;
   }
 }
+
+function settleAll(waiting: (() => void)[]): void {
+  for (const settle of waiting.splice(0)) {
+    settle();
+  }
+}
--- a/packages/node/src/worker-loops.ts
+++ b/packages/node/src/worker-loops.ts
@@ -58,6 +58,11 @@
     await this.#loops.get(worker)?.refresh();
   }
 
+  /** Resolves once an acknowledgement to the worker that is in flight has an outcome. */
+  async acknowledged(worker: Worker): Promise<void> {
+    await this.#loops.get(worker)?.acknowledged();
+  }
+
   /** Ends the current pause of a worker's loop, so that it checks at once whether a report is needed. */
   wakeUp(worker: Worker): void {
     this.#loops.get(worker)?.wakeUp();
--- a/packages/node/tests/order-capacity.test.ts
+++ b/packages/node/tests/order-capacity.test.ts
@@ -54,6 +54,7 @@
   const link = new HeldLink();
   const sender = new OrderSender(
     {
+      acknowledged: () => Promise.resolve(),
       canExtendLeases: () => true,
       epoch: 1,
       leaseMs: 4000,
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -1,4 +1,5 @@
 import type { Scheduler, StartOrder } from '@sequoiaquay/core/jobs';
+import { PendingAcknowledgement } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { okAsync } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
@@ -47,6 +48,7 @@
 }
 
 const worker = {
+  acknowledgement: new PendingAcknowledgement(),
   extendLease: () => 5000,
   info: WORKER,
   isClockRecent: () => true,
@@ -97,6 +99,7 @@
   } as unknown as Scheduler;
   const sender = new OrderSender(
     {
+      acknowledged: () => Promise.resolve(),
       canExtendLeases: () => state.canExtendLeases,
       epoch: 1,
       leaseMs: 4000,
--- a/packages/node/tests/support/restarting-worker.ts
+++ b/packages/node/tests/support/restarting-worker.ts
@@ -30,6 +30,7 @@
   /** Duration of a run of a task, in ms. */
   durationOf: (task: string) => number = () => 300;
   #life: Life = newLife();
+  #lists = 0;
 
   /** Entry of the present life in the registry. */
   get info(): WorkerInfo {
@@ -93,6 +94,7 @@
   // Drops the ends up to a number and lists the others and the runs.
   #list(endsStored: number): WorkerReport {
     const life = this.#life;
+    this.#lists += 1;
     for (const [task, { endsAt }] of life.runs) {
       if (endsAt <= performance.now()) {
         this.#end(task, RUN_END.done);
@@ -102,7 +104,7 @@
     const running = [...life.runs].map(([task, { run }]) => ({
       checkpoint: '',
       load: 0,
-      percent: 50,
+      percent: this.#lists % 100,
       run,
       task,
     }));
