fix(jobs): close a worker for a due acknowledgement only because of its orders

A worker that could not be asked, or with an acknowledgement without an answer, also counted as kept waiting by its orders and stayed closed for a moment longer when both were over.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -268,12 +268,12 @@
    * it could drop an end that nobody has read. One that is returned has to get an outcome.
    */
   beginAcknowledgement(worker: Worker, now: number): EndAcknowledgement | undefined {
-    if (!worker.hasUnacknowledgedEnds) {
+    const { acknowledgement, info, isFenced, isUnresponsive } = worker;
+    const canBeSent = isFenced && !isUnresponsive && !acknowledgement.isPending;
+    if (!worker.hasUnacknowledgedEnds || !canBeSent) {
       return undefined;
     }
-    const { acknowledgement, info, isFenced, isUnresponsive } = worker;
-    const isSafe = isFenced && !isUnresponsive && !acknowledgement.isPending && worker.hasOnlyProvenRuns;
-    if (!isSafe) {
+    if (!worker.hasOnlyProvenRuns) {
       acknowledgement.block(now);
       return undefined;
     }
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -63,6 +63,8 @@
 
 /** State that decides whether an order is sent. */
 interface SenderState {
+  /** Ends the waits for an acknowledgement. */
+  readonly acknowledged: (() => void)[];
   answers: string[];
   canExtendLeases: boolean;
   isStartPending: boolean;
@@ -82,6 +84,7 @@
 
 function startAll(count: number, linkBytesPerS: number | undefined): Started {
   const state: SenderState = {
+    acknowledged: [],
     answers: [],
     canExtendLeases: true,
     isStartPending: true,
@@ -99,7 +102,10 @@
   } as unknown as Scheduler;
   const sender = new OrderSender(
     {
-      acknowledged: () => Promise.resolve(),
+      acknowledged: () =>
+        new Promise((resolve) => {
+          state.acknowledged.push(resolve);
+        }),
       canExtendLeases: () => state.canExtendLeases,
       epoch: 1,
       leaseMs: 4000,
@@ -185,6 +191,37 @@
     expect(link.started).toHaveLength(ORDERS_PER_WINDOW);
   });
 
+  // Guards against a run whose end a later incarnation drops for an acknowledgement that is on its way.
+  describe('to a worker with an acknowledgement in flight', () => {
+    const acknowledgement = new PendingAcknowledgement();
+    const acknowledged = { ...worker, acknowledgement };
+
+    function startOne(): Started {
+      acknowledgement.begin();
+      const started = startAll(0, undefined);
+      const target = acknowledged as unknown as StartOrder['worker'];
+      started.sender.start({ ...orderOf(0), worker: target }, 0);
+      return started;
+    }
+
+    it('sends an order once the acknowledgement has been answered', async () => {
+      const { link, state } = startOne();
+      expect(state.acknowledged).toHaveLength(1);
+      expect(link.started).toEqual([]);
+      acknowledgement.settle();
+      state.acknowledged[0]?.();
+      await expect.poll(() => link.started).toEqual(['t0']);
+    });
+
+    it('refuses an order when the acknowledgement may still be carried out', async () => {
+      const { link, state } = startOne();
+      acknowledgement.lose({ bornAt: 1, number: 1, sentAt: 0 }, 0);
+      state.acknowledged[0]?.();
+      await expect.poll(() => state.answers).toEqual(['refused']);
+      expect(link.started).toEqual([]);
+    });
+  });
+
   // Guards against a lease by a reading from before a long idle time.
   describe('to a worker whose clock was read long ago', () => {
     const withOldClock = { ...worker, isClockRecent: () => false };
