fix(jobs): put acknowledgements off while calls to workers get no answer

An acknowledgement without an answer closes its worker for seconds.

An acknowledgement now waits, for 3 s at most, while calls to its worker, or to a hundredth of the workers and two at least, have got no answer in the last 1.5 s. Meanwhile the worker is asked every 250 ms, since it would end each wait at once for the ends that it lists. Orders keep one waiting for 2 s, not 0.5 s, before the worker is closed for it.

--- a/packages/core/src/jobs/end-acknowledgement.ts
+++ b/packages/core/src/jobs/end-acknowledgement.ts
@@ -17,8 +17,11 @@
   until: number;
 }
 
-/** Time for which an acknowledgement waits for the orders of its worker before the worker gets no others, in ms. */
-const MAX_BLOCKED_MS = 500;
+/** Time for which orders may keep an acknowledgement waiting before the worker gets no others, in ms. */
+const MAX_BLOCKED_MS = 2000;
+
+/** Longest time for which an acknowledgement waits until the workers answer all calls, in ms. */
+const MAX_DELAY_MS = 3000;
 
 /**
  * Acknowledgement to a worker that may not have been carried out yet. No call names the incarnation that it is meant for,
@@ -26,7 +29,10 @@
  * So none is sent while a later incarnation may have begun a run, and no run is ordered while one is pending.
  */
 export class PendingAcknowledgement {
+  /** Monotonic time since which orders keep it waiting, in ms; undefined if none do. */
   #blockedSince: number | undefined;
+  /** Monotonic time since which it is due and has not been sent, in ms; undefined if it is not due. */
+  #dueSince: number | undefined;
   #late: LateAcknowledgement | undefined;
   /** Whether it has been sent and its outcome is not known yet. */
   isInFlight = false;
@@ -39,7 +45,7 @@
   /** Records that one is being sent. */
   begin(): void {
     this.isInFlight = true;
-    this.#blockedSince = undefined;
+    this.cancel();
   }
 
   /** Records that the one in flight was carried out, or certainly will not be. */
@@ -53,22 +59,32 @@
     this.#late = { ...sent, until: now + LATE_ORDER_WINDOW_MS };
   }
 
-  /** Records that one is due but can't be sent at a monotonic time in ms. */
-  block(now: number): void {
-    this.#blockedSince ??= now;
-  }
-
   /** Forgets that one is due, for example because the worker has restarted. */
-  unblock(): void {
+  cancel(): void {
     this.#blockedSince = undefined;
+    this.#dueSince = undefined;
+  }
+
+  /** Records that orders keep one that is due waiting at a monotonic time in ms. */
+  block(now: number): void {
+    this.#blockedSince ??= now;
   }
 
-  /** Whether the worker gets no orders at a monotonic time in ms so that one that is due can be sent; it ends some time. */
-  isOverdue(now: number): boolean {
+  /** Whether the worker gets no orders until one can be sent; never at an infinite time, since that ends. */
+  isBlocked(now: number): boolean {
     const blockedMs = now - (this.#blockedSince ?? now);
     return Number.isFinite(blockedMs) && blockedMs > MAX_BLOCKED_MS;
   }
 
+  /**
+   * Whether one that is due is sent at a monotonic time in ms. Without an answer it closes the worker, so it waits, for a
+   * limited time, while calls get no answer.
+   */
+  isTimely(now: number, areCallsMissed: boolean): boolean {
+    this.#dueSince ??= now;
+    return !areCallsMissed || now - this.#dueSince > MAX_DELAY_MS;
+  }
+
   /** Returns the time for which one without an answer may still be carried out, in ms; 0 if there is none. */
   lateForMs(now: number): number {
     return this.#late === undefined ? 0 : Math.max(0, this.#late.until - now);
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -20,6 +20,7 @@
 import type { WorkspaceLoad } from './workspace-load';
 import { Assigner } from './assigner';
 import { JobRun } from './job-run';
+import { MissedCalls } from './missed-calls';
 import { BoundedNearPlaceWait } from './near-place-wait';
 import { NearPlaces } from './near-places';
 import { delayOrdersAfterRefusal } from './order-refusal';
@@ -61,6 +62,7 @@
   #isAssignmentPaused = false;
   readonly #runControl: RunControl;
   readonly #ctx: SchedulerContext;
+  readonly #missedCalls = new MissedCalls();
   readonly #nearPlaces: NearPlaces;
   readonly #overdueRuns: OverdueRuns;
   readonly #quarantine: WorkerQuarantine;
@@ -273,6 +275,9 @@
     if (!worker.hasUnacknowledgedEnds || !canBeSent) {
       return undefined;
     }
+    if (!acknowledgement.isTimely(now, this.#areCallsMissed(worker, now))) {
+      return undefined;
+    }
     if (!worker.hasOnlyProvenRuns) {
       acknowledgement.block(now);
       return undefined;
@@ -306,13 +311,13 @@
   }
 
   /** Marks a worker as unresponsive after a call without an answer. */
-  onWorkerUnresponsive(worker: Worker): void {
-    worker.isUnresponsive = true;
+  onWorkerUnresponsive(worker: Worker, now: number): void {
+    this.#recordMissedCall(worker, now);
   }
 
   /** Marks a worker as unresponsive after its connection was closed or refused, as when its process ends. */
   onWorkerDisconnected(worker: Worker, now: number): void {
-    worker.isUnresponsive = true;
+    this.#recordMissedCall(worker, now);
     this.#workerLosses.handleDisconnection(worker, now);
   }
 
@@ -360,7 +365,7 @@
     }
     if (answer === START_ANSWER.noAnswer) {
       this.#loseOrder(order, now);
-      worker.isUnresponsive = true;
+      this.#recordMissedCall(worker, now);
       return;
     }
     this.#ctx.log(DECISION.orderRefused, { answer, run: order.run, task: task.name, worker: worker.info.id });
@@ -475,6 +480,19 @@
     }
   }
 
+  #recordMissedCall(worker: Worker, now: number): void {
+    if (!worker.isUnresponsive) {
+      this.#missedCalls.record(now);
+    }
+    worker.isUnresponsive = true;
+    worker.lastMissedAt = now;
+  }
+
+  #areCallsMissed({ lastMissedAt }: Worker, now: number): boolean {
+    const { size } = this.#ctx.workers;
+    return MissedCalls.isRecent(lastMissedAt, now) || this.#missedCalls.areWidespread(size, now);
+  }
+
   #recordAcknowledgement(worker: Worker, { bornAt, number }: EndAcknowledgement): void {
     if (worker.info.bornAt === bornAt) {
       worker.endsAcknowledged = Math.max(worker.endsAcknowledged, number);
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -153,6 +153,8 @@
   unconfirmedEntry: UnconfirmedEntry | undefined;
   /** Whether the last call to the worker got no answer. */
   isUnresponsive = false;
+  /** Monotonic time at which the last call got no answer, in ms. */
+  lastMissedAt = -Infinity;
   #unanswered: { at: number; run: number; task: string }[] = [];
 
   /** Its runs count in the use of their workspaces, if it is given. */
@@ -253,7 +255,7 @@
     if (lateForMs > 0) {
       return { detail: Math.round(lateForMs), reason: CLOSURE.acknowledgedLate };
     }
-    if (this.acknowledgement.isOverdue(now)) {
+    if (this.acknowledgement.isBlocked(now)) {
       return { reason: CLOSURE.acknowledging };
     }
     return this.pausedUntil > now
@@ -383,7 +385,7 @@
     this.#clock = undefined;
     this.disconnection = undefined;
     this.isCrashRecorded = false;
-    this.acknowledgement.unblock();
+    this.acknowledgement.cancel();
     this.endsAcknowledged = 0;
     this.endsRead = 0;
     this.endsStored = 0;
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -37,7 +37,7 @@
  */
 const PROBE_TIMEOUT_MS = 1600;
 
-/** Delay after a failed report request, and between reports while an acknowledgement may still be carried out, in ms. */
+/** Delay after a failed report request, and between reports while ends can't be acknowledged, in ms. */
 const RETRY_DELAY_MS = 250;
 
 /** Longest pause between reports while the ends of runs are being stored, in ms. */
@@ -211,7 +211,7 @@
     if (kind === LINK_FAILURE.disconnected) {
       ctx.scheduler.onWorkerDisconnected(worker, ctx.timers.mono());
     } else {
-      ctx.scheduler.onWorkerUnresponsive(worker);
+      ctx.scheduler.onWorkerUnresponsive(worker, ctx.timers.mono());
     }
     this.#settleRefresh();
     // Open connections may have gone silent while new ones work.
@@ -234,7 +234,7 @@
       await this.#sleep(MAX_STORE_WAIT_MS);
     } else if (this.#hasStoppingRun()) {
       await this.#sleep(POLL_INTERVAL_MS);
-    } else if (this.worker.acknowledgement.isPending) {
+    } else if (this.worker.hasUnacknowledgedEnds) {
       await this.#sleep(RETRY_DELAY_MS);
     }
   }
