fix(jobs): remember the orders without an answer of a worker whose entry has gone

What callers could see: a task that runs on two workers. A worker crashes while an order to it has no answer, its entry goes, its run is released with the lease and runs elsewhere; the worker comes back under its id and carries out the late order.

Cause: the leader dropped the worker, with the orders that it may still carry out, once its runs were released. One that came back while its entry was still known was ordered to stop them at once; one whose entry had gone was a new worker of which nothing was known. Shown by a test only: no order to stop on.

--- a/packages/core/src/jobs/end-acknowledgement.ts
+++ b/packages/core/src/jobs/end-acknowledgement.ts
@@ -90,11 +90,11 @@
     return this.#late === undefined ? 0 : Math.max(0, this.#late.until - now);
   }
 
-  /** Forgets one without an answer that is no longer carried out at a monotonic time in ms; returns whether it did. */
-  expire(now: number): boolean {
-    const hasExpired = this.#late !== undefined && this.#late.until <= now;
-    this.#late = hasExpired ? undefined : this.#late;
-    return hasExpired;
+  /** Forgets one without an answer that is no longer carried out at a monotonic time in ms. */
+  expire(now: number): void {
+    if (this.lateForMs(now) === 0) {
+      this.#late = undefined;
+    }
   }
 
   /**
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -413,9 +413,8 @@
   tick(now: number, wallNow: number, registryCurrentAt = -Infinity): void {
     for (const worker of [...this.#ctx.workers.values()]) {
       this.vmClaims.expire(worker, now);
-      if (worker.acknowledgement.expire(now)) {
-        this.#directory.removeIfIdle(worker);
-      }
+      worker.expireLateCalls(now);
+      this.#directory.removeIfIdle(worker);
       // A responsive worker reports the outcome of its runs itself.
       if (now > worker.leaseEndsAt && (worker.isUnresponsive || worker.isDeregistered)) {
         this.#workerLosses.releaseExpired(worker, now, registryCurrentAt);
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -144,12 +144,12 @@
   }
 
   /**
-   * Removes a worker that is no longer in the registry once it has no runs, nor any that may go on uncounted, and no
-   * acknowledgement that another incarnation under its id may carry out.
+   * Removes a worker that is no longer in the registry once it has no runs, nor any that may go on uncounted, and no call
+   * that another incarnation under its id may carry out.
    */
   removeIfIdle(worker: Worker): void {
     const hasRuns = worker.runs.size > 0 || worker.finishedMembers.size > 0;
-    const isNeeded = hasRuns || worker.acknowledgement.isPending;
+    const isNeeded = hasRuns || worker.mayCarryOutLateCalls;
     if (worker.isDeregistered && !isNeeded && this.isKept(worker)) {
       this.ctx.workers.delete(worker.info.id);
       worker.orphans.clear();
--- a/packages/core/src/jobs/worker.ts
+++ b/packages/core/src/jobs/worker.ts
@@ -309,6 +309,17 @@
     this.#unanswered.push({ at: now, run: order.run, task: order.task.name });
   }
 
+  /** Whether any incarnation of the worker may still carry out a call that got no answer, as of the last tick. */
+  get mayCarryOutLateCalls(): boolean {
+    return this.acknowledgement.isPending || this.#unanswered.length > 0;
+  }
+
+  /** Forgets the calls that got no answer and are no longer carried out at a monotonic time in ms. */
+  expireLateCalls(now: number): void {
+    this.acknowledgement.expire(now);
+    this.unansweredOrders(now);
+  }
+
   /** Returns the unanswered orders that the worker may still execute. */
   unansweredOrders(now: number): { run: number; task: string }[] {
     this.#unanswered = this.#unanswered.filter((order) => now - order.at < LATE_ORDER_WINDOW_MS);
--- a/packages/core/tests/jobs/unnoticed-restart.test.ts
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -169,6 +169,18 @@
     expect(harness.plan()).toMatchObject([{ run: 2 }]);
   });
 
+  // Guards against a late order that the next life carries out beside the next run, after its entry was gone for a while.
+  it('is ordered to stop the run of an order without an answer as soon as its entry is back', () => {
+    harness.orderUnanswered();
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.now += 6000;
+    harness.scheduler.tick(harness.now, 0, harness.now);
+    expect(harness.plan()).toMatchObject([{ run: 2 }]);
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 9500 }), harness.now);
+    const { stops } = harness.scheduler.plan(harness.now, 0);
+    expect(stops).toMatchObject([{ run: 1, task: TASK, worker: { info: { id: 'a' } } }]);
+  });
+
   it('keeps the run of an earlier term for the longest lease when it may not have been known to that term', () => {
     const now = 10_000;
     const settings = { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: 14_000, earlierLongestLeasesEndAt: 20_000 };
