fix(node): don't call a worker without a pause that is kept for its late calls only

Since a worker whose entry has gone, or at whose address another one answers, stays known while a call without an answer may still be carried out. Its loop went on asking it, without a pause where another worker answered at the address: 101 calls and more at once in the test, 0 after the first one now. A worker that is registered again is asked at once, as a new one is.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -158,6 +158,9 @@
   }
 
   #update(worker: Worker, info: WorkerInfo, now: number): void {
+    if (worker.isDeregistered && worker.runs.size === 0) {
+      worker.isUnresponsive = false;
+    }
     worker.isDeregistered = false;
     const { bornAt } = worker.info;
     // Entries are read in their order: after a report has shown an incarnation, those before its own are old ones.
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -119,8 +119,11 @@
 
   #needsReport(): boolean {
     const { worker } = this;
+    // Kept only because calls without an answer may reach a later incarnation.
+    const hasLeft = worker.isDeregistered && worker.runs.size === 0 && worker.finishedMembers.size === 0;
     return (
       worker.info.address !== '' &&
+      !hasLeft &&
       (this.#onNextReport.length > 0 ||
         !worker.isFenced ||
         worker.isUnresponsive ||
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -12,6 +12,10 @@
 const LEASE_MS = 4200;
 const JOB_ID = '00000000000000a1';
 const TASK = `${JOB_ID}.0.0.0`;
+
+/** Number of calls after which a loop without pauses is stopped. */
+const MANY_CALLS = 100;
+
 const SILENT: LinkError = { kind: 'silent', message: 'no answer' };
 
 /** Worker that runs one task as long as its lease is extended, and whose answers are delayed. */
@@ -173,6 +177,38 @@
     expect(isHandled(scheduler.workers.get(WORKER.id))).toBe(true);
   });
 
+  // Guards against calls without a pause to a worker that is only kept because late calls may reach its id.
+  it('asks a replaced worker no more, and its next life at once when it is registered', async () => {
+    const known = scheduler.workers.get(WORKER.id);
+    const [run] = known?.runs.values() ?? [];
+    if (known === undefined || run === undefined) {
+      throw new Error('the worker has no run');
+    }
+    known.addUnansweredOrder({ run: 1, task: run }, performance.now());
+    let calls = 0;
+    const report = link.current.report.bind(link.current);
+    link.current.report = () => {
+      calls += 1;
+      known.isUnresponsive = true;
+      if (calls > MANY_CALLS) {
+        stop.abort();
+      }
+      return errAsync({ isUnsent: true, kind: 'replaced', message: 'replaced' });
+    };
+    await vi.advanceTimersByTimeAsync(3000);
+    expect(scheduler.workers.get(WORKER.id)).toBe(known);
+    expect(calls).toBeLessThan(3);
+    link.current.report = (call) => {
+      calls += 1;
+      return report(call);
+    };
+    calls = 0;
+    scheduler.onWorkerRegistered({ ...WORKER, bornAt: WORKER.bornAt + 1, pool: 'p' }, performance.now());
+    loop.wakeUp();
+    await vi.advanceTimersByTimeAsync(50);
+    expect(calls).toBeGreaterThan(0);
+  });
+
   it('asks a worker often until the runs that are not assigned to it have ended, so that it is used again', async () => {
     const known = scheduler.workers.get(WORKER.id);
     link.current.orphan = 'cancelled.0.0.0';
