--- a/packages/core/src/jobs/end-acknowledgement.ts
+++ b/packages/core/src/jobs/end-acknowledgement.ts
@@ -33,9 +33,13 @@
   #blockedSince: number | undefined;
   /** Monotonic time since which it is due and has not been sent, in ms; undefined if it is not due. */
   #dueSince: number | undefined;
+  #inFlight: EndAcknowledgement | undefined;
   #late: LateAcknowledgement | undefined;
+
   /** Whether it has been sent and its outcome is not known yet. */
-  isInFlight = false;
+  get isInFlight(): boolean {
+    return this.#inFlight !== undefined;
+  }
 
   /** Whether an acknowledgement may still be carried out. */
   get isPending(): boolean {
@@ -43,20 +47,23 @@
   }
 
   /** Records that one is being sent. */
-  begin(): void {
-    this.isInFlight = true;
+  begin(sent: EndAcknowledgement): void {
+    this.#inFlight = sent;
     this.cancel();
   }
 
-  /** Records that the one in flight was carried out, or certainly will not be. */
-  settle(): void {
-    this.isInFlight = false;
+  /** Records that the one in flight was carried out, or certainly will not be; returns it. */
+  settle(): EndAcknowledgement | undefined {
+    const sent = this.#inFlight;
+    this.#inFlight = undefined;
+    return sent;
   }
 
-  /** Records that the one in flight got no answer until a monotonic time in ms. */
-  lose(sent: EndAcknowledgement, now: number): void {
-    this.isInFlight = false;
-    this.#late = { ...sent, until: now + LATE_ORDER_WINDOW_MS };
+  /** Records that the one in flight got no answer until a monotonic time in ms; returns it. */
+  lose(now: number): EndAcknowledgement | undefined {
+    const sent = this.settle();
+    this.#late = sent && { ...sent, until: now + LATE_ORDER_WINDOW_MS };
+    return sent;
   }
 
   /** Forgets that one is due, for example because the worker has restarted. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -282,19 +282,24 @@
       acknowledgement.block(now);
       return undefined;
     }
-    acknowledgement.begin();
-    return { bornAt: info.bornAt, number: worker.endsStored, sentAt: now };
+    const sent = { bornAt: info.bornAt, number: worker.endsStored, sentAt: now };
+    acknowledgement.begin(sent);
+    return sent;
   }
 
   /** Handles the answer to an acknowledgement by the incarnation of a worker that started at `answeredBy`. */
-  onAcknowledgementAnswered(worker: Worker, sent: EndAcknowledgement, answeredBy: number): void {
-    worker.acknowledgement.settle();
-    if (answeredBy === sent.bornAt) {
-      this.#recordAcknowledgement(worker, sent);
+  onAcknowledgementAnswered(worker: Worker, answeredBy: number): void {
+    const sent = worker.acknowledgement.settle();
+    if (sent === undefined) {
       return;
     }
     const { bornAt, number } = sent;
-    this.#ctx.log(DECISION.acknowledgedByOther, { answeredBy, bornAt, number, worker: worker.info.id });
+    if (answeredBy === bornAt) {
+      this.#recordAcknowledgement(worker, sent);
+    } else {
+      const data = { answeredBy, bornAt, number, worker: worker.info.id };
+      this.#ctx.log(DECISION.acknowledgedByOther, data);
+    }
   }
 
   /** Handles that an acknowledgement certainly is not carried out. */
@@ -303,8 +308,11 @@
   }
 
   /** Handles that an acknowledgement got no usable answer, for a reason as it appears in the log. */
-  onAcknowledgementUnanswered(worker: Worker, sent: EndAcknowledgement, reason: string, now: number): void {
-    worker.acknowledgement.lose(sent, now);
+  onAcknowledgementUnanswered(worker: Worker, reason: string, now: number): void {
+    const sent = worker.acknowledgement.lose(now);
+    if (sent === undefined) {
+      return;
+    }
     const { bornAt, number, sentAt } = sent;
     const data = { bornAt, number, reason, sentAgoMs: Math.round(now - sentAt), worker: worker.info.id };
     this.#ctx.log(DECISION.acknowledgementUnanswered, data);
--- a/packages/core/tests/jobs/end-acknowledgement.test.ts
+++ b/packages/core/tests/jobs/end-acknowledgement.test.ts
@@ -76,7 +76,7 @@
       throw new Error('no acknowledgement is due');
     }
     this.now += 700;
-    this.scheduler.onAcknowledgementUnanswered(this.worker, sent, 'silent', this.now);
+    this.scheduler.onAcknowledgementUnanswered(this.worker, 'silent', this.now);
   }
 
   tick(): void {
@@ -99,7 +99,7 @@
     const sent = harness.begin();
     expect(sent).toEqual({ bornAt: 1, number: 2, sentAt: harness.now });
     if (sent !== undefined) {
-      harness.scheduler.onAcknowledgementAnswered(harness.worker, sent, 1);
+      harness.scheduler.onAcknowledgementAnswered(harness.worker, 1);
     }
     expect(harness.begin()).toBeUndefined();
   });
@@ -248,7 +248,7 @@
   it('that another incarnation answered is named in the log', () => {
     const sent = harness.begin();
     if (sent !== undefined) {
-      harness.scheduler.onAcknowledgementAnswered(harness.worker, sent, 2);
+      harness.scheduler.onAcknowledgementAnswered(harness.worker, 2);
     }
     expect(harness.linesOf('ends-acknowledged-to-another')).toEqual([
       { answeredBy: 2, bornAt: 1, number: 2, worker: 'a' },
--- a/packages/core/tests/jobs/support/simulated-cluster.ts
+++ b/packages/core/tests/jobs/support/simulated-cluster.ts
@@ -1,5 +1,4 @@
 import type {
-  EndAcknowledgement,
   FleetConfig,
   Job,
   KeyedRecord,
@@ -420,7 +419,7 @@
     const fate = calm ? 'answered' : this.#injected.fateOfReport();
     if (fate === 'delayed') {
       this.#schedule(MAX_ORDER_DELAY_MS * this.#random(), execute);
-      this.#missReport(leader, known, sent);
+      this.#missReport(leader, known);
       return;
     }
     const report = execute();
@@ -429,26 +428,22 @@
       return;
     }
     const answer = (): void => {
-      if (sent !== undefined) {
-        leader.scheduler.onAcknowledgementAnswered(known, sent, report.bornAt);
-      }
+      leader.scheduler.onAcknowledgementAnswered(known, report.bornAt);
       leader.scheduler.onReport(known, report, askedAt, this.#now);
     };
     if (fate === 'answered') {
       answer();
     } else if (fate === 'lost') {
-      this.#missReport(leader, known, sent);
+      this.#missReport(leader, known);
     } else {
       this.#settleLater(known, MAX_REPORT_DELAY_MS * this.#random(), answer);
     }
   }
 
   // A report request without an answer is given up after a while.
-  #missReport({ scheduler }: Leader, known: Worker, sent: EndAcknowledgement | undefined): void {
+  #missReport({ scheduler }: Leader, known: Worker): void {
     this.#settleLater(known, REPORT_TIMEOUT_MS, () => {
-      if (sent !== undefined) {
-        scheduler.onAcknowledgementUnanswered(known, sent, 'silent', this.#now);
-      }
+      scheduler.onAcknowledgementUnanswered(known, 'silent', this.#now);
       scheduler.onWorkerUnresponsive(known, this.#now);
     });
   }
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -1,4 +1,4 @@
-import type { EndAcknowledgement, Scheduler, Worker, WorkerReport } from '@sequoiaquay/core/jobs';
+import type { Scheduler, Worker, WorkerReport } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
 import type { LinkError, WorkerLink } from './ports/worker-link';
@@ -92,6 +92,7 @@
     try {
       await this.#requestReports();
     } finally {
+      this.#loseAcknowledgement();
       this.#settleRefresh();
       settleAll(this.#onAcknowledged);
     }
@@ -167,9 +168,7 @@
     if (this.signal.aborted) {
       return;
     }
-    if (acknowledgement !== undefined) {
-      this.#settleAcknowledgement(acknowledgement, res);
-    }
+    this.#settleAcknowledgement(res);
     if (res.isOk()) {
       ctx.scheduler.onReport(worker, res.value, requestedAt, ctx.timers.mono());
       this.#settleRefresh();
@@ -185,18 +184,25 @@
     }
   }
 
-  #settleAcknowledgement(sent: EndAcknowledgement, res: Result<WorkerReport, LinkError>): void {
+  #settleAcknowledgement(res: Result<WorkerReport, LinkError>): void {
     const { ctx, worker } = this;
     if (res.isOk()) {
-      ctx.scheduler.onAcknowledgementAnswered(worker, sent, res.value.bornAt);
+      ctx.scheduler.onAcknowledgementAnswered(worker, res.value.bornAt);
     } else if (res.error.isUnsent === true) {
       ctx.scheduler.onAcknowledgementUnsent(worker);
     } else {
-      ctx.scheduler.onAcknowledgementUnanswered(worker, sent, res.error.kind, ctx.timers.mono());
+      ctx.scheduler.onAcknowledgementUnanswered(worker, res.error.kind, ctx.timers.mono());
     }
     settleAll(this.#onAcknowledged);
   }
 
+  // After an unexpected error it is not known whether the request was carried out.
+  #loseAcknowledgement(): void {
+    if (!this.signal.aborted) {
+      this.ctx.scheduler.onAcknowledgementUnanswered(this.worker, 'error', this.ctx.timers.mono());
+    }
+  }
+
   async #handleFailure({ kind, message }: LinkError): Promise<void> {
     const { ctx, worker } = this;
     if (kind === LINK_FAILURE.fenced) {
--- a/packages/node/tests/order-sender.test.ts
+++ b/packages/node/tests/order-sender.test.ts
@@ -197,7 +197,7 @@
     const acknowledged = { ...worker, acknowledgement };
 
     function startOne(): Started {
-      acknowledgement.begin();
+      acknowledgement.begin({ bornAt: 1, number: 1, sentAt: 0 });
       const started = startAll(0, undefined);
       const target = acknowledged as unknown as StartOrder['worker'];
       started.sender.start({ ...orderOf(0), worker: target }, 0);
@@ -215,7 +215,7 @@
 
     it('refuses an order when the acknowledgement may still be carried out', async () => {
       const { link, state } = startOne();
-      acknowledgement.lose({ bornAt: 1, number: 1, sentAt: 0 }, 0);
+      acknowledgement.lose(0);
       state.acknowledged[0]?.();
       await expect.poll(() => state.answers).toEqual(['refused']);
       expect(link.started).toEqual([]);
--- a/packages/node/tests/worker-loops.test.ts
+++ b/packages/node/tests/worker-loops.test.ts
@@ -1,6 +1,6 @@
 import type { WorkerInfo, WorkerReport } from '@sequoiaquay/core/jobs';
 import type { Result } from 'neverthrow';
-import { Scheduler } from '@sequoiaquay/core/jobs';
+import { RUN_END, Scheduler } from '@sequoiaquay/core/jobs';
 import { SystemTimerService } from '@sequoiaquay/runtime';
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -170,6 +170,30 @@
     await expect.poll(() => requests, { timeout: 300 }).toBeGreaterThan(1);
   });
 
+  // Guards against a worker that never gets an order again.
+  it('counts an acknowledgement as unanswered after an unexpected error', async () => {
+    let hasFailed = false;
+    const report: WorkerLink['report'] = ({ endsStored }) => {
+      if (endsStored > 0 && !hasFailed) {
+        hasFailed = true;
+        throw new Error('unexpected');
+      }
+      const ended = [{ checkpoint: '', end: RUN_END.done, number: 1, run: 1, task: 'other.0.0.0' }];
+      return okAsync({ ...REPORT, ended: hasFailed ? [] : ended });
+    };
+    const scheduler = startLoops(report, [], { ...WORKER, pool: 'p' });
+    const worker = scheduler.workers.get(WORKER.id);
+    await expect.poll(() => worker?.endsRead).toBe(1);
+    if (worker !== undefined) {
+      worker.endsStored = 1;
+    }
+    await expect.poll(() => hasFailed).toBe(true);
+    await expect.poll(() => worker?.acknowledgement.isInFlight).toBe(false);
+    worker?.forgetClock();
+    await expect.poll(() => worker?.acknowledgement.isPending, { timeout: 3000 }).toBe(false);
+    expect(worker?.endsAcknowledged).toBe(1);
+  });
+
   it('runs the loop of a worker again after an unexpected error', async () => {
     let requests = 0;
     startLoops(() => {
