fix(node): acknowledge ends at less cost to a busy leader

Calls that a slow leader takes for missed put acknowledgements off, and ends are then read up to 250 ms late.

--- a/packages/core/src/jobs/missed-calls.ts
+++ b/packages/core/src/jobs/missed-calls.ts
@@ -2,7 +2,7 @@
 const MEMORY_MS = 1500;
 
 /** Share of the workers that have stopped answering within that time, from which on others are likely to follow. */
-const WIDESPREAD_SHARE = 0.01;
+const WIDESPREAD_SHARE = 0.05;
 
 /** Least number of such workers. */
 const MIN_WIDESPREAD = 2;
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -32,8 +32,9 @@
 const REPORT_TIMEOUT_MS = 700;
 
 /**
- * Timeout of a report request to a worker that did not answer the last one, in ms. Longer, so that a worker that
- * is only slow answers before the lease of its runs ends; shorter than what is left of the lease by then.
+ * Timeout of a report request to a worker that did not answer the last one, or that acknowledges ends, in ms. Longer, so
+ * that a worker that is only slow answers before the lease of its runs ends, and is not closed for an acknowledgement
+ * without an answer; shorter than what is left of the lease by then.
  */
 const PROBE_TIMEOUT_MS = 1600;
 
@@ -155,11 +156,12 @@
     const { info } = worker;
     const requestedAt = ctx.timers.mono();
     const acknowledgement = ctx.scheduler.beginAcknowledgement(worker, requestedAt);
+    const isPatient = worker.isUnresponsive || acknowledgement !== undefined;
     const res = await ctx.link.report({
       deadline: this.#nextLeaseDeadline(requestedAt),
       endsStored: acknowledgement?.number ?? 0,
       epoch: ctx.epoch,
-      limitMs: worker.isUnresponsive ? PROBE_TIMEOUT_MS : REPORT_TIMEOUT_MS,
+      limitMs: isPatient ? PROBE_TIMEOUT_MS : REPORT_TIMEOUT_MS,
       maySend: () => ctx.canExtendLeases(),
       signal: this.signal,
       waitMs: this.#reportWaitMs(),
@@ -172,7 +174,10 @@
     if (res.isOk()) {
       ctx.scheduler.onReport(worker, res.value, requestedAt, ctx.timers.mono());
       this.#settleRefresh();
-      ctx.onChange();
+      // What the answer to an acknowledgement shows beside new ends can wait for the next tick.
+      if (acknowledgement === undefined || res.value.ended.length > 0) {
+        ctx.onChange();
+      }
       await this.#pauseAfterReport();
       return;
     }
