fix(node): find the crash of a worker soon after a start while ends wait

Cause: while an acknowledgement is put off, the leader asks a worker every 250 ms instead of waiting for its answer, so a crash 10 ms after a start was found after the 150 ms in which a suspected task starts alone. Other tasks were started beside it and shared the suspicion. A worker that is starting tasks is now asked every 60 ms then.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -37,6 +37,7 @@
 export * from './waiting-tasks';
 export * from './worker';
 export * from './worker-closure';
+export { isStartingTasks } from './worker-crash';
 export * from './vm-claims';
 export * from './worker-report';
 export * from './caller-access';
--- a/packages/node/src/worker-loop.ts
+++ b/packages/node/src/worker-loop.ts
@@ -1,6 +1,7 @@
 import type { Scheduler, Worker, WorkerReport } from '@sequoiaquay/core/jobs';
 import type { Logger, TimerService } from '@sequoiaquay/runtime';
 import type { Result } from 'neverthrow';
+import { isStartingTasks } from '@sequoiaquay/core/jobs';
 import type { LinkError, WorkerLink } from './ports/worker-link';
 import { LINK_FAILURE } from './ports/worker-link';
 
@@ -249,7 +250,9 @@
     } else if (this.#hasStoppingRun()) {
       await this.#sleep(POLL_INTERVAL_MS);
     } else if (this.worker.hasUnacknowledgedEnds) {
-      await this.#sleep(RETRY_DELAY_MS);
+      // A crash by a task that has just started must be found soon after the start.
+      const isStarting = isStartingTasks(this.worker, this.ctx.timers.mono());
+      await this.#sleep(isStarting ? POLL_INTERVAL_MS : RETRY_DELAY_MS);
     }
   }
 
--- a/packages/node/tests/worker-loop.test.ts
+++ b/packages/node/tests/worker-loop.test.ts
@@ -177,6 +177,30 @@
     expect(isHandled(scheduler.workers.get(WORKER.id))).toBe(true);
   });
 
+  // Guards against a task that crashes every worker that starts it and is not found out.
+  it('finds a crash soon after a start while an acknowledgement waits', async () => {
+    const known = scheduler.workers.get(WORKER.id);
+    const [run] = known?.runs.values() ?? [];
+    if (known === undefined || run === undefined) {
+      throw new Error('the worker has no run');
+    }
+    const missCalls = (): void => {
+      known.lastMissedAt = performance.now();
+    };
+    known.endsRead = 1;
+    known.endsStored = 1;
+    for (let elapsedMs = 0; elapsedMs < 2000; elapsedMs += 200) {
+      missCalls();
+      await vi.advanceTimersByTimeAsync(200);
+    }
+    run.runningSince = performance.now();
+    loop.wakeUp();
+    await vi.advanceTimersByTimeAsync(10);
+    link.current.report = () => errAsync({ kind: 'disconnected', message: 'closed' });
+    await vi.advanceTimersByTimeAsync(150);
+    expect(known.disconnection).toMatchObject({ wasStarting: true });
+  });
+
   // Guards against calls without a pause to a worker that is only kept because late calls may reach its id.
   it('asks a replaced worker no more, and its next life at once when it is registered', async () => {
     const known = scheduler.workers.get(WORKER.id);
