fix(jobs): ask a worker whose entry is back before it gets orders

What callers could see: orders to a worker that doesn't answer. Since a worker whose entry has gone is kept while a call without an answer may still be carried out; since it counted as answering again when its entry came back, so that it got orders by what was known of it before. Without those two it would have been a new worker, which is asked first.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -159,7 +159,9 @@
 
   #update(worker: Worker, info: WorkerInfo, now: number): void {
     if (worker.isDeregistered && worker.runs.size === 0) {
+      // It was only kept for its late calls: it has to be asked like a new one.
       worker.isUnresponsive = false;
+      worker.isFenced = false;
     }
     worker.isDeregistered = false;
     const { bornAt } = worker.info;
--- a/packages/core/tests/jobs/unnoticed-restart.test.ts
+++ b/packages/core/tests/jobs/unnoticed-restart.test.ts
@@ -181,6 +181,19 @@
     expect(stops).toMatchObject([{ run: 1, task: TASK, worker: { info: { id: 'a' } } }]);
   });
 
+  // Guards against orders to a worker that has stopped answering and has only got its entry back.
+  it('gets no orders until it has reported when its entry is back after an order without an answer', () => {
+    harness.orderUnanswered();
+    harness.scheduler.onWorkerDeregistered('a');
+    harness.now += 6000;
+    harness.scheduler.tick(harness.now, 0, harness.now);
+    expect(harness.find('a').runs.size).toBe(0);
+    harness.scheduler.onWorkerRegistered(worker('a', { bornAt: 1 }), harness.now);
+    expect(harness.find('a').isAssignable(harness.now)).toBe(false);
+    harness.report('a', report([], [], 1));
+    expect(harness.find('a').isAssignable(harness.now)).toBe(true);
+  });
+
   it('keeps the run of an earlier term for the longest lease when it may not have been known to that term', () => {
     const now = 10_000;
     const settings = { ...SCHEDULER_SETTINGS, earlierLeasesEndAt: 14_000, earlierLongestLeasesEndAt: 20_000 };
